--- /dev/null
+++ b/src/adapters/http_server.cpp
@@ -0,0 +1,229 @@
+#include "adapters/http_server.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <mutex>
+#include <set>
+
+#include "adapters/log.h"
+#include "adapters/settings.h"
+
+namespace parsleyledge {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+using request_parser = http::request_parser<http::string_body>;
+
+auto convert(http::request<http::string_body> from) -> http_request {
+  http_request to;
+  to.method = std::string(from.method_string());
+  to.target = std::string(from.target());
+  for (const auto& field : from) {
+    to.headers.emplace_back(field.name_string(), field.value());
+  }
+  to.body = std::move(from.body());
+  return to;
+}
+
+auto convert(http_response from, unsigned version, bool keep_alive)
+    -> http::response<http::string_body> {
+  http::response<http::string_body> to;
+  to.version(version);
+  to.result(static_cast<unsigned>(from.status));
+  for (const auto& [name, value] : from.headers)
+    to.insert(name, value);
+  to.body() = std::move(from.body);
+  to.keep_alive(keep_alive);
+  to.prepare_payload();
+  return to;
+}
+
+auto refusal_of(const beast::error_code& ec) -> problem {
+  if (ec == http::error::body_limit) {
+    return {413, "Content too large", "the request body is too large",
+            run_outcome::not_run};
+  }
+  if (ec == http::error::header_limit) {
+    return {431, "Header too large", "the request header is too large",
+            run_outcome::not_run};
+  }
+  return {400, "Bad request", "the request is no valid HTTP: " + ec.message(),
+          run_outcome::not_run};
+}
+
+}  // namespace
+
+struct http_server::impl {
+  impl(asio::thread_pool& pool, http_limits l) : workers(pool), limits(l) {}
+
+  asio::thread_pool& workers;
+  http_limits limits;
+  http_handler handler;
+  std::unique_ptr<tcp::acceptor> acceptor;
+  std::atomic<bool> draining{false};
+  std::atomic<std::size_t> busy{0};
+  std::atomic<std::size_t> open{0};
+  std::mutex mutex;  // a leaf: nothing is locked under it
+  std::set<std::shared_ptr<beast::tcp_stream>> idle;
+
+  void set_idle(const std::shared_ptr<beast::tcp_stream>& stream, bool on) {
+    std::lock_guard lock(mutex);
+    if (on) {
+      idle.insert(stream);
+    } else {
+      idle.erase(stream);
+    }
+  }
+};
+
+namespace {
+
+/// Reads one request. An idle connection waits longer than a request that
+/// has begun.
+template <typename Impl>
+auto read_request(Impl& self, std::shared_ptr<beast::tcp_stream> stream,
+                  beast::flat_buffer& buffer, request_parser& parser)
+    -> asio::awaitable<beast::error_code> {
+  beast::error_code ec;
+  auto token = asio::redirect_error(asio::use_awaitable, ec);
+  if (buffer.size() == 0) {
+    self.set_idle(stream, true);
+    stream->expires_after(self.limits.idle);
+    auto space = buffer.prepare(4096);
+    auto n = co_await stream->async_read_some(space, token);
+    self.set_idle(stream, false);
+    if (ec) co_return ec;
+    buffer.commit(n);
+  }
+  stream->expires_after(self.limits.request);
+  co_await http::async_read(*stream, buffer, parser, token);
+  co_return ec;
+}
+
+template <typename Impl>
+auto serve(std::shared_ptr<Impl> self,
+           std::shared_ptr<beast::tcp_stream> stream) -> asio::awaitable<void> {
+  beast::flat_buffer buffer;
+  beast::error_code ec;
+  auto token = asio::redirect_error(asio::use_awaitable, ec);
+  while (true) {
+    request_parser parser;
+    parser.body_limit(self->limits.body_bytes);
+    parser.header_limit(self->limits.header_bytes);
+    auto failed = co_await read_request(*self, stream, buffer, parser);
+    http_response response;
+    bool keep_alive = false;
+    unsigned version = 11;
+    bool counted = false;
+    if (failed) {
+      bool sent_nothing =
+          failed == http::error::end_of_stream ||
+          failed.category() !=
+              make_error_code(http::error::body_limit).category();
+      if (sent_nothing) break;
+      response = make_response(refusal_of(failed));
+    } else {
+      ++self->busy;
+      counted = true;
+      auto request = parser.release();
+      keep_alive = request.keep_alive();
+      version = request.version();
+      auto plain = convert(std::move(request));
+      stream->expires_never();
+      response = co_await self->handler(std::move(plain));
+    }
+    keep_alive = keep_alive && !response.close && !self->draining;
+    auto out = convert(std::move(response), version, keep_alive);
+    stream->expires_after(self->limits.request);
+    co_await http::async_write(*stream, out, token);
+    if (counted) --self->busy;
+    if (ec || !keep_alive) break;
+  }
+  stream->socket().shutdown(tcp::socket::shutdown_send, ec);
+  --self->open;
+}
+
+template <typename Impl>
+auto accept_loop(std::shared_ptr<Impl> self) -> asio::awaitable<void> {
+  while (!self->draining) {
+    beast::error_code ec;
+    auto strand = asio::make_strand(self->workers);
+    auto socket = co_await self->acceptor->async_accept(
+        strand, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec == asio::error::operation_aborted || !self->acceptor->is_open()) {
+      co_return;
+    }
+    if (ec) continue;
+    if (self->open >= self->limits.connections) continue;  // closes it
+    beast::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    ++self->open;
+    auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+    asio::co_spawn(strand, serve(self, stream), asio::detached);
+  }
+}
+
+}  // namespace
+
+http_server::http_server(asio::thread_pool& pool, http_limits limits)
+    : impl_(std::make_shared<impl>(pool, limits)) {}
+
+http_server::~http_server() {
+  close_idle();
+}
+
+auto http_server::listen(std::string_view address, http_handler handler)
+    -> std::string {
+  impl_->handler = std::move(handler);
+  auto [host, port] = split_address(address);
+  beast::error_code ec;
+  tcp::endpoint where(asio::ip::make_address(host, ec), port);
+  auto strand = asio::make_strand(impl_->workers);
+  impl_->acceptor = std::make_unique<tcp::acceptor>(strand);
+  auto& acceptor = *impl_->acceptor;
+  acceptor.open(where.protocol(), ec);
+  if (!ec) acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec) acceptor.bind(where, ec);
+  if (!ec) acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  if (ec) return std::string(address) + ": " + ec.message();
+  asio::co_spawn(strand, accept_loop(impl_), asio::detached);
+  return {};
+}
+
+void http_server::drain() {
+  impl_->draining = true;
+}
+
+void http_server::close_idle() {
+  impl_->draining = true;
+  auto self = impl_;
+  if (self->acceptor != nullptr) {
+    asio::post(self->acceptor->get_executor(), [self] {
+      beast::error_code ec;
+      self->acceptor->close(ec);
+    });
+  }
+  std::lock_guard lock(self->mutex);
+  for (const auto& stream : self->idle) {
+    // Runs on the connection's strand, where it may have become busy.
+    asio::post(stream->get_executor(), [self, stream] {
+      std::lock_guard inner(self->mutex);
+      if (self->idle.contains(stream)) stream->cancel();
+    });
+  }
+}
+
+auto http_server::busy() const -> std::size_t {
+  return impl_->busy;
+}
+
+auto http_server::connections() const -> std::size_t {
+  return impl_->open;
+}
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/adapters/metrics.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace parsleyledge {
+
+/// A distribution of latencies, kept by Boost.Histogram.
+class latency_metric {
+ public:
+  latency_metric();
+  latency_metric(const latency_metric&) = delete;
+  auto operator=(const latency_metric&) -> latency_metric& = delete;
+  ~latency_metric();
+
+  void record(std::chrono::nanoseconds latency);
+
+  /// An upper bound of the given quantile (0 to 1), in seconds; 0 if empty.
+  auto quantile(double q) const -> double;
+  auto count() const -> std::uint64_t;
+
+  /// Appends the metric in Prometheus text.
+  void print(std::string_view name, std::string& out) const;
+
+ private:
+  struct impl;
+
+  std::unique_ptr<impl> impl_;
+};
+
+/// The metrics of a process by name. Names follow Prometheus; a counter's
+/// name may end in labels: `requests_total{outcome="ok"}`.
+class metrics {
+ public:
+  /// The counter of this name, made on first use. Valid for good.
+  auto counter(std::string_view name) -> std::atomic<std::uint64_t>&;
+
+  /// The latency of this name, made on first use. Valid for good.
+  auto latency(std::string_view name) -> latency_metric&;
+
+  /// All metrics in Prometheus text.
+  auto print() const -> std::string;
+
+ private:
+  mutable std::mutex mutex_;  // a leaf: nothing is locked under it
+  std::map<std::string, std::atomic<std::uint64_t>, std::less<>> counters_;
+  std::map<std::string, latency_metric, std::less<>> latencies_;
+};
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/adapters/peer_socket.cpp
@@ -0,0 +1,287 @@
+#include "adapters/peer_socket.h"
+
+#include <atomic>
+#include <chrono>
+#include <deque>
+#include <map>
+#include <thread>
+#include <vector>
+#include <zmq.hpp>
+
+#include "adapters/log.h"
+#include "core/ranked_lock.h"
+#include "wire.pb.h"
+
+namespace parsleyledge {
+
+namespace {
+
+constexpr int high_water_mark = 4096;  // messages a connection
+constexpr std::size_t max_queued = 65536;
+constexpr std::int64_t max_message = 64 << 20;
+constexpr int heartbeat_ms = 2000;
+constexpr int heartbeat_timeout_ms = 6000;
+constexpr int reconnect_ms = 100;
+constexpr int reconnect_max_ms = 1000;
+constexpr std::chrono::minutes idle_peer{5};
+constexpr std::chrono::seconds poll_limit{30};
+constexpr std::string_view wake_address = "inproc://wake";
+
+auto wall_ms() -> std::int64_t {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+struct outgoing {
+  std::string to;
+  bool is_reply = false;
+  std::string bytes;
+};
+
+void set_options(zmq::socket_t& socket) {
+  socket.set(zmq::sockopt::linger, 0);
+  socket.set(zmq::sockopt::sndhwm, high_water_mark);
+  socket.set(zmq::sockopt::rcvhwm, high_water_mark);
+  socket.set(zmq::sockopt::maxmsgsize, max_message);
+  socket.set(zmq::sockopt::heartbeat_ivl, heartbeat_ms);
+  socket.set(zmq::sockopt::heartbeat_timeout, heartbeat_timeout_ms);
+}
+
+}  // namespace
+
+struct peer_socket::impl {
+  struct peer {
+    zmq::socket_t socket;
+    std::chrono::steady_clock::time_point used;
+  };
+
+  peer_identity self;
+  receiver receive;
+  zmq::context_t context{1};
+  zmq::socket_t router;
+  zmq::socket_t wake_in;
+  zmq::socket_t wake_out;  // used under the outbox lock
+  ranked_mutex mutex{lock_rank::outbox};
+  std::deque<outgoing> outbox;
+  bool woken = false;
+  bool stopping = false;
+  std::map<std::string, peer> peers;
+  std::thread thread;
+  std::atomic<std::uint64_t> sent{0};
+  std::atomic<std::uint64_t> received{0};
+  std::atomic<std::uint64_t> dropped{0};
+
+  void push(outgoing item) {
+    ranked_lock lock(mutex);
+    if (stopping || outbox.size() >= max_queued) {
+      ++dropped;
+      return;
+    }
+    outbox.push_back(std::move(item));
+    wake();
+  }
+
+  // Holds the outbox lock, which also hands the socket between threads.
+  void wake() {
+    if (woken) return;
+    woken = true;
+    wake_out.send(zmq::message_t(), zmq::send_flags::dontwait);
+  }
+
+  auto dealer(const std::string& address) -> zmq::socket_t* {
+    auto it = peers.find(address);
+    if (it == peers.end()) {
+      zmq::socket_t socket(context, zmq::socket_type::dealer);
+      set_options(socket);
+      socket.set(zmq::sockopt::immediate, true);
+      socket.set(zmq::sockopt::reconnect_ivl, reconnect_ms);
+      socket.set(zmq::sockopt::reconnect_ivl_max, reconnect_max_ms);
+      try {
+        socket.connect("tcp://" + address);
+      } catch (const zmq::error_t& error) {
+        log_event(
+            log_level::error, "peer_address_refused",
+            {{"address", address}, {"detail", std::string_view(error.what())}});
+        return nullptr;
+      }
+      it = peers.emplace(address, peer{std::move(socket), {}}).first;
+    }
+    it->second.used = std::chrono::steady_clock::now();
+    return &it->second.socket;
+  }
+
+  void send_one(const outgoing& item) {
+    zmq::send_result_t done;
+    try {
+      zmq::message_t body(item.bytes.data(), item.bytes.size());
+      if (item.is_reply && item.to.empty()) return;
+      if (item.is_reply && item.to.front() == 'R') {
+        zmq::message_t id(item.to.data() + 1, item.to.size() - 1);
+        done = router.send(
+            id, zmq::send_flags::sndmore | zmq::send_flags::dontwait);
+        if (done) done = router.send(body, zmq::send_flags::dontwait);
+      } else {
+        auto address = item.is_reply ? item.to.substr(1) : item.to;
+        if (auto* socket = dealer(address)) {
+          done = socket->send(body, zmq::send_flags::dontwait);
+        }
+      }
+    } catch (const zmq::error_t&) {
+      // The peer behind the token has gone.
+    }
+    if (done) {
+      sent += item.bytes.size();
+    } else {
+      ++dropped;
+    }
+  }
+
+  void deliver(std::string from, const zmq::message_t& body) {
+    received += body.size();
+    wire::envelope message;
+    bool good =
+        message.ParseFromArray(body.data(), static_cast<int>(body.size()));
+    if (!good || message.group() != self.group) return;
+    // A queue may deliver long after the sender gave up.
+    if (message.deadline() != 0 && message.deadline() < wall_ms()) return;
+    receive(from, std::move(message));
+  }
+
+  void read_router() {
+    while (true) {
+      zmq::message_t id;
+      zmq::message_t body;
+      if (!router.recv(id, zmq::recv_flags::dontwait)) return;
+      if (!id.more() || !router.recv(body, zmq::recv_flags::dontwait)) return;
+      deliver("R" + id.to_string(), body);
+    }
+  }
+
+  void read_peer(const std::string& address, zmq::socket_t& socket) {
+    while (true) {
+      zmq::message_t body;
+      if (!socket.recv(body, zmq::recv_flags::dontwait)) return;
+      deliver("D" + address, body);
+    }
+  }
+
+  auto drain_outbox() -> bool {
+    zmq::message_t token;
+    while (wake_in.recv(token, zmq::recv_flags::dontwait)) {
+    }
+    std::deque<outgoing> items;
+    {
+      ranked_lock lock(mutex);
+      woken = false;
+      items.swap(outbox);
+      if (stopping) return false;
+    }
+    for (const auto& item : items)
+      send_one(item);
+    return true;
+  }
+
+  void drop_idle_peers() {
+    auto now = std::chrono::steady_clock::now();
+    std::erase_if(peers, [&](const auto& item) {
+      return now - item.second.used > idle_peer;
+    });
+  }
+
+  void run() {
+    std::vector<zmq::pollitem_t> items;
+    std::vector<std::string> addresses;
+    while (true) {
+      items.clear();
+      addresses.clear();
+      items.push_back({wake_in.handle(), 0, ZMQ_POLLIN, 0});
+      items.push_back({router.handle(), 0, ZMQ_POLLIN, 0});
+      for (auto& [address, p] : peers) {
+        items.push_back({p.socket.handle(), 0, ZMQ_POLLIN, 0});
+        addresses.push_back(address);
+      }
+      zmq::poll(items, poll_limit);
+      if ((items[1].revents & ZMQ_POLLIN) != 0) read_router();
+      for (std::size_t i = 0; i < addresses.size(); ++i) {
+        if ((items[i + 2].revents & ZMQ_POLLIN) == 0) continue;
+        read_peer(addresses[i], peers.at(addresses[i]).socket);
+      }
+      if (!drain_outbox()) break;
+      drop_idle_peers();
+    }
+    peers.clear();
+    router.close();
+    wake_in.close();
+  }
+};
+
+peer_socket::peer_socket(peer_identity self, receiver receive)
+    : impl_(std::make_unique<impl>()) {
+  impl_->self = std::move(self);
+  impl_->receive = std::move(receive);
+}
+
+peer_socket::~peer_socket() {
+  stop();
+}
+
+auto peer_socket::start(std::string_view listen_address) -> std::string {
+  auto& s = *impl_;
+  try {
+    s.router = zmq::socket_t(s.context, zmq::socket_type::router);
+    set_options(s.router);
+    s.router.set(zmq::sockopt::router_mandatory, true);
+    if (!listen_address.empty()) {
+      s.router.bind("tcp://" + std::string(listen_address));
+    }
+    s.wake_in = zmq::socket_t(s.context, zmq::socket_type::pull);
+    s.wake_in.bind(std::string(wake_address));
+    s.wake_out = zmq::socket_t(s.context, zmq::socket_type::push);
+    s.wake_out.set(zmq::sockopt::linger, 0);
+    s.wake_out.connect(std::string(wake_address));
+  } catch (const zmq::error_t& error) {
+    return std::string(listen_address) + ": " + error.what();
+  }
+  s.thread = std::thread([this] { impl_->run(); });
+  return {};
+}
+
+void peer_socket::send(std::string_view address, wire::envelope message) {
+  message.set_group(impl_->self.group);
+  message.set_sender(impl_->self.name);
+  message.set_sent_at(wall_ms());
+  impl_->push({std::string(address), false, message.SerializeAsString()});
+}
+
+void peer_socket::reply(std::string_view to, wire::envelope message) {
+  message.set_group(impl_->self.group);
+  message.set_sender(impl_->self.name);
+  message.set_sent_at(wall_ms());
+  impl_->push({std::string(to), true, message.SerializeAsString()});
+}
+
+void peer_socket::stop() {
+  if (!impl_->thread.joinable()) return;
+  {
+    ranked_lock lock(impl_->mutex);
+    impl_->stopping = true;
+    impl_->wake();
+  }
+  impl_->thread.join();
+  impl_->wake_out.close();
+}
+
+auto peer_socket::bytes_sent() const -> std::uint64_t {
+  return impl_->sent;
+}
+
+auto peer_socket::bytes_received() const -> std::uint64_t {
+  return impl_->received;
+}
+
+auto peer_socket::dropped() const -> std::uint64_t {
+  return impl_->dropped;
+}
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/adapters/settings.cpp
@@ -0,0 +1,211 @@
+#include "adapters/settings.h"
+
+#include <absl/flags/commandlineflag.h>
+#include <absl/flags/flag.h>
+#include <absl/flags/reflection.h>
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+
+ABSL_FLAG(bool, check, false,
+          "print the settings in force with their sources and exit");
+
+namespace parsleyledge {
+
+namespace {
+
+constexpr std::string_view environment_prefix = "PARSLEYLEDGE_";
+constexpr int bad_usage = 2;
+
+auto own_flags() -> std::map<std::string, absl::CommandLineFlag*> {
+  std::map<std::string, absl::CommandLineFlag*> flags;
+  for (auto& [name, flag] : absl::GetAllFlags()) {
+    auto file = flag->Filename();
+    bool foreign = file.find("absl") != std::string::npos;
+    if (!foreign) flags.emplace(std::string(name), flag);
+  }
+  return flags;
+}
+
+void set_flag(absl::CommandLineFlag& flag, std::string_view value,
+              std::string_view source) {
+  std::string error;
+  if (flag.ParseFrom({value.data(), value.size()}, &error)) return;
+  refuse_setting(std::string(flag.Name()),
+                 "bad value \"" + std::string(value) + "\" from " +
+                     std::string(source) + (error.empty() ? "" : ": " + error));
+}
+
+void print_help(std::string_view usage) {
+  std::cout << usage << "\n\n";
+  for (const auto& [name, flag] : own_flags()) {
+    std::cout << "  --" << name << " (" << flag->DefaultValue() << ")\n      "
+              << flag->Help() << "\n";
+  }
+}
+
+}  // namespace
+
+void refuse_setting(std::string_view flag, std::string_view detail) {
+  std::cerr << "--" << flag << ": " << detail << "\n";
+  std::exit(bad_usage);
+}
+
+auto is_address(std::string_view text) -> bool {
+  auto colon = text.rfind(':');
+  if (colon == std::string_view::npos) return false;
+  auto host = text.substr(0, colon);
+  if (host.starts_with('[') && host.ends_with(']')) {
+    host = host.substr(1, host.size() - 2);
+  }
+  boost::system::error_code ec;
+  boost::asio::ip::make_address(host, ec);
+  unsigned port = 0;
+  return !ec && absl::SimpleAtoi(std::string(text.substr(colon + 1)), &port) &&
+         port <= 65535;
+}
+
+auto split_address(std::string_view address)
+    -> std::pair<std::string, std::uint16_t> {
+  auto colon = address.rfind(':');
+  auto host = address.substr(0, colon);
+  if (host.starts_with('[')) host = host.substr(1, host.size() - 2);
+  unsigned port = 0;
+  (void)absl::SimpleAtoi(std::string(address.substr(colon + 1)), &port);
+  return {std::string(host), static_cast<std::uint16_t>(port)};
+}
+
+auto AbslParseFlag(absl::string_view text, socket_address* into,
+                   std::string* error) -> bool {
+  if (!text.empty() && !is_address({text.data(), text.size()})) {
+    *error = "expected ip:port";
+    return false;
+  }
+  into->text = std::string(text);
+  return true;
+}
+
+auto AbslUnparseFlag(const socket_address& value) -> std::string {
+  return value.text;
+}
+
+auto AbslParseFlag(absl::string_view text, address_list* into,
+                   std::string* error) -> bool {
+  into->addresses.clear();
+  for (absl::string_view piece :
+       absl::StrSplit(text, ',', absl::SkipWhitespace())) {
+    std::string part(piece);
+    if (!is_address(part)) {
+      *error = "expected ip:port,... but found \"" + part + "\"";
+      return false;
+    }
+    into->addresses.push_back(part);
+  }
+  return true;
+}
+
+auto AbslUnparseFlag(const address_list& value) -> std::string {
+  std::string text;
+  for (const auto& address : value.addresses) {
+    if (!text.empty()) text += ',';
+    text += address;
+  }
+  return text;
+}
+
+auto AbslParseFlag(absl::string_view text, numbered_address_list* into,
+                   std::string* error) -> bool {
+  into->items.clear();
+  for (absl::string_view piece :
+       absl::StrSplit(text, ',', absl::SkipWhitespace())) {
+    std::string part(piece);
+    auto equals = part.find('=');
+    numbered_address item;
+    bool good = equals != std::string::npos &&
+                absl::SimpleAtoi(part.substr(0, equals), &item.number) &&
+                item.number > 0 && is_address(part.substr(equals + 1));
+    if (!good) {
+      *error = "expected 1=ip:port,2=ip:port,... but found \"" + part + "\"";
+      return false;
+    }
+    item.address = part.substr(equals + 1);
+    into->items.push_back(std::move(item));
+  }
+  return true;
+}
+
+auto AbslUnparseFlag(const numbered_address_list& value) -> std::string {
+  std::string text;
+  for (const auto& item : value.items) {
+    if (!text.empty()) text += ',';
+    text += std::to_string(item.number) + "=" + item.address;
+  }
+  return text;
+}
+
+auto read_settings(int argc, char** argv, std::string_view usage,
+                   std::span<const std::string_view> required)
+    -> std::vector<std::string> {
+  std::map<std::string, std::string> sources;
+  auto flags = own_flags();
+  for (auto& [name, flag] : flags) {
+    std::string variable(environment_prefix);
+    variable += absl::AsciiStrToUpper(name);
+    if (const char* value = std::getenv(variable.c_str())) {
+      set_flag(*flag, value, variable);
+      sources[name] = variable;
+    }
+  }
+  std::vector<std::string> rest;
+  for (int i = 1; i < argc; ++i) {
+    std::string_view argument = argv[i];
+    if (!argument.starts_with("--") || argument == "--") {
+      rest.emplace_back(argument);
+      continue;
+    }
+    argument.remove_prefix(2);
+    if (argument == "help") {
+      print_help(usage);
+      std::exit(0);
+    }
+    auto equals = argument.find('=');
+    std::string name(argument.substr(0, equals));
+    auto it = flags.find(name);
+    if (it == flags.end()) refuse_setting(name, "there is no such flag");
+    std::string value;
+    if (equals != std::string_view::npos) {
+      value = argument.substr(equals + 1);
+    } else if (it->second->IsOfType<bool>()) {
+      value = "true";
+    } else if (i + 1 < argc) {
+      value = argv[++i];
+    } else {
+      refuse_setting(name, "lacks a value");
+    }
+    set_flag(*it->second, value, "the command line");
+    sources[name] = "command line";
+  }
+  for (auto name : required) {
+    if (flags.at(std::string(name))->CurrentValue().empty()) {
+      refuse_setting(name, "is required");
+    }
+  }
+  if (absl::GetFlag(FLAGS_check)) {
+    for (const auto& [name, flag] : flags) {
+      if (name == "check") continue;
+      auto it = sources.find(name);
+      std::cout << "--" << name << "=" << flag->CurrentValue() << "  ("
+                << (it == sources.end() ? "default" : it->second) << ")\n";
+    }
+    std::exit(0);
+  }
+  return rest;
+}
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/adapters/settings.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <absl/strings/string_view.h>
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace parsleyledge {
+
+/// An IP address and port, as text and checked.
+struct socket_address {
+  std::string text;
+
+  auto operator<=>(const socket_address&) const = default;
+};
+
+/// Several addresses, written with commas between them.
+struct address_list {
+  std::vector<std::string> addresses;
+};
+
+/// A replica's number and peer address, written `1=ip:port`.
+struct numbered_address {
+  std::uint32_t number = 0;
+  std::string address;
+};
+
+/// Several of them, written with commas between them.
+struct numbered_address_list {
+  std::vector<numbered_address> items;
+};
+
+/// Hooks by which Abseil reads and prints flags of these types.
+auto AbslParseFlag(absl::string_view text, socket_address* into,
+                   std::string* error) -> bool;
+auto AbslUnparseFlag(const socket_address& value) -> std::string;
+auto AbslParseFlag(absl::string_view text, address_list* into,
+                   std::string* error) -> bool;
+auto AbslUnparseFlag(const address_list& value) -> std::string;
+auto AbslParseFlag(absl::string_view text, numbered_address_list* into,
+                   std::string* error) -> bool;
+auto AbslUnparseFlag(const numbered_address_list& value) -> std::string;
+
+/// Sets every flag from its environment variable PARSLEYLEDGE_NAME, then from
+/// the command line. Returns the arguments that are no flags. Ends the
+/// process with status 2, after naming the bad flag on stderr, or with 0
+/// after --help or a successful --check.
+auto read_settings(int argc, char** argv, std::string_view usage,
+                   std::span<const std::string_view> required = {})
+    -> std::vector<std::string>;
+
+/// Ends the process with status 2 after naming the flag and what is wrong.
+[[noreturn]] void refuse_setting(std::string_view flag,
+                                 std::string_view detail);
+
+/// Splits an ip:port that was checked before.
+auto split_address(std::string_view address)
+    -> std::pair<std::string, std::uint16_t>;
+
+/// Whether the text is an IP number and a port.
+auto is_address(std::string_view text) -> bool;
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/adapters/toml.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <boost/leaf/result.hpp>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "core/config/site_config.h"
+
+namespace parsleyledge {
+
+/// Parses one file of the operators' folder. Fails with a config_error.
+auto parse_toml(std::string_view name, std::string_view text)
+    -> boost::leaf::result<config_document>;
+
+/// Parses, merges and checks a whole folder, by file name. Fails with a
+/// config_error.
+auto parse_folder(const std::map<std::string, std::string>& files)
+    -> boost::leaf::result<site_config>;
+
+/// The same with the error as a value.
+auto read_folder(const std::map<std::string, std::string>& files)
+    -> std::variant<site_config, config_error>;
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/core/agreement/replica.cpp
@@ -0,0 +1,746 @@
+#include "core/agreement/replica.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace parsleyledge::agreement {
+
+namespace {
+
+constexpr std::size_t max_batch_entries = 512;
+constexpr std::size_t max_batch_bytes = 256 * 1024;
+constexpr std::size_t snapshot_chunk_bytes = 256 * 1024;
+constexpr milliseconds hello_interval{200};
+constexpr milliseconds snapshot_retry{1000};
+constexpr std::uint64_t promotion_lag = 64;  // entries behind, at most
+
+}  // namespace
+
+auto to_string(role value) -> std::string_view {
+  switch (value) {
+    case role::unformed:
+      return "unformed";
+    case role::learner:
+      return "learner";
+    case role::follower:
+      return "follower";
+    case role::candidate:
+      return "candidate";
+    case role::leader:
+      return "leader";
+  }
+  return "unknown";
+}
+
+replica::replica(replica_settings settings, recovered_state disk,
+                 time_point now)
+    : settings_(std::move(settings)),
+      hard_(disk.hard),
+      now_(now),
+      leader_heard_(now),
+      snapshot_last_(disk.snapshot_last),
+      snapshot_(std::move(disk.snapshot)),
+      snapshot_members_(disk.members),
+      members_(std::move(disk.members)),
+      members_index_(disk.snapshot_last.index),
+      commit_(disk.snapshot_last.index),
+      applied_(disk.snapshot_last.index),
+      random_(settings_.seed) {
+  for (auto& entry : disk.entries) {
+    if (entry.kind == entry_kind::membership) adopt_members(entry);
+    log_.push_back(std::move(entry));
+  }
+  persisted_ = last_position().index;
+  // A restart forgets when the leader was heard, so no vote is given before
+  // a full election timeout has passed.
+  election_due_ = now + random_timeout();
+  if (!members_.empty()) role_ = is_voter() ? role::follower : role::learner;
+}
+
+auto replica::last_position() const -> log_position {
+  return log_.empty() ? snapshot_last_ : log_.back().position;
+}
+
+auto replica::find_member(replica_id id) const -> const member* {
+  auto it = std::ranges::find(members_, id, &member::id);
+  return it == members_.end() ? nullptr : &*it;
+}
+
+auto replica::match_of(replica_id id) const -> log_index {
+  if (id == settings_.id) return persisted_;
+  auto it = progress_.find(id);
+  return it == progress_.end() ? log_index{} : it->second.match;
+}
+
+auto replica::is_voter() const -> bool {
+  const auto* self = find_member(settings_.id);
+  return self != nullptr && self->voter && self->life == settings_.life;
+}
+
+auto replica::quorum_size() const -> std::size_t {
+  return static_cast<std::size_t>(
+             std::ranges::count(members_, true, &member::voter)) /
+             2 +
+         1;
+}
+
+auto replica::has_quorum(const std::map<replica_id, bool>& votes) const
+    -> bool {
+  auto granted = std::ranges::count_if(members_, [&](const member& m) {
+    auto it = votes.find(m.id);
+    return m.voter && it != votes.end() && it->second;
+  });
+  return static_cast<std::size_t>(granted) >= quorum_size();
+}
+
+auto replica::term_at(log_index index) const -> std::optional<term_number> {
+  if (index == snapshot_last_.index) return snapshot_last_.term;
+  if (index < snapshot_last_.index || index > last_position().index) return {};
+  return entry_at(index).position.term;
+}
+
+auto replica::entry_at(log_index index) const -> const log_entry& {
+  return log_[index.value - snapshot_last_.index.value - 1];
+}
+
+auto replica::heard_leader_recently() const -> bool {
+  return now_ - leader_heard_ < settings_.delays.election_min;
+}
+
+auto replica::random_timeout() -> milliseconds {
+  std::uniform_int_distribution<milliseconds::rep> spread(
+      settings_.delays.election_min.count(),
+      settings_.delays.election_max.count());
+  return milliseconds(spread(random_));
+}
+
+auto replica::take_effects() -> std::vector<effect> {
+  return std::exchange(effects_, {});
+}
+
+void replica::persist_hard() {
+  effects_.emplace_back(persist_hard_state{hard_});
+}
+
+void replica::send(replica_id to, message_body body, bool before_sync) {
+  const auto* target = find_member(to);
+  auto life = target != nullptr ? target->life : incarnation{};
+  std::string address = target != nullptr ? target->address : std::string();
+  if (target == nullptr) {
+    auto it = std::ranges::find(settings_.peers, to, &member::id);
+    if (it != settings_.peers.end()) address = it->address;
+  }
+  if (address.empty()) return;
+  effects_.emplace_back(send_message{
+      {settings_.id, settings_.life, to, life, hard_.term, std::move(body)},
+      std::move(address),
+      before_sync});
+}
+
+void replica::reply(const message& in, message_body body) {
+  const auto* known = find_member(in.from);
+  std::string address = known != nullptr ? known->address : std::string();
+  if (address.empty()) {
+    auto it = std::ranges::find(settings_.peers, in.from, &member::id);
+    if (it != settings_.peers.end()) address = it->address;
+  }
+  effects_.emplace_back(
+      send_message{{settings_.id, settings_.life, in.from, in.from_life,
+                    hard_.term, std::move(body)},
+                   std::move(address),
+                   false});
+}
+
+auto replica::accepts(const message& in) const -> bool {
+  if (in.to != settings_.id) return false;
+  if (std::holds_alternative<hello>(in.body)) return true;
+  if (in.to_life != settings_.life) return false;
+  // A vote or acknowledgement of a life that was lost does not count. Requests
+  // pass: the sender may be known here under an incarnation now outdated.
+  bool is_answer = std::holds_alternative<vote_reply>(in.body) ||
+                   std::holds_alternative<append_reply>(in.body) ||
+                   std::holds_alternative<snapshot_reply>(in.body);
+  if (!is_answer) return true;
+  const auto* sender = find_member(in.from);
+  return sender != nullptr && sender->life == in.from_life;
+}
+
+auto replica::receive(const message& in, time_point now)
+    -> std::vector<effect> {
+  now_ = now;
+  if (!accepts(in)) return take_effects();
+  std::visit([&](const auto& body) { handle(in, body); }, in.body);
+  return take_effects();
+}
+
+auto replica::tick(time_point now) -> std::vector<effect> {
+  now_ = now;
+  if (role_ == role::unformed) {
+    if (now >= heartbeat_due_) {
+      heartbeat_due_ = now + hello_interval;
+      send_hello();
+      form_group();
+    }
+  } else if (role_ == role::leader) {
+    if (lease_start() + settings_.delays.election_max < now &&
+        led_since_ + settings_.delays.election_max < now) {
+      become_follower(hard_.term, {});
+      return take_effects();
+    }
+    // The chosen successor may still win, so this replica cannot lead on.
+    if (transferring_ && now >= transfer_until_) {
+      become_follower(hard_.term, {});
+      return take_effects();
+    }
+    if (now >= heartbeat_due_) {
+      heartbeat_due_ = now + settings_.delays.heartbeat;
+      broadcast(true);
+      promote_learners();
+    }
+  } else {
+    // A replica that came back empty is unknown to the group under its new
+    // incarnation, so nothing is sent to it until it makes itself known.
+    bool known = find_member(settings_.id) != nullptr &&
+                 find_member(settings_.id)->life == settings_.life;
+    if (!known && now >= heartbeat_due_) {
+      heartbeat_due_ = now + hello_interval;
+      send_hello();
+    }
+    if (is_voter() && now >= election_due_) start_election(true, false);
+  }
+  return take_effects();
+}
+
+void replica::send_hello() {
+  std::string address;
+  for (const auto& peer : settings_.peers) {
+    if (peer.id == settings_.id) address = peer.address;
+  }
+  for (const auto& peer : settings_.peers) {
+    if (peer.id != settings_.id) send(peer.id, hello{false, false, address});
+  }
+}
+
+// Only the lowest replica founds the group, and only once every peer has said
+// that it is empty: else a lost folder could found a second group.
+void replica::form_group() {
+  auto lowest = std::ranges::min_element(settings_.peers, {}, &member::id);
+  if (lowest == settings_.peers.end() || lowest->id != settings_.id) return;
+  if (greeted_.size() + 1 < settings_.peers.size()) return;
+  std::vector<member> founders;
+  for (const auto& peer : settings_.peers) {
+    auto it = greeted_.find(peer.id);
+    if (peer.id == settings_.id) {
+      founders.push_back({peer.id, settings_.life, peer.address, true});
+    } else if (it != greeted_.end()) {
+      founders.push_back({peer.id, it->second.life, peer.address, true});
+    } else {
+      return;
+    }
+  }
+  hard_.term = {1};
+  persist_hard();
+  log_entry first{{hard_.term, {1}}, entry_kind::membership, {}, founders};
+  role_ = role::follower;
+  append_local({first});
+  election_due_ = now_;
+}
+
+void replica::handle(const message& in, const hello& greeting) {
+  if (greeting.reply) {
+    if (greeting.formed) {
+      greeted_.erase(in.from);
+    } else {
+      greeted_[in.from] = {in.from, in.from_life, greeting.address, true};
+    }
+    return;
+  }
+  reply(in, hello{role_ != role::unformed, true, greeting.address});
+  if (role_ == role::leader) {
+    admit_returned(in.from, in.from_life, greeting.address);
+  }
+}
+
+// A member that returns under a new incarnation lost its disk. It becomes a
+// learner, so that it cannot vote with the memory it lost.
+void replica::admit_returned(replica_id id, incarnation life,
+                             std::string_view address) {
+  const auto* known = find_member(id);
+  if (known == nullptr || known->life == life) return;
+  auto changed = members_;
+  for (auto& m : changed) {
+    if (m.id == id) m = {id, life, std::string(address), false};
+  }
+  propose_members(std::move(changed));
+}
+
+void replica::promote_learners() {
+  for (const auto& m : members_) {
+    if (m.voter) continue;
+    auto it = progress_.find(m.id);
+    if (it == progress_.end() || it->second.in_snapshot) continue;
+    bool alive = now_ - it->second.heard_at < settings_.delays.election_min;
+    bool caught_up =
+        it->second.match.value + promotion_lag >= last_position().index.value &&
+        it->second.match >= members_index_;
+    if (!alive || !caught_up) continue;
+    auto changed = members_;
+    for (auto& c : changed) {
+      if (c.id == m.id) c.voter = true;
+    }
+    propose_members(std::move(changed));
+    return;
+  }
+}
+
+void replica::become_follower(term_number term, replica_id leader) {
+  if (term > hard_.term) {
+    hard_ = {term, {}};
+    persist_hard();
+  }
+  leader_ = leader;
+  transferring_ = false;
+  pre_vote_phase_ = false;
+  if (role_ != role::unformed || !members_.empty()) {
+    role_ = is_voter() ? role::follower : role::learner;
+  }
+  election_due_ = now_ + random_timeout();
+}
+
+void replica::start_election(bool pre_vote, bool transfer) {
+  role_ = role::candidate;
+  leader_ = {};
+  pre_vote_phase_ = pre_vote;
+  if (!pre_vote) {
+    hard_ = {hard_.term.next(), settings_.id};
+    persist_hard();
+  }
+  election_due_ = now_ + random_timeout();
+  votes_.clear();
+  votes_[settings_.id] = true;
+  for (const auto& m : members_) {
+    if (m.voter && m.id != settings_.id) {
+      send(m.id, vote_request{last_position(), pre_vote, transfer});
+    }
+  }
+  if (!has_quorum(votes_)) return;
+  if (pre_vote) {
+    start_election(false, transfer);
+  } else {
+    become_leader();
+  }
+}
+
+void replica::handle(const message& in, const vote_request& request) {
+  // While a leader is heard its lease may hold, so nobody else is elected.
+  bool sticky = heard_leader_recently() && !request.transfer;
+  if (request.pre_vote) {
+    bool granted = !sticky && role_ != role::leader && in.term >= hard_.term &&
+                   request.last >= last_position();
+    reply(in, vote_reply{true, granted});
+    return;
+  }
+  if (sticky || in.term < hard_.term) {
+    reply(in, vote_reply{false, false});
+    return;
+  }
+  if (in.term > hard_.term) become_follower(in.term, {});
+  bool free_vote =
+      hard_.voted_for == replica_id{} || hard_.voted_for == in.from;
+  bool granted =
+      free_vote && role_ != role::leader && request.last >= last_position();
+  if (granted) {
+    hard_.voted_for = in.from;
+    persist_hard();
+    election_due_ = now_ + random_timeout();
+  }
+  reply(in, vote_reply{false, granted});
+}
+
+void replica::handle(const message& in, const vote_reply& answer) {
+  if (!answer.pre_vote && in.term > hard_.term) {
+    become_follower(in.term, {});
+    return;
+  }
+  if (role_ != role::candidate || answer.pre_vote != pre_vote_phase_) return;
+  if (!answer.pre_vote && in.term != hard_.term) return;
+  // A refused pre-vote from a later term moves a stale candidate forward.
+  if (answer.pre_vote && !answer.granted && in.term > hard_.term) {
+    become_follower(in.term, {});
+    return;
+  }
+  votes_[in.from] = answer.granted;
+  if (!has_quorum(votes_)) return;
+  if (answer.pre_vote) {
+    start_election(false, false);
+  } else {
+    become_leader();
+  }
+}
+
+void replica::become_leader() {
+  role_ = role::leader;
+  leader_ = settings_.id;
+  led_since_ = now_;
+  transferring_ = false;
+  progress_.clear();
+  for (const auto& m : members_) {
+    progress_[m.id] = {last_position().index.next(), {}, {}, 0, false, {}, {}};
+  }
+  heartbeat_due_ = now_ + settings_.delays.heartbeat;
+  log_entry no_op{
+      {hard_.term, last_position().index.next()}, entry_kind::no_op, {}, {}};
+  append_local({no_op});
+  broadcast(true);
+}
+
+void replica::append_local(std::vector<log_entry> entries) {
+  for (const auto& entry : entries) {
+    log_.push_back(entry);
+    if (entry.kind == entry_kind::membership) adopt_members(entry);
+  }
+  effects_.emplace_back(persist_entries{std::move(entries)});
+}
+
+void replica::adopt_members(const log_entry& entry) {
+  members_ = entry.members;
+  members_index_ = entry.position.index;
+  if (role_ == role::leader) {
+    for (const auto& m : members_) {
+      // A new incarnation starts from nothing: what its predecessor held
+      // does not count.
+      auto it = progress_.find(m.id);
+      if (it == progress_.end() || !m.voter) {
+        progress_[m.id] = {
+            last_position().index.next(), {}, {}, 0, false, {}, {}};
+      }
+    }
+    std::erase_if(progress_, [&](const auto& item) {
+      return find_member(item.first) == nullptr;
+    });
+  } else if (role_ != role::candidate) {
+    role_ = is_voter() ? role::follower : role::learner;
+  }
+}
+
+void replica::restore_members_before(log_index index) {
+  if (members_index_ < index) return;
+  members_ = snapshot_members_;
+  members_index_ = snapshot_last_.index;
+  for (const auto& entry : log_) {
+    if (entry.position.index >= index) break;
+    if (entry.kind == entry_kind::membership) adopt_members(entry);
+  }
+}
+
+auto replica::propose(std::span<const std::string> commands)
+    -> std::optional<log_position> {
+  if (role_ != role::leader || transferring_ || commands.empty()) return {};
+  std::vector<log_entry> entries;
+  entries.reserve(commands.size());
+  auto index = last_position().index;
+  for (const auto& command : commands) {
+    index = index.next();
+    entries.push_back({{hard_.term, index}, entry_kind::command, command, {}});
+  }
+  auto first = entries.front().position;
+  append_local(std::move(entries));
+  return first;
+}
+
+auto replica::propose_members(std::vector<member> members) -> bool {
+  if (role_ != role::leader || members_index_ > commit_) return false;
+  // A change is safe only after an entry of this term is committed.
+  if (term_at(commit_) != hard_.term) return false;
+  log_entry entry{{hard_.term, last_position().index.next()},
+                  entry_kind::membership,
+                  {},
+                  std::move(members)};
+  append_local({entry});
+  broadcast(false);
+  return true;
+}
+
+auto replica::flush(time_point now) -> std::vector<effect> {
+  now_ = now;
+  if (role_ == role::leader && announced_ < last_position().index) {
+    broadcast(false);
+  }
+  return take_effects();
+}
+
+auto replica::persisted(log_position last, time_point now)
+    -> std::vector<effect> {
+  now_ = now;
+  if (term_at(last.index) == last.term && last.index > persisted_) {
+    persisted_ = last.index;
+  }
+  if (role_ == role::leader) advance_commit();
+  return take_effects();
+}
+
+void replica::broadcast(bool heartbeat) {
+  announced_ = last_position().index;
+  for (const auto& m : members_) {
+    if (m.id != settings_.id) send_append(m.id, heartbeat);
+  }
+}
+
+void replica::send_append(replica_id to, bool heartbeat) {
+  auto& peer = progress_[to];
+  if (peer.next <= snapshot_last_.index) {
+    send_snapshot(to, peer);
+    return;
+  }
+  do {
+    auto previous = log_index{peer.next.value - 1};
+    append_request request{{*term_at(previous), previous}, {}, commit_, now_};
+    std::size_t bytes = 0;
+    while (peer.next <= last_position().index &&
+           request.entries.size() < max_batch_entries &&
+           bytes < max_batch_bytes) {
+      request.entries.push_back(entry_at(peer.next));
+      bytes += request.entries.back().payload.size();
+      peer.next = peer.next.next();
+    }
+    if (request.entries.empty() && !heartbeat) return;
+    peer.sent_at = now_;
+    send(to, std::move(request), true);
+    // An unanswered peer gets one batch a heartbeat, not the whole log.
+    heartbeat = false;
+  } while (peer.match.value + 4 * max_batch_entries > peer.next.value &&
+           peer.next <= last_position().index);
+}
+
+void replica::send_snapshot(replica_id to, progress& peer) {
+  if (snapshot_ == nullptr) return;
+  if (peer.in_snapshot && now_ - peer.sent_at < snapshot_retry) return;
+  if (!peer.in_snapshot) peer.snapshot_offset = 0;
+  peer.in_snapshot = true;
+  auto offset =
+      std::min<std::uint64_t>(peer.snapshot_offset, snapshot_->size());
+  snapshot_chunk chunk;
+  chunk.last = snapshot_last_;
+  chunk.members = snapshot_members_;
+  chunk.offset = offset;
+  chunk.bytes = snapshot_->substr(offset, snapshot_chunk_bytes);
+  chunk.done = offset + chunk.bytes.size() == snapshot_->size();
+  chunk.sent_at = now_;
+  peer.sent_at = now_;
+  send(to, std::move(chunk), true);
+}
+
+void replica::handle(const message& in, const append_request& request) {
+  if (in.term < hard_.term) {
+    reply(in, append_reply{false, last_position().index, {}});
+    return;
+  }
+  if (in.term > hard_.term || role_ == role::candidate || leader_ != in.from) {
+    become_follower(in.term, in.from);
+  }
+  leader_heard_ = now_;
+  election_due_ = now_ + random_timeout();
+  auto previous_term = term_at(request.previous.index);
+  if (request.previous.index > snapshot_last_.index &&
+      previous_term != request.previous.term) {
+    auto hint =
+        std::min(last_position().index.value, request.previous.index.value - 1);
+    hint = std::max(hint, commit_.value);
+    reply(in, append_reply{false, {hint}, request.sent_at});
+    return;
+  }
+  std::vector<log_entry> fresh;
+  for (const auto& entry : request.entries) {
+    if (entry.position.index <= snapshot_last_.index) continue;
+    if (fresh.empty() && term_at(entry.position.index) == entry.position.term) {
+      continue;
+    }
+    fresh.push_back(entry);
+  }
+  if (!fresh.empty()) {
+    auto first = fresh.front().position.index;
+    if (first <= last_position().index) {
+      log_.erase(
+          log_.begin() + static_cast<std::ptrdiff_t>(
+                             first.value - snapshot_last_.index.value - 1),
+          log_.end());
+      restore_members_before(first);
+      persisted_ = std::min(persisted_, log_index{first.value - 1});
+    }
+    append_local(std::move(fresh));
+  }
+  auto match = log_index{request.previous.index.value + request.entries.size()};
+  match = std::max(match, snapshot_last_.index);
+  auto committed = std::min(request.commit, match);
+  if (committed > commit_) {
+    commit_ = committed;
+    apply_committed();
+  }
+  reply(in, append_reply{true, match, request.sent_at});
+}
+
+void replica::handle(const message& in, const append_reply& answer) {
+  if (in.term > hard_.term) {
+    become_follower(in.term, {});
+    return;
+  }
+  auto it = progress_.find(in.from);
+  if (role_ != role::leader || in.term != hard_.term || it == progress_.end()) {
+    return;
+  }
+  auto& peer = it->second;
+  peer.acked_at = std::max(peer.acked_at, answer.sent_at);
+  peer.heard_at = now_;
+  if (answer.accepted) {
+    peer.in_snapshot = false;
+    peer.match = std::max(peer.match, answer.match);
+    peer.next = std::max(peer.next, peer.match.next());
+    advance_commit();
+    if (peer.next <= last_position().index) send_append(in.from, false);
+  } else {
+    peer.next = std::max(answer.match, peer.match).next();
+    send_append(in.from, false);
+  }
+  if (transferring_ && peer.match == last_position().index) {
+    const auto* target = find_member(in.from);
+    if (target != nullptr && target->voter) send(in.from, timeout_now{});
+  }
+}
+
+void replica::handle(const message& in, const snapshot_chunk& chunk) {
+  if (in.term < hard_.term) {
+    reply(in, append_reply{false, last_position().index, {}});
+    return;
+  }
+  if (in.term > hard_.term || leader_ != in.from) {
+    become_follower(in.term, in.from);
+  }
+  leader_heard_ = now_;
+  election_due_ = now_ + random_timeout();
+  if (chunk.last.index <= commit_) {
+    reply(in, append_reply{true, commit_, chunk.sent_at});
+    return;
+  }
+  if (incoming_last_ != chunk.last) {
+    incoming_last_ = chunk.last;
+    incoming_snapshot_.clear();
+  }
+  if (chunk.offset == incoming_snapshot_.size()) {
+    incoming_snapshot_ += chunk.bytes;
+    if (chunk.done) {
+      snapshot_ = std::make_shared<const std::string>(
+          std::exchange(incoming_snapshot_, {}));
+      incoming_last_ = {};
+      log_.clear();
+      snapshot_last_ = chunk.last;
+      snapshot_members_ = chunk.members;
+      members_ = chunk.members;
+      members_index_ = commit_ = applied_ = persisted_ = chunk.last.index;
+      role_ = is_voter() ? role::follower : role::learner;
+      effects_.emplace_back(
+          persist_snapshot{snapshot_last_, members_, snapshot_});
+      reply(in, append_reply{true, commit_, chunk.sent_at});
+      return;
+    }
+  }
+  reply(in,
+        snapshot_reply{chunk.last, incoming_snapshot_.size(), chunk.sent_at});
+}
+
+void replica::handle(const message& in, const snapshot_reply& answer) {
+  auto it = progress_.find(in.from);
+  if (role_ != role::leader || it == progress_.end()) return;
+  auto& peer = it->second;
+  peer.acked_at = std::max(peer.acked_at, answer.sent_at);
+  peer.heard_at = now_;
+  if (answer.last != snapshot_last_) {
+    // A newer snapshot replaced the one being sent.
+    peer.in_snapshot = false;
+  } else {
+    peer.snapshot_offset = answer.received;
+    peer.sent_at = {};
+  }
+  send_append(in.from, false);
+}
+
+void replica::handle(const message& in, const timeout_now&) {
+  if (in.term == hard_.term && is_voter()) start_election(false, true);
+}
+
+// An entry counts once a majority of the voters has it on disk; only entries
+// of the leader's own term are counted.
+void replica::advance_commit() {
+  std::vector<log_index> matches;
+  for (const auto& m : members_) {
+    if (m.voter) matches.push_back(match_of(m.id));
+  }
+  if (matches.empty()) return;
+  std::ranges::sort(matches, std::greater<>());
+  auto agreed = matches[quorum_size() - 1];
+  if (agreed <= commit_ || term_at(agreed) != hard_.term) return;
+  commit_ = agreed;
+  apply_committed();
+}
+
+void replica::apply_committed() {
+  while (applied_ < commit_) {
+    applied_ = applied_.next();
+    effects_.emplace_back(apply_entry{entry_at(applied_)});
+  }
+}
+
+auto replica::lease_start() const -> time_point {
+  std::vector<time_point> acks;
+  for (const auto& m : members_) {
+    if (!m.voter) continue;
+    auto it = progress_.find(m.id);
+    acks.push_back(m.id == settings_.id    ? now_
+                   : it == progress_.end() ? time_point{}
+                                           : it->second.acked_at);
+  }
+  if (acks.empty()) return {};
+  std::ranges::sort(acks, std::greater<>());
+  return acks[quorum_size() - 1];
+}
+
+auto replica::may_serve(time_point now) const -> bool {
+  if (role_ != role::leader || transferring_ || !is_voter()) return false;
+  if (term_at(commit_) != hard_.term) return false;
+  auto start = members_.size() == 1 ? now : lease_start();
+  return now - start < settings_.delays.lease;
+}
+
+void replica::compact(log_position last,
+                      std::shared_ptr<const std::string> snapshot) {
+  if (last.index <= snapshot_last_.index || last.index > applied_) return;
+  while (!log_.empty() && log_.front().position.index <= last.index) {
+    if (log_.front().kind == entry_kind::membership) {
+      snapshot_members_ = log_.front().members;
+    }
+    log_.pop_front();
+  }
+  snapshot_last_ = last;
+  snapshot_ = std::move(snapshot);
+  for (auto& [id, peer] : progress_)
+    peer.in_snapshot = false;
+}
+
+auto replica::transfer_leadership(time_point now) -> std::vector<effect> {
+  now_ = now;
+  if (role_ != role::leader) return take_effects();
+  transferring_ = true;
+  transfer_until_ = now + settings_.delays.transfer;
+  const member* best = nullptr;
+  for (const auto& m : members_) {
+    if (!m.voter || m.id == settings_.id) continue;
+    if (best == nullptr || match_of(m.id) > match_of(best->id)) best = &m;
+  }
+  if (best != nullptr && match_of(best->id) == last_position().index) {
+    send(best->id, timeout_now{});
+  } else {
+    broadcast(true);
+  }
+  return take_effects();
+}
+
+}  // namespace parsleyledge::agreement
--- /dev/null
+++ b/src/core/agreement/types.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "core/strong.h"
+
+namespace parsleyledge::agreement {
+
+using replica_id = strong<struct replica_id_tag, std::uint32_t>;
+using term_number = strong<struct term_number_tag>;
+using log_index = strong<struct log_index_tag>;
+
+/// Identifies one life of a replica's data folder. A replica whose folder was
+/// lost returns under another incarnation.
+using incarnation = strong<struct incarnation_tag>;
+
+/// Where an entry stands in the log.
+struct log_position {
+  term_number term;
+  log_index index;
+
+  auto operator<=>(const log_position&) const = default;
+};
+
+enum class entry_kind { no_op, command, membership };
+
+/// One record of the replicated log. The payload is opaque to agreement,
+/// except that a membership entry carries its members instead.
+struct log_entry;
+
+/// One replica of the group. Learners receive the log but do not vote.
+struct member {
+  replica_id id;
+  incarnation life;
+  std::string address;  // ip:port of its peer socket
+  bool voter = true;
+
+  auto operator==(const member&) const -> bool = default;
+};
+
+struct log_entry {
+  log_position position;
+  entry_kind kind = entry_kind::no_op;
+  std::string payload;
+  std::vector<member> members;
+};
+
+/// What a replica must remember over a restart besides its log.
+struct hard_state {
+  term_number term;
+  replica_id voted_for;  // 0 for none
+
+  auto operator==(const hard_state&) const -> bool = default;
+};
+
+}  // namespace parsleyledge::agreement
--- /dev/null
+++ b/src/core/config/site_config.cpp
@@ -0,0 +1,221 @@
+#include "core/config/site_config.h"
+
+#include <initializer_list>
+#include <utility>
+
+namespace parsleyledge {
+
+namespace {
+
+namespace leaf = boost::leaf;
+
+constexpr std::int64_t max_gang = 4096;
+constexpr std::int64_t max_count = 4096;
+constexpr std::int64_t max_seconds = 7 * 24 * 3600;
+constexpr std::int64_t max_deadline_ms = 3'600'000;
+
+/// Reads the keys of one table and refuses those that nobody asked for.
+class table_reader {
+ public:
+  table_reader(const config_table& table, std::string path)
+      : table_(table), path_(std::move(path)) {}
+
+  auto check_keys(std::initializer_list<std::string_view> known)
+      -> leaf::result<void> {
+    for (const auto& [key, value] : table_) {
+      bool found = false;
+      for (auto k : known)
+        found = found || k == key;
+      if (!found) return fail(key, value, "unknown key");
+    }
+    return {};
+  }
+
+  auto integer(std::string_view key, std::int64_t low, std::int64_t high,
+               std::int64_t fallback) -> leaf::result<std::int64_t> {
+    const auto* value = find(key);
+    if (value == nullptr) return fallback;
+    const auto* number = std::get_if<std::int64_t>(&value->data);
+    if (number == nullptr) return fail(key, *value, "must be an integer");
+    if (*number < low || *number > high) {
+      return fail(key, *value,
+                  "must be from " + std::to_string(low) + " to " +
+                      std::to_string(high));
+    }
+    return *number;
+  }
+
+  auto number(std::string_view key, double low, double high, double fallback)
+      -> leaf::result<double> {
+    const auto* value = find(key);
+    if (value == nullptr) return fallback;
+    double number = 0;
+    if (const auto* real = std::get_if<double>(&value->data)) {
+      number = *real;
+    } else if (const auto* whole = std::get_if<std::int64_t>(&value->data)) {
+      number = static_cast<double>(*whole);
+    } else {
+      return fail(key, *value, "must be a number");
+    }
+    if (!(number >= low && number <= high)) {
+      return fail(key, *value, "is out of range");
+    }
+    return number;
+  }
+
+  auto text(std::string_view key, std::string_view fallback)
+      -> leaf::result<std::string> {
+    const auto* value = find(key);
+    if (value == nullptr) return std::string(fallback);
+    const auto* text = std::get_if<std::string>(&value->data);
+    if (text == nullptr) return fail(key, *value, "must be a string");
+    return *text;
+  }
+
+  auto texts(std::string_view key) -> leaf::result<std::vector<std::string>> {
+    std::vector<std::string> texts;
+    const auto* value = find(key);
+    if (value == nullptr) return texts;
+    const auto* array = std::get_if<config_array>(&value->data);
+    if (array == nullptr) return fail(key, *value, "must be an array");
+    for (const auto& item : *array) {
+      const auto* text = std::get_if<std::string>(&item.data);
+      if (text == nullptr) return fail(key, item, "must hold strings");
+      texts.push_back(*text);
+    }
+    return texts;
+  }
+
+  /// Calls `parse` for each subtable below `key`.
+  template <typename T, typename Parse>
+  auto tables(std::string_view key, Parse parse)
+      -> leaf::result<std::map<std::string, T>> {
+    std::map<std::string, T> parsed;
+    const auto* value = find(key);
+    if (value == nullptr) return parsed;
+    const auto* outer = std::get_if<config_table>(&value->data);
+    if (outer == nullptr) return fail(key, *value, "must be a table");
+    for (const auto& [name, entry] : *outer) {
+      const auto* inner = std::get_if<config_table>(&entry.data);
+      auto path = child(key) + "." + name;
+      if (inner == nullptr) {
+        return leaf::new_error(
+            config_error{entry.where, path, "must be a table"});
+      }
+      BOOST_LEAF_AUTO(one, parse(table_reader(*inner, path)));
+      parsed.emplace(name, std::move(one));
+    }
+    return parsed;
+  }
+
+  auto find(std::string_view key) const -> const config_value* {
+    auto it = table_.find(std::string(key));
+    return it == table_.end() ? nullptr : &it->second;
+  }
+
+  auto fail(std::string_view key, const config_value& value,
+            std::string_view detail) const -> leaf::error_id {
+    return leaf::new_error(
+        config_error{value.where, child(key), std::string(detail)});
+  }
+
+  auto path() const -> const std::string& { return path_; }
+
+ private:
+  auto child(std::string_view key) const -> std::string {
+    return path_.empty() ? std::string(key) : path_ + "." + std::string(key);
+  }
+
+  const config_table& table_;
+  std::string path_;
+};
+
+auto parse_guarantee(table_reader in) -> leaf::result<guarantee> {
+  BOOST_LEAF_CHECK(in.check_keys({"accelerators", "adjacency", "count"}));
+  guarantee parsed;
+  BOOST_LEAF_AUTO(accelerators, in.integer("accelerators", 1, max_gang, 0));
+  if (accelerators == 0) {
+    return leaf::new_error(
+        config_error{{}, in.path() + ".accelerators", "is required"});
+  }
+  BOOST_LEAF_AUTO(name, in.text("adjacency", "worker"));
+  auto within = parse_adjacency(name);
+  if (!within) {
+    return in.fail("adjacency", *in.find("adjacency"),
+                   "must be worker, rack or data_centre");
+  }
+  BOOST_LEAF_AUTO(count, in.integer("count", 1, max_count, 1));
+  parsed.shape = {static_cast<std::uint32_t>(accelerators), *within};
+  parsed.count = static_cast<std::uint32_t>(count);
+  return parsed;
+}
+
+auto parse_customer(table_reader in) -> leaf::result<customer_config> {
+  BOOST_LEAF_CHECK(in.check_keys({"share", "guarantees"}));
+  customer_config parsed;
+  BOOST_LEAF_ASSIGN(parsed.share, in.number("share", 0.001, 1000, 1));
+  BOOST_LEAF_ASSIGN(parsed.guarantees,
+                    in.tables<guarantee>("guarantees", parse_guarantee));
+  return parsed;
+}
+
+auto parse_service(table_reader in) -> leaf::result<service_config> {
+  BOOST_LEAF_CHECK(in.check_keys({"repeatable", "deadline_ms"}));
+  service_config parsed;
+  BOOST_LEAF_ASSIGN(parsed.repeatable, in.texts("repeatable"));
+  BOOST_LEAF_AUTO(deadline, in.integer("deadline_ms", 1, max_deadline_ms,
+                                       parsed.deadline.count()));
+  parsed.deadline = milliseconds(deadline);
+  return parsed;
+}
+
+auto parse_policy(table_reader in) -> leaf::result<policy_config> {
+  BOOST_LEAF_CHECK(
+      in.check_keys({"completion_time_weight", "fragmentation_weight",
+                     "large_job_wait_s", "checkpoint_grace_s", "max_attempts",
+                     "quarantine_failures", "quarantine_s"}));
+  policy_config parsed;
+  BOOST_LEAF_ASSIGN(
+      parsed.completion_time_weight,
+      in.number("completion_time_weight", 0, 1, parsed.completion_time_weight));
+  BOOST_LEAF_ASSIGN(
+      parsed.fragmentation_weight,
+      in.number("fragmentation_weight", 0, 1, parsed.fragmentation_weight));
+  auto seconds = [&](std::string_view key,
+                     std::chrono::seconds& into) -> leaf::result<void> {
+    BOOST_LEAF_AUTO(value, in.integer(key, 1, max_seconds, into.count()));
+    into = std::chrono::seconds(value);
+    return {};
+  };
+  BOOST_LEAF_CHECK(seconds("large_job_wait_s", parsed.large_job_wait));
+  BOOST_LEAF_CHECK(seconds("checkpoint_grace_s", parsed.checkpoint_grace));
+  BOOST_LEAF_CHECK(seconds("quarantine_s", parsed.quarantine));
+  BOOST_LEAF_AUTO(attempts,
+                  in.integer("max_attempts", 1, 100, parsed.max_attempts));
+  BOOST_LEAF_AUTO(failures, in.integer("quarantine_failures", 1, 100,
+                                       parsed.quarantine_failures));
+  parsed.max_attempts = static_cast<std::uint32_t>(attempts);
+  parsed.quarantine_failures = static_cast<std::uint32_t>(failures);
+  return parsed;
+}
+
+}  // namespace
+
+auto parse_site_config(const config_table& root) -> leaf::result<site_config> {
+  table_reader in(root, "");
+  BOOST_LEAF_CHECK(in.check_keys({"customers", "services", "policy"}));
+  site_config parsed;
+  BOOST_LEAF_ASSIGN(parsed.customers,
+                    in.tables<customer_config>("customers", parse_customer));
+  BOOST_LEAF_ASSIGN(parsed.services,
+                    in.tables<service_config>("services", parse_service));
+  if (const auto* policy = in.find("policy")) {
+    const auto* table = std::get_if<config_table>(&policy->data);
+    if (table == nullptr) return in.fail("policy", *policy, "must be a table");
+    BOOST_LEAF_ASSIGN(parsed.policy,
+                      parse_policy(table_reader(*table, "policy")));
+  }
+  return parsed;
+}
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/core/config/site_config.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <boost/leaf/result.hpp>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "core/config/config_error.h"
+#include "core/config/config_value.h"
+#include "core/jobs/gang_shape.h"
+#include "core/time.h"
+
+namespace parsleyledge {
+
+/// A number of gangs of one shape that a customer can always reclaim.
+struct guarantee {
+  gang_shape shape;
+  std::uint32_t count = 1;
+};
+
+struct customer_config {
+  double share = 1;  // weight in what is not guaranteed
+  std::map<std::string, guarantee> guarantees;
+};
+
+struct service_config {
+  std::vector<std::string> repeatable;  // HTTP methods; all else at most once
+  milliseconds deadline{30'000};
+};
+
+/// The site's weights and bounds.
+struct policy_config {
+  double completion_time_weight = 0.5;
+  double fragmentation_weight = 0.5;
+  std::chrono::seconds large_job_wait{600};
+  std::chrono::seconds checkpoint_grace{5};
+  std::uint32_t max_attempts = 3;         // failures on different workers
+  std::uint32_t quarantine_failures = 3;  // different jobs on one worker
+  std::chrono::seconds quarantine{600};
+};
+
+/// The merged content of the operators' folder.
+struct site_config {
+  std::map<std::string, customer_config> customers;
+  std::map<std::string, service_config> services;
+  policy_config policy;
+};
+
+/// Merges documents in the byte order of their names: tables deep, a later
+/// scalar over an earlier one. Fails with a config_error where two files with
+/// the same leading number set the same key.
+auto merge(std::span<const config_document> documents)
+    -> boost::leaf::result<config_table>;
+
+/// Fills a site_config. Fails with a config_error on an unknown key, a wrong
+/// type or a value out of range.
+auto parse_site_config(const config_table& root)
+    -> boost::leaf::result<site_config>;
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/core/jobs/cell_map.cpp
@@ -0,0 +1,452 @@
+#include "core/jobs/cell_map.h"
+
+#include <algorithm>
+#include <bit>
+#include <map>
+#include <string>
+#include <tuple>
+
+namespace parsleyledge {
+
+namespace {
+
+constexpr double leftover_cost = 0.05;  // an accelerator left on the worker
+constexpr double home_cost = 2.0;       // an accelerator of an idle home
+constexpr double reclaim_cost = 1.0;    // an accelerator to be reclaimed
+
+auto count_bits(std::uint64_t mask) -> std::uint32_t {
+  return static_cast<std::uint32_t>(std::popcount(mask));
+}
+
+/// The gang's demand for one accelerator, rounded up.
+template <typename T>
+auto share_of(T total, std::uint32_t accelerators) -> std::int64_t {
+  auto parts = std::max<std::uint32_t>(accelerators, 1);
+  return static_cast<std::int64_t>((total + parts - 1) / parts);
+}
+
+auto stranded(std::uint32_t free, std::uint32_t needed) -> double {
+  return free < needed ? free : 0;
+}
+
+}  // namespace
+
+struct cell_map::search {
+  const gang_need& need;
+  cell_scope scope;
+  const placement_weights& weights;
+  std::size_t limit;
+  std::int64_t processors;  // for one accelerator
+  std::int64_t memory_mb;
+};
+
+auto choose_buddies(std::uint64_t mask, std::uint32_t count) -> std::uint64_t {
+  if (count == 0) return 0;
+  auto block = std::bit_ceil(count);
+  std::uint64_t best = 0;
+  std::uint32_t best_free = 65;
+  for (std::uint32_t at = 0; at + block <= 64; at += block) {
+    auto bits = full_mask(block) << at;
+    if ((mask & bits) != bits) continue;
+    // Of the blocks that fit, one whose buddy is already split.
+    auto around = full_mask(std::min<std::uint32_t>(block * 2, 64))
+                  << (at / (block * 2) * (block * 2));
+    auto free = count_bits(mask & around);
+    if (free < best_free) {
+      best_free = free;
+      best = bits;
+    }
+  }
+  auto from = best != 0 ? best : mask;
+  std::uint64_t chosen = 0;
+  for (std::uint32_t i = 0; i < count; ++i) {
+    auto lowest = from & (~from + 1);
+    chosen |= lowest;
+    from &= ~lowest;
+  }
+  return chosen;
+}
+
+cell_map::cell_map(std::span<const worker> workers)
+    : workers_(workers.begin(), workers.end()) {
+  std::map<std::tuple<std::string, std::string, std::string>, std::uint32_t>
+      racks;
+  std::map<std::pair<std::string, std::string>, std::uint32_t> centres;
+  rows_.reserve(workers_.size());
+  names_.reserve(workers_.size());
+  for (std::uint32_t i = 0; i < workers_.size(); ++i) {
+    const auto& w = workers_[i];
+    names_.emplace(w.name, i);
+    row r;
+    r.known = full_mask(w.accelerators);
+    r.all = w.condition == worker_condition::ready ? r.known : 0;
+    if (w.condition == worker_condition::ready) {
+      r.processors = w.processors;
+      r.memory_mb = static_cast<std::int64_t>(w.memory_mb);
+    }
+    auto rack = racks.try_emplace({w.data_centre, w.rack, w.accelerator_kind},
+                                  static_cast<std::uint32_t>(racks.size()));
+    auto centre =
+        centres.try_emplace({w.data_centre, w.accelerator_kind},
+                            static_cast<std::uint32_t>(centres.size()));
+    r.rack = rack.first->second;
+    r.data_centre = centre.first->second;
+    racks_.resize(racks.size());
+    data_centres_.resize(centres.size());
+    racks_[r.rack].workers.push_back(i);
+    racks_[r.rack].free += count_bits(r.all);
+    data_centres_[r.data_centre].workers.push_back(i);
+    data_centres_[r.data_centre].free += count_bits(r.all);
+    rows_.push_back(r);
+  }
+}
+
+auto cell_map::find_worker(std::string_view name) const
+    -> std::optional<std::uint32_t> {
+  auto it = names_.find(name);
+  if (it == names_.end()) return {};
+  return it->second;
+}
+
+void cell_map::count_free(row& r, std::uint64_t before) {
+  auto after = count_bits(r.all & ~r.held);
+  auto old = count_bits(r.all & ~before);
+  racks_[r.rack].free += after - old;
+  data_centres_[r.data_centre].free += after - old;
+}
+
+void cell_map::occupy(const assignment& what) {
+  auto index = find_worker(what.worker);
+  if (!index) return;
+  auto& r = rows_[*index];
+  auto before = r.held;
+  r.held |= what.accelerators;
+  r.processors -= what.processors;
+  r.memory_mb -= static_cast<std::int64_t>(what.memory_mb);
+  count_free(r, before);
+}
+
+void cell_map::vacate(const assignment& what) {
+  auto index = find_worker(what.worker);
+  if (!index) return;
+  auto& r = rows_[*index];
+  auto before = r.held;
+  if ((r.reclaimable & what.accelerators) != 0 ||
+      (what.accelerators == 0 && r.reclaimable_processors > 0)) {
+    r.reclaimable_processors -= what.processors;
+    r.reclaimable_memory_mb -= static_cast<std::int64_t>(what.memory_mb);
+  }
+  r.held &= ~what.accelerators;
+  r.reclaimable &= ~what.accelerators;
+  r.processors += what.processors;
+  r.memory_mb += static_cast<std::int64_t>(what.memory_mb);
+  count_free(r, before);
+}
+
+void cell_map::allow_reclaim(const assignment& what) {
+  auto index = find_worker(what.worker);
+  if (!index) return;
+  auto& r = rows_[*index];
+  r.reclaimable |= what.accelerators;
+  r.reclaimable_processors += what.processors;
+  r.reclaimable_memory_mb += static_cast<std::int64_t>(what.memory_mb);
+}
+
+void cell_map::add_home(const assignment& what, bool idle) {
+  auto index = find_worker(what.worker);
+  if (!index) return;
+  rows_[*index].home |= what.accelerators;
+  if (idle) rows_[*index].idle_home |= what.accelerators;
+}
+
+void cell_map::remove_home(const assignment& what) {
+  auto index = find_worker(what.worker);
+  if (!index) return;
+  rows_[*index].home &= ~what.accelerators;
+  rows_[*index].idle_home &= ~what.accelerators;
+}
+
+void cell_map::reserve(const assignment& what) {
+  auto index = find_worker(what.worker);
+  if (index) rows_[*index].reserved |= what.accelerators;
+}
+
+void cell_map::clear_reservations() {
+  for (auto& r : rows_)
+    r.reserved = 0;
+}
+
+auto cell_map::available(const row& r, cell_scope scope) const
+    -> std::uint64_t {
+  switch (scope) {
+    case cell_scope::outside_homes:
+      return r.all & ~r.held & ~r.reserved & ~r.idle_home;
+    case cell_scope::free:
+      return r.all & ~r.held & ~r.reserved;
+    case cell_scope::reclaimable:
+      return r.all & (~r.held | r.reclaimable) & ~r.reserved;
+    case cell_scope::unclaimed:
+      return r.all & ~r.home & (~r.held | r.reclaimable);
+    case cell_scope::all:
+      return r.known;
+  }
+  return 0;
+}
+
+/// How many accelerators of the gang the worker can take.
+auto cell_map::capacity(const row& r, const search& s) const -> std::uint32_t {
+  auto count = count_bits(available(r, s.scope));
+  if (s.scope == cell_scope::unclaimed || count == 0) return count;
+  auto processors = r.processors;
+  auto memory = r.memory_mb;
+  if (s.scope == cell_scope::reclaimable) {
+    processors += r.reclaimable_processors;
+    memory += r.reclaimable_memory_mb;
+  } else if (s.scope == cell_scope::all) {
+    const auto& w = workers_[static_cast<std::size_t>(&r - rows_.data())];
+    processors = w.processors;
+    memory = static_cast<std::int64_t>(w.memory_mb);
+  }
+  auto limit = [&](std::int64_t have, std::int64_t each) {
+    if (each <= 0) return;
+    count = std::min(count, static_cast<std::uint32_t>(
+                                std::max<std::int64_t>(have, 0) / each));
+  };
+  limit(processors, s.processors);
+  limit(memory, s.memory_mb);
+  return count;
+}
+
+auto cell_map::stranded_change(std::uint32_t worker, std::uint32_t taken,
+                               const gang_shape& largest) const -> double {
+  const auto& r = rows_[worker];
+  std::uint32_t free = 0;
+  switch (largest.within) {
+    case adjacency::worker:
+      free = count_bits(r.all & ~r.held);
+      break;
+    case adjacency::rack:
+      free = racks_[r.rack].free;
+      break;
+    case adjacency::data_centre:
+      free = data_centres_[r.data_centre].free;
+      break;
+  }
+  auto left = free > taken ? free - taken : 0;
+  return stranded(left, largest.accelerators) -
+         stranded(free, largest.accelerators);
+}
+
+void cell_map::find_in_workers(const search& s,
+                               std::vector<placement>& found) const {
+  auto n = s.need.shape.accelerators;
+  for (std::uint32_t i = 0; i < rows_.size(); ++i) {
+    const auto& r = rows_[i];
+    auto mask = available(r, s.scope);
+    if (count_bits(mask) < n || capacity(r, s) < n) continue;
+    auto own = mask;
+    if (s.scope == cell_scope::reclaimable && count_bits(mask & ~r.held) >= n) {
+      own = mask & ~r.held;
+    }
+    auto chosen = choose_buddies(own, n);
+    double cost = leftover_cost * (count_bits(mask) - n);
+    cost += home_cost * count_bits(chosen & r.idle_home);
+    cost += reclaim_cost * count_bits(chosen & r.held);
+    if (s.weights.fragmentation > 0) {
+      cost += s.weights.fragmentation *
+              stranded_change(i, n, s.weights.largest) / n;
+    }
+    if (found.size() == s.limit && cost >= found.back().cost) continue;
+    found.push_back({{{i, chosen}}, cost});
+    std::ranges::sort(found, {}, &placement::cost);
+    if (found.size() > s.limit) found.pop_back();
+    if (s.weights.first_fit) return;
+  }
+}
+
+/// Takes accelerators from as few workers as possible: the smallest that
+/// holds the rest, else the largest.
+auto cell_map::fill(std::span<const std::uint32_t> workers,
+                    const search& s) const -> std::vector<cell> {
+  struct offer {
+    std::uint32_t worker;
+    std::uint32_t count;
+  };
+  std::vector<offer> offers;
+  std::uint32_t total = 0;
+  for (auto i : workers) {
+    auto count = capacity(rows_[i], s);
+    if (count == 0) continue;
+    total += count;
+    offers.push_back({i, count});
+  }
+  auto rest = s.need.shape.accelerators;
+  if (total < rest) return {};
+  if (!s.weights.first_fit) {
+    std::ranges::stable_sort(offers, std::greater<>(), &offer::count);
+  }
+  std::vector<cell> cells;
+  for (std::size_t i = 0; i < offers.size() && rest > 0; ++i) {
+    auto take = offers[i];
+    if (take.count >= rest && !s.weights.first_fit) {
+      for (auto j = i; j < offers.size() && offers[j].count >= rest; ++j) {
+        take = offers[j];
+      }
+    }
+    auto n = std::min(rest, take.count);
+    const auto& r = rows_[take.worker];
+    auto mask = available(r, s.scope);
+    auto preferred = mask & ~r.held & ~r.idle_home;
+    if (count_bits(preferred) < n) preferred = mask & ~r.held;
+    if (count_bits(preferred) < n) preferred = mask;
+    cells.push_back({take.worker, choose_buddies(preferred, n)});
+    rest -= n;
+  }
+  return cells;
+}
+
+void cell_map::find_in_domains(std::span<const domain> domains, const search& s,
+                               std::vector<placement>& found) const {
+  auto n = s.need.shape.accelerators;
+  bool only_free =
+      s.scope == cell_scope::outside_homes || s.scope == cell_scope::free;
+  for (const auto& d : domains) {
+    if (only_free && d.free < n) continue;
+    auto cells = fill(d.workers, s);
+    if (cells.empty()) continue;
+    double cost = leftover_cost * (d.free > n ? d.free - n : 0);
+    for (const auto& c : cells) {
+      const auto& r = rows_[c.worker];
+      cost += home_cost * count_bits(c.accelerators & r.idle_home);
+      cost += reclaim_cost * count_bits(c.accelerators & r.held);
+      cost += leftover_cost;  // fewer workers are better
+    }
+    if (s.weights.fragmentation > 0) {
+      cost += s.weights.fragmentation *
+              stranded_change(cells.front().worker, n, s.weights.largest) / n;
+    }
+    if (found.size() == s.limit && cost >= found.back().cost) continue;
+    found.push_back({std::move(cells), cost});
+    std::ranges::sort(found, {}, &placement::cost);
+    if (found.size() > s.limit) found.pop_back();
+    if (s.weights.first_fit) return;
+  }
+}
+
+auto cell_map::find(const gang_need& need, cell_scope scope,
+                    const placement_weights& weights, std::size_t limit) const
+    -> std::vector<placement> {
+  auto n = need.shape.accelerators;
+  search s{need,
+           scope,
+           weights,
+           limit,
+           share_of(need.processors, n),
+           share_of(need.memory_mb, n)};
+  std::vector<placement> found;
+  if (n == 0) {
+    // Work without accelerators goes where the fewest are free.
+    for (std::uint32_t i = 0; i < rows_.size(); ++i) {
+      const auto& r = rows_[i];
+      const auto& w = workers_[i];
+      bool everything = scope == cell_scope::all;
+      if (!everything && w.condition != worker_condition::ready) continue;
+      auto processors = everything ? w.processors : r.processors;
+      auto memory =
+          everything ? static_cast<std::int64_t>(w.memory_mb) : r.memory_mb;
+      if (processors < s.processors || memory < s.memory_mb) continue;
+      double cost = count_bits(r.all & ~r.held);
+      if (found.empty() || cost < found.front().cost) {
+        found.assign(1, {{{i, 0}}, cost});
+      }
+      if (weights.first_fit) break;
+    }
+    return found;
+  }
+  switch (need.shape.within) {
+    case adjacency::worker:
+      find_in_workers(s, found);
+      break;
+    case adjacency::rack:
+      find_in_domains(racks_, s, found);
+      break;
+    case adjacency::data_centre:
+      find_in_domains(data_centres_, s, found);
+      break;
+  }
+  return found;
+}
+
+auto cell_map::assignments(std::span<const cell> cells,
+                           const gang_need& need) const
+    -> std::vector<assignment> {
+  auto n = need.shape.accelerators;
+  std::vector<assignment> result;
+  result.reserve(cells.size());
+  for (const auto& c : cells) {
+    auto count = n == 0 ? 1 : count_bits(c.accelerators);
+    result.push_back(
+        {workers_[c.worker].name, c.accelerators,
+         static_cast<std::uint32_t>(share_of(need.processors, n) * count),
+         static_cast<std::uint64_t>(share_of(need.memory_mb, n) * count)});
+  }
+  return result;
+}
+
+auto cell_map::is_free(const assignment& what) const -> bool {
+  auto index = find_worker(what.worker);
+  if (!index) return false;
+  auto free = available(rows_[*index], cell_scope::free);
+  return (free & what.accelerators) == what.accelerators;
+}
+
+auto cell_map::has_room(const assignment& what) const -> bool {
+  auto index = find_worker(what.worker);
+  if (!index) return false;
+  const auto& r = rows_[*index];
+  return r.processors >= what.processors &&
+         r.memory_mb >= static_cast<std::int64_t>(what.memory_mb);
+}
+
+auto cell_map::fits_share(const assignment& what) const -> bool {
+  auto index = find_worker(what.worker);
+  if (!index) return false;
+  const auto& w = workers_[*index];
+  std::uint64_t count = count_bits(what.accelerators);
+  return what.processors * std::uint64_t{w.accelerators} <=
+             w.processors * count &&
+         what.memory_mb * w.accelerators <= w.memory_mb * count;
+}
+
+auto cell_map::free_count() const -> std::uint32_t {
+  std::uint32_t total = 0;
+  for (const auto& d : data_centres_)
+    total += d.free;
+  return total;
+}
+
+auto cell_map::stranded_count(const gang_shape& largest) const
+    -> std::uint32_t {
+  auto needed = largest.accelerators;
+  std::uint32_t total = 0;
+  auto add = [&](std::uint32_t free) {
+    if (free < needed) total += free;
+  };
+  switch (largest.within) {
+    case adjacency::worker:
+      for (const auto& r : rows_)
+        add(count_bits(r.all & ~r.held));
+      break;
+    case adjacency::rack:
+      for (const auto& d : racks_)
+        add(d.free);
+      break;
+    case adjacency::data_centre:
+      for (const auto& d : data_centres_)
+        add(d.free);
+      break;
+  }
+  return total;
+}
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/core/jobs/gang_tracker.cpp
@@ -0,0 +1,427 @@
+#include "core/jobs/gang_tracker.h"
+
+#include <algorithm>
+
+#include "core/state/state_tables.h"
+
+namespace parsleyledge {
+
+namespace {
+
+constexpr std::uint32_t throttle_reports = 3;
+constexpr std::uint32_t stop_borrowed_reports = 10;
+constexpr std::uint32_t stop_claimed_reports = 30;
+constexpr double overuse_allowed = 1.1;  // of the declared amount
+constexpr milliseconds proposal_retry{2000};
+
+}  // namespace
+
+auto is_quarantined(std::span<const worker_failure> failures,
+                    const policy_config& policy, time_point wall) -> bool {
+  if (failures.size() < policy.quarantine_failures) return false;
+  return wall - failures.back().at < policy.quarantine;
+}
+
+auto gang_tracker::find_worker(std::string_view name) -> worker* {
+  auto it = std::ranges::lower_bound(workers_, name, {}, &worker::name);
+  return it != workers_.end() && it->name == name ? &*it : nullptr;
+}
+
+void gang_tracker::observe(const worker& announced,
+                           std::span<const task_report> reports,
+                           time_point now) {
+  auto it =
+      std::ranges::lower_bound(workers_, announced.name, {}, &worker::name);
+  if (it == workers_.end() || it->name != announced.name) {
+    it = workers_.insert(it, announced);
+    it->condition = worker_condition::ready;
+  } else {
+    if (announced.incarnation < it->incarnation) return;
+    auto condition = it->condition;
+    *it = announced;
+    it->condition = condition;
+  }
+  auto& c = contacts_[announced.name];
+  c.heard_at = std::max(c.heard_at, now);
+  c.incarnation = announced.incarnation;
+  for (const auto& report : reports)
+    note_report(announced.name, report);
+}
+
+auto gang_tracker::find_task(std::string_view worker, const task_ref& ref)
+    -> task* {
+  auto g = gangs_.find({ref.job, ref.attempt});
+  if (g == gangs_.end()) return nullptr;
+  auto t = g->second.tasks.find(std::string(worker));
+  return t == g->second.tasks.end() ? nullptr : &t->second;
+}
+
+void gang_tracker::note_report(std::string_view worker,
+                               const task_report& report) {
+  auto* t = find_task(worker, report.task);
+  if (t == nullptr) return;
+  // Reports lag: a state never goes back.
+  if (!t->state || report.state > *t->state) t->state = report.state;
+  if (report.state == task_state::failed) t->refusal = report.reason;
+  if (report.state != task_state::running) return;
+  auto over = [](double used, double declared) {
+    return declared > 0 && used > declared * overuse_allowed;
+  };
+  bool above = over(report.processors, t->cells.processors) ||
+               over(static_cast<double>(report.memory_mb),
+                    static_cast<double>(t->cells.memory_mb));
+  t->overuse = above ? t->overuse + 1 : 0;
+}
+
+void gang_tracker::answer(const platform_request& request,
+                          const platform_reply& reply, time_point sent_at,
+                          time_point now) {
+  if (const auto* renewal = std::get_if<lease_renewal>(&request)) {
+    auto& c = contacts_[renewal->worker];
+    c.renewal_open = false;
+    const auto* agreed = std::get_if<worker_agreed>(&reply);
+    if (agreed == nullptr) return;
+    c.heard_at = std::max(c.heard_at, now);
+    for (const auto& report : agreed->tasks) {
+      note_report(renewal->worker, report);
+    }
+    for (const auto& ref : renewal->tasks) {
+      auto* t = find_task(renewal->worker, ref);
+      bool known = std::ranges::any_of(
+          agreed->tasks, [&](const auto& r) { return r.task == ref; });
+      if (t != nullptr && t->state && !known && t->started_at < sent_at) {
+        t->missing = true;
+      }
+    }
+    return;
+  }
+  const auto& call = std::get<worker_call>(request);
+  auto* t = find_task(call.worker, call.task);
+  if (t == nullptr) return;
+  t->asked.reset();
+  if (std::holds_alternative<worker_silent>(reply)) return;
+  contacts_[call.worker].heard_at =
+      std::max(contacts_[call.worker].heard_at, now);
+  if (const auto* refused = std::get_if<worker_refused>(&reply)) {
+    t->refusal = refused->reason;
+    if (t->refusal.empty()) t->refusal = "refused";
+    return;
+  }
+  switch (call.verb) {
+    case worker_verb::prepare:
+      if (!t->state) t->state = task_state::prepared;
+      break;
+    case worker_verb::start:
+      t->started_at = now;
+      if (!t->state || *t->state < task_state::running) {
+        t->state = task_state::running;
+      }
+      break;
+    case worker_verb::stop:
+      t->state = task_state::stopped;
+      break;
+    case worker_verb::checkpoint:
+    case worker_verb::throttle:
+      break;
+  }
+}
+
+auto gang_tracker::update_conditions(const failure_table& failures,
+                                     const policy_config& policy,
+                                     time_point now, time_point wall) -> bool {
+  bool changed = false;
+  for (auto& w : workers_) {
+    auto condition = worker_condition::ready;
+    auto failed = failures.find(w.name);
+    auto drained = draining_.find(w.name);
+    if (now - contacts_[w.name].heard_at > timing_.ttl) {
+      condition = worker_condition::lost;
+    } else if (drained != draining_.end() && drained->second) {
+      condition = worker_condition::draining;
+    } else if (failed != failures.end() &&
+               is_quarantined(failed->second, policy, wall)) {
+      condition = worker_condition::quarantined;
+    }
+    changed = changed || condition != w.condition;
+    w.condition = condition;
+  }
+  return changed;
+}
+
+void gang_tracker::drain(std::string_view name, bool draining) {
+  draining_[std::string(name)] = draining;
+}
+
+auto gang_tracker::gang_of(const job_record& job, time_point now) -> gang& {
+  auto [it, inserted] = gangs_.try_emplace({job.id, job.attempt});
+  auto& g = it->second;
+  if (inserted) {
+    for (const auto& a : job.assignments) {
+      auto& t = g.tasks[a.worker];
+      t.cells = a;
+      // Another leader may have renewed the lease just now.
+      t.lease_until = now + timing_.ttl + timing_.margin;
+      if (const auto* w = find_worker(a.worker)) t.incarnation = w->incarnation;
+    }
+  }
+  return g;
+}
+
+void gang_tracker::ask(const job_record& job, const assignment& cells, task& t,
+                       worker_verb verb, time_point now,
+                       std::vector<gang_action>& actions) {
+  if (t.asked == verb && now - t.asked_at < timing_.retry) return;
+  const auto* w = find_worker(cells.worker);
+  if (w == nullptr) return;
+  if (t.incarnation == 0) t.incarnation = w->incarnation;
+  t.asked = verb;
+  t.asked_at = now;
+  if (verb == worker_verb::prepare || verb == worker_verb::start) {
+    t.lease_until = now + timing_.ttl + timing_.margin;
+  }
+  worker_call call;
+  call.worker = cells.worker;
+  call.address = w->address;
+  call.verb = verb;
+  call.task = {job.id, job.attempt, job.fence};
+  call.cells = cells;
+  if (verb == worker_verb::prepare) call.payload = job.spec.payload;
+  call.run_time = job.spec.run_time - job.progress;
+  actions.emplace_back(platform_request(std::move(call)));
+}
+
+void gang_tracker::propose(const job_record& job, gang& g, command what,
+                           time_point now, std::vector<gang_action>& actions) {
+  if (g.proposed_in == job.state && now - g.proposed_at < proposal_retry) {
+    return;
+  }
+  g.proposed_in = job.state;
+  g.proposed_at = now;
+  actions.emplace_back(std::move(what));
+}
+
+auto gang_tracker::lost_worker(const job_record& job, gang& g)
+    -> std::optional<std::string> {
+  for (const auto& a : job.assignments) {
+    const auto* w = find_worker(a.worker);
+    auto& t = g.tasks[a.worker];
+    // A new leader waits for the worker to announce itself.
+    if (w == nullptr) continue;
+    if (t.incarnation == 0) t.incarnation = w->incarnation;
+    bool restarted = w->incarnation != t.incarnation;
+    if (restarted || t.missing || w->condition == worker_condition::lost) {
+      return a.worker;
+    }
+  }
+  return {};
+}
+
+auto gang_tracker::step(std::span<const job_record* const> jobs,
+                        const site_config& site, time_point now,
+                        time_point wall) -> std::vector<gang_action> {
+  std::vector<gang_action> actions;
+  std::map<gang_key, gang> kept;
+  for (const auto* job : jobs) {
+    if (job->assignments.empty()) continue;
+    auto& g = gang_of(*job, now);
+    switch (job->state) {
+      case job_state::placing:
+        step_placing(*job, g, now, wall, actions);
+        break;
+      case job_state::running:
+        step_running(*job, g, site, now, wall, actions);
+        break;
+      case job_state::checkpointing:
+        step_checkpointing(*job, g, now, wall, actions);
+        break;
+      default:
+        step_releasing(*job, g, now, actions);
+        break;
+    }
+    auto node = gangs_.extract({job->id, job->attempt});
+    kept.insert(std::move(node));
+  }
+  gangs_ = std::move(kept);
+  renew_leases(jobs, now, actions);
+  return actions;
+}
+
+void gang_tracker::step_placing(const job_record& job, gang& g, time_point now,
+                                time_point wall,
+                                std::vector<gang_action>& actions) {
+  auto give_up = [&](std::string reason) {
+    propose(job, g,
+            end_attempt{job.id, job.attempt, attempt_result::interrupted, true,
+                        "", job.progress, std::move(reason), wall},
+            now, actions);
+  };
+  if (auto lost = lost_worker(job, g)) {
+    give_up("worker " + *lost + " was lost before the start");
+    return;
+  }
+  bool ready = true;
+  for (const auto& a : job.assignments) {
+    auto& t = g.tasks[a.worker];
+    if (!t.refusal.empty()) {
+      give_up("worker " + a.worker + " did not prepare: " + t.refusal);
+      return;
+    }
+    if (t.state) continue;
+    ready = false;
+    ask(job, a, t, worker_verb::prepare, now, actions);
+  }
+  if (ready) {
+    propose(job, g, start_job{job.id, job.attempt, wall}, now, actions);
+  } else if (wall - job.placed_at > timing_.prepare_limit) {
+    give_up("the gang was not prepared in time");
+  }
+}
+
+void gang_tracker::step_running(const job_record& job, gang& g,
+                                const site_config& site, time_point now,
+                                time_point wall,
+                                std::vector<gang_action>& actions) {
+  auto end = [&](attempt_result result, bool requeue, std::string worker,
+                 std::string reason) {
+    propose(job, g,
+            end_attempt{job.id, job.attempt, result, requeue, std::move(worker),
+                        job.progress, std::move(reason), wall},
+            now, actions);
+  };
+  std::size_t done = 0;
+  for (const auto& a : job.assignments) {
+    auto& t = g.tasks[a.worker];
+    if (t.state == task_state::failed || !t.refusal.empty()) {
+      auto failures = job.failed_on;
+      failures.push_back(a.worker);
+      std::ranges::sort(failures);
+      auto distinct = std::ranges::unique(failures);
+      auto count =
+          static_cast<std::uint32_t>(distinct.begin() - failures.begin());
+      end(attempt_result::failed, count < site.policy.max_attempts, a.worker,
+          "failed on worker " + a.worker + ": " + t.refusal);
+      return;
+    }
+    if (t.state == task_state::done) {
+      ++done;
+    } else if (!t.state || *t.state < task_state::running) {
+      ask(job, a, t, worker_verb::start, now, actions);
+    }
+  }
+  if (done == job.assignments.size()) {
+    end(attempt_result::done, false, "", "");
+    return;
+  }
+  if (auto lost = lost_worker(job, g)) {
+    end(attempt_result::interrupted, true, "", "worker " + *lost + " was lost");
+    return;
+  }
+  step_overuse(job, g, site, now, wall, actions);
+}
+
+void gang_tracker::step_overuse(const job_record& job, gang& g,
+                                const site_config&, time_point now,
+                                time_point wall,
+                                std::vector<gang_action>& actions) {
+  for (const auto& a : job.assignments) {
+    auto& t = g.tasks[a.worker];
+    auto limit = job.claim ? stop_claimed_reports : stop_borrowed_reports;
+    if (t.overuse >= limit) {
+      propose(
+          job, g,
+          end_attempt{job.id, job.attempt, attempt_result::failed, false, "",
+                      job.progress,
+                      "used more than it declared on worker " + a.worker, wall},
+          now, actions);
+      return;
+    }
+    if (t.overuse == throttle_reports) {
+      ask(job, a, t, worker_verb::throttle, now, actions);
+    }
+  }
+}
+
+void gang_tracker::step_checkpointing(const job_record& job, gang& g,
+                                      time_point now, time_point wall,
+                                      std::vector<gang_action>& actions) {
+  bool saved = true;
+  for (const auto& a : job.assignments) {
+    auto& t = g.tasks[a.worker];
+    // A task that ended meanwhile has nothing left to save.
+    if (t.state && *t.state >= task_state::checkpointed) continue;
+    saved = false;
+    ask(job, a, t, worker_verb::checkpoint, now, actions);
+  }
+  bool all_done = std::ranges::all_of(job.assignments, [&](const auto& a) {
+    return g.tasks[a.worker].state == task_state::done;
+  });
+  if (all_done) {
+    propose(job, g,
+            end_attempt{job.id, job.attempt, attempt_result::done, false, "",
+                        job.progress, "", wall},
+            now, actions);
+  } else if (saved) {
+    auto progress = job.progress + (job.checkpoint_at - job.started_at);
+    propose(job, g,
+            end_attempt{job.id, job.attempt, attempt_result::interrupted, true,
+                        "", progress, job.reason, wall},
+            now, actions);
+  } else if (auto lost = lost_worker(job, g)) {
+    propose(
+        job, g,
+        end_attempt{job.id, job.attempt, attempt_result::interrupted, true, "",
+                    job.progress, "worker " + *lost + " was lost", wall},
+        now, actions);
+  }
+}
+
+void gang_tracker::step_releasing(const job_record& job, gang& g,
+                                  time_point now,
+                                  std::vector<gang_action>& actions) {
+  release_workers release{job.id, job.attempt, {}};
+  for (const auto& a : job.assignments) {
+    auto& t = g.tasks[a.worker];
+    const auto* w = find_worker(a.worker);
+    bool restarted =
+        w != nullptr && t.incarnation != 0 && w->incarnation != t.incarnation;
+    if (t.state == task_state::stopped || restarted || now >= t.lease_until) {
+      if (now - t.released_at < proposal_retry) continue;
+      t.released_at = now;
+      release.workers.push_back(a.worker);
+    } else {
+      ask(job, a, t, worker_verb::stop, now, actions);
+    }
+  }
+  if (release.workers.empty()) return;
+  actions.emplace_back(command(std::move(release)));
+}
+
+void gang_tracker::renew_leases(std::span<const job_record* const> jobs,
+                                time_point now,
+                                std::vector<gang_action>& actions) {
+  std::map<std::string_view, std::vector<task_ref>> tasks;
+  for (const auto* job : jobs) {
+    if (!is_placed(job->state)) continue;
+    for (const auto& a : job->assignments) {
+      tasks[a.worker].push_back({job->id, job->attempt, job->fence});
+    }
+  }
+  for (const auto& w : workers_) {
+    auto& c = contacts_[w.name];
+    if (now - c.renewal_sent_at < timing_.renewal) continue;
+    if (c.renewal_open && now - c.renewal_sent_at < timing_.retry) continue;
+    auto it = tasks.find(w.name);
+    if (it == tasks.end()) continue;
+    c.renewal_sent_at = now;
+    c.renewal_open = true;
+    for (const auto& ref : it->second) {
+      if (auto* t = find_task(w.name, ref)) {
+        t->lease_until = now + timing_.ttl + timing_.margin;
+      }
+    }
+    actions.emplace_back(platform_request(
+        lease_renewal{w.name, w.address, it->second, timing_.ttl}));
+  }
+}
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/core/jobs/scheduler.cpp
@@ -0,0 +1,525 @@
+#include "core/jobs/scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+#include "core/jobs/cell_map.h"
+#include "core/jobs/home_planner.h"
+#include "core/overloaded.h"
+
+namespace parsleyledge {
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr std::size_t reclaim_candidates = 8;
+constexpr seconds aging{3600};  // a wait of this length halves a job's score
+constexpr seconds shortest{1};  // floor of an estimate
+
+auto need_of(const job_spec& spec) -> gang_need {
+  return {spec.gang, spec.processors, spec.memory_mb};
+}
+
+auto size_of(const job_record& job) -> std::uint32_t {
+  return std::max<std::uint32_t>(job.spec.gang.accelerators, 1);
+}
+
+auto overlaps(std::span<const assignment> a, std::span<const assignment> b)
+    -> bool {
+  for (const auto& x : a) {
+    for (const auto& y : b) {
+      if (x.worker == y.worker && (x.accelerators & y.accelerators) != 0) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+/// Whether a need was found not to fit, or asks for no less than one that was.
+class failed_needs {
+ public:
+  void add(const gang_need& need) { needs_.push_back(need); }
+
+  auto covers(const gang_need& need) const -> bool {
+    return std::ranges::any_of(needs_, [&](const gang_need& failed) {
+      return failed.shape.within >= need.shape.within &&
+             failed.shape.accelerators <= need.shape.accelerators &&
+             per_accelerator(failed, failed.processors) <=
+                 per_accelerator(need, need.processors) &&
+             per_accelerator(failed, failed.memory_mb) <=
+                 per_accelerator(need, need.memory_mb) &&
+             (failed.shape.accelerators == 0) == (need.shape.accelerators == 0);
+    });
+  }
+
+ private:
+  static auto per_accelerator(const gang_need& need, std::uint64_t total)
+      -> std::uint64_t {
+    auto n = std::max<std::uint32_t>(need.shape.accelerators, 1);
+    return (total + n - 1) / n;
+  }
+
+  std::vector<gang_need> needs_;
+};
+
+/// One pass over all waiting jobs.
+class pass {
+ public:
+  explicit pass(const schedule_view& view) : view_(view), cells_(view.workers) {
+    for (const auto* job : view_.jobs) {
+      for (const auto& a : job->assignments)
+        cells_.occupy(a);
+      if (job->state == job_state::queued && job->assignments.empty()) {
+        waiting_.push_back(job);
+      }
+    }
+  }
+
+  auto run(const cell_policy&) -> schedule {
+    weights_ = {largest_guaranteed(view_.site),
+                view_.site.policy.fragmentation_weight, false};
+    mark_running();
+    update_homes();
+    end_overdue_checkpoints();
+    order_queue();
+    for (const auto*& job : waiting_) {
+      if (try_claim(*job)) job = nullptr;
+    }
+    std::erase(waiting_, nullptr);
+    failed_needs failed;
+    for (const auto* job : waiting_)
+      try_borrow(*job, failed);
+    return std::move(result_);
+  }
+
+  auto run(const first_fit&) -> schedule { return run_baseline(true); }
+  auto run(const best_fit&) -> schedule { return run_baseline(false); }
+
+ private:
+  auto run_baseline(bool first) -> schedule {
+    weights_.first_fit = first;
+    failed_needs failed;
+    for (const auto* job : waiting_) {
+      place_free(*job, cell_scope::free, failed);
+    }
+    return std::move(result_);
+  }
+
+  void mark_running() {
+    for (const auto* job : view_.jobs) {
+      if (job->assignments.empty()) continue;
+      if (job->claim) {
+        claimed_.push_back(*job->claim);
+        continue;
+      }
+      for (const auto& a : job->assignments) {
+        cells_.allow_reclaim(a);
+        if (auto w = cells_.find_worker(a.worker)) {
+          borrowers_[*w].push_back(job);
+        }
+      }
+      borrowed_[job->spec.customer] += size_of(*job);
+    }
+  }
+
+  void update_homes() {
+    auto plan = plan_homes(view_.site, view_.homes, claimed_, cells_);
+    homes_ = view_.homes;
+    for (const auto& slot : plan.change.removed)
+      homes_.erase(slot);
+    for (const auto& home : plan.change.homes)
+      homes_[home.slot] = home.cells;
+    result_.unmet = std::move(plan.unmet);
+    if (!plan.change.homes.empty() || !plan.change.removed.empty()) {
+      result_.commands.emplace_back(std::move(plan.change));
+    }
+  }
+
+  void end_overdue_checkpoints() {
+    for (const auto* job : view_.jobs) {
+      if (job->state != job_state::checkpointing) continue;
+      if (view_.now - job->checkpoint_at < view_.site.policy.checkpoint_grace) {
+        continue;
+      }
+      interrupt(*job, "reclaimed; its checkpoint took too long");
+    }
+  }
+
+  auto estimate(const job_record& job) const -> milliseconds {
+    auto it = view_.histories.find(job.spec.customer);
+    auto whole = it == view_.histories.end()
+                     ? job.spec.run_time
+                     : corrected_run_time(it->second.ratios, job.spec.run_time);
+    return std::max<milliseconds>(whole - job.progress, shortest);
+  }
+
+  auto share(const job_record& job) const -> double {
+    auto it = view_.site.customers.find(job.spec.customer);
+    return it == view_.site.customers.end() ? 1 : it->second.share;
+  }
+
+  auto is_starving(const job_record& job) const -> bool {
+    auto largest = std::max<std::uint32_t>(weights_.largest.accelerators, 2);
+    return job.spec.gang.accelerators * 2 >= largest &&
+           view_.now - job.submitted_at >= view_.site.policy.large_job_wait;
+  }
+
+  // Short and small work first, which lowers the mean completion time; waiting
+  // and a customer's unused share move a job forward.
+  auto score(const job_record& job) const -> double {
+    auto work =
+        std::chrono::duration<double>(estimate(job)).count() * size_of(job);
+    auto waited =
+        std::chrono::duration<double>(view_.now - job.submitted_at) / aging;
+    auto it = borrowed_.find(job.spec.customer);
+    double used = it == borrowed_.end() ? 0 : it->second / share(job);
+    double total =
+        std::max<double>(static_cast<double>(view_.workers.size()), 1);
+    return work * (1 + used / total) / (1 + waited);
+  }
+
+  void order_queue() {
+    struct ranked {
+      int rank;
+      double score;
+      const job_record* job;
+    };
+    std::vector<ranked> queue;
+    queue.reserve(waiting_.size());
+    for (const auto* job : waiting_) {
+      if (job->spec.how_urgent == urgency::urgent) {
+        queue.push_back(
+            {0, static_cast<double>(to_ms(job->submitted_at)), job});
+      } else if (is_starving(*job)) {
+        queue.push_back(
+            {1, static_cast<double>(to_ms(job->submitted_at)), job});
+      } else {
+        queue.push_back({2, score(*job), job});
+      }
+    }
+    std::ranges::sort(queue, [](const ranked& a, const ranked& b) {
+      return std::tie(a.rank, a.score, a.job->id) <
+             std::tie(b.rank, b.score, b.job->id);
+    });
+    for (std::size_t i = 0; i < queue.size(); ++i)
+      waiting_[i] = queue[i].job;
+  }
+
+  /// The unclaimed slots of the job's customer that can hold it, the tightest
+  /// first.
+  auto fitting_slots(const job_record& job) const
+      -> std::vector<std::pair<guarantee_slot, gang_shape>> {
+    std::vector<std::pair<guarantee_slot, gang_shape>> slots;
+    auto customer = view_.site.customers.find(job.spec.customer);
+    if (customer == view_.site.customers.end()) return slots;
+    const auto& gang = job.spec.gang;
+    for (const auto& [name, promise] : customer->second.guarantees) {
+      if (promise.shape.accelerators < gang.accelerators ||
+          promise.shape.within > gang.within || gang.accelerators == 0) {
+        continue;
+      }
+      for (std::uint32_t i = 0; i < promise.count; ++i) {
+        guarantee_slot slot{job.spec.customer, name, i};
+        bool taken = std::ranges::find(claimed_, slot) != claimed_.end();
+        if (!taken && homes_.contains(slot)) {
+          slots.emplace_back(slot, promise.shape);
+        }
+      }
+    }
+    std::ranges::stable_sort(
+        slots, {}, [](const auto& s) { return s.second.accelerators; });
+    return slots;
+  }
+
+  /// The part of a home that a gang takes.
+  auto part_of(std::span<const assignment> home, const job_record& job) const
+      -> std::vector<assignment> {
+    auto rest = job.spec.gang.accelerators;
+    std::vector<cell> cells;
+    for (const auto& a : home) {
+      if (rest == 0) break;
+      auto have = static_cast<std::uint32_t>(std::popcount(a.accelerators));
+      auto n = std::min(rest, have);
+      cells.push_back(
+          {*cells_.find_worker(a.worker), choose_buddies(a.accelerators, n)});
+      rest -= n;
+    }
+    return cells_.assignments(cells, need_of(job.spec));
+  }
+
+  auto try_claim(const job_record& job) -> bool {
+    auto slots = fitting_slots(job);
+    if (slots.empty()) return false;
+    // A small job uses a large guarantee only if it finds no other room.
+    if (slots.front().second.accelerators >= 2 * size_of(job) &&
+        job.spec.borrow && job.spec.how_urgent == urgency::normal &&
+        !cells_.find(need_of(job.spec), cell_scope::outside_homes, weights_)
+             .empty()) {
+      return false;
+    }
+    struct option {
+      const guarantee_slot* slot;
+      std::vector<assignment> cells;
+      std::vector<const job_record*> victims;
+      double loss;
+    };
+    std::optional<option> best;
+    for (const auto& [slot, shape] : slots) {
+      auto part = part_of(homes_.at(slot), job);
+      if (!std::ranges::all_of(part, [&](const assignment& a) {
+            return cells_.fits_share(a);
+          })) {
+        continue;
+      }
+      auto victims = victims_of(part);
+      double loss = 0;
+      for (const auto* v : victims)
+        loss += loss_of(*v);
+      if (!best || loss < best->loss) {
+        best = option{&slot, std::move(part), std::move(victims), loss};
+      }
+      if (best->victims.empty()) break;
+    }
+    if (!best) return false;
+    if (best->victims.empty()) {
+      place(job, best->cells, *best->slot, {});
+      return true;
+    }
+    const auto& shape = slots.front().second;
+    if (shape == job.spec.gang) {
+      auto outside =
+          cells_.find(need_of(job.spec), cell_scope::outside_homes, weights_);
+      if (!outside.empty()) {
+        auto cells =
+            cells_.assignments(outside.front().cells, need_of(job.spec));
+        bool ok = std::ranges::all_of(
+            cells, [&](const auto& a) { return cells_.fits_share(a); });
+        if (ok) {
+          for (const auto& a : homes_.at(slots.front().first)) {
+            cells_.remove_home(a);
+          }
+          place(job, cells, slots.front().first, cells);
+          return true;
+        }
+      }
+    }
+    reclaim(best->victims, "reclaimed for a guarantee of " + job.spec.customer);
+    claimed_.push_back(*best->slot);  // kept for this job
+    for (const auto& a : best->cells)
+      cells_.reserve(a);
+    return true;
+  }
+
+  /// The borrowers to stop so that the assignments become free.
+  auto victims_of(std::span<const assignment> wanted) const
+      -> std::vector<const job_record*> {
+    std::vector<const job_record*> victims;
+    auto add = [&](const job_record* job) {
+      if (std::ranges::find(victims, job) == victims.end()) {
+        victims.push_back(job);
+      }
+    };
+    for (const auto& a : wanted) {
+      auto index = cells_.find_worker(a.worker);
+      if (!index) continue;
+      auto it = borrowers_.find(*index);
+      if (it == borrowers_.end()) continue;
+      for (const auto* job : it->second) {
+        if (overlaps(job->assignments, {&a, 1})) add(job);
+      }
+      if (cells_.has_room(a)) continue;
+      // Its processors or memory are taken by neighbours on the worker.
+      for (const auto* job : it->second)
+        add(job);
+    }
+    return victims;
+  }
+
+  // Work that would be repeated, in accelerator seconds.
+  auto loss_of(const job_record& job) const -> double {
+    if (job.state != job_state::running) return 0;
+    seconds grace = view_.site.policy.checkpoint_grace;
+    auto lost = job.spec.checkpoint
+                    ? std::chrono::duration<double>(grace)
+                    : std::chrono::duration<double>(view_.now - job.started_at);
+    return lost.count() * size_of(job);
+  }
+
+  void interrupt(const job_record& job, std::string_view reason) {
+    if (!interrupted_.insert(job.id).second) return;
+    result_.commands.emplace_back(
+        end_attempt{job.id, job.attempt, attempt_result::interrupted, true, "",
+                    job.progress, std::string(reason), view_.now});
+  }
+
+  void reclaim(std::span<const job_record* const> victims,
+               std::string_view reason) {
+    for (const auto* job : victims) {
+      if (job->state == job_state::running && job->spec.checkpoint) {
+        if (!interrupted_.insert(job->id).second) continue;
+        result_.commands.emplace_back(checkpoint_job{
+            job->id, job->attempt, std::string(reason), view_.now});
+      } else if (job->state == job_state::running ||
+                 job->state == job_state::placing) {
+        interrupt(*job, reason);
+      }
+    }
+  }
+
+  void place(const job_record& job, std::span<const assignment> cells,
+             std::optional<guarantee_slot> claim,
+             std::span<const assignment> new_home) {
+    if (claim) claimed_.push_back(*claim);
+    for (const auto& a : cells) {
+      cells_.occupy(a);
+      if (claim) cells_.add_home(a, false);
+    }
+    if (!claim) borrowed_[job.spec.customer] += size_of(job);
+    result_.commands.emplace_back(place_job{job.id,
+                                            std::move(claim),
+                                            {cells.begin(), cells.end()},
+                                            {new_home.begin(), new_home.end()},
+                                            view_.now});
+  }
+
+  auto place_free(const job_record& job, cell_scope scope, failed_needs& failed)
+      -> bool {
+    auto need = need_of(job.spec);
+    if (failed.covers(need)) return false;
+    auto found = cells_.find(need, scope, weights_);
+    if (found.empty()) {
+      failed.add(need);
+      return false;
+    }
+    place(job, cells_.assignments(found.front().cells, need), {}, {});
+    return true;
+  }
+
+  void try_borrow(const job_record& job, failed_needs& failed) {
+    if (!job.spec.borrow) return;
+    if (place_free(job, cell_scope::free, failed)) return;
+    bool urgent = job.spec.how_urgent == urgency::urgent;
+    if (!urgent && !is_starving(job)) return;
+    auto need = need_of(job.spec);
+    auto found = cells_.find(need, cell_scope::reclaimable, weights_,
+                             reclaim_candidates);
+    double best_loss = 0;
+    std::vector<const job_record*> best;
+    const placement* place = nullptr;
+    for (const auto& candidate : found) {
+      auto cells = cells_.assignments(candidate.cells, need);
+      auto victims = victims_of(cells);
+      if (!may_reclaim(job, victims)) continue;
+      double loss = 0;
+      for (const auto* v : victims)
+        loss += loss_of(*v);
+      if (place != nullptr && loss >= best_loss) continue;
+      place = &candidate;
+      best = std::move(victims);
+      best_loss = loss;
+    }
+    if (place == nullptr) return;
+    reclaim(best, urgent ? "reclaimed for urgent work"
+                         : "reclaimed for a large gang that waited");
+    for (const auto& a : cells_.assignments(place->cells, need)) {
+      cells_.reserve(a);
+    }
+  }
+
+  // Work is not stopped for the like of it: urgent for urgent, or a gang for
+  // one that is no larger.
+  static auto may_reclaim(const job_record& job,
+                          std::span<const job_record* const> victims) -> bool {
+    return std::ranges::all_of(victims, [&](const job_record* v) {
+      if (!is_placed(v->state)) return true;
+      if (v->spec.how_urgent == urgency::urgent) return false;
+      return job.spec.how_urgent == urgency::urgent ||
+             size_of(*v) < size_of(job);
+    });
+  }
+
+  const schedule_view& view_;
+  cell_map cells_;
+  placement_weights weights_;
+  std::vector<const job_record*> waiting_;
+  std::vector<guarantee_slot> claimed_;
+  home_table homes_;
+  std::map<std::uint32_t, std::vector<const job_record*>> borrowers_;
+  std::map<std::string, double> borrowed_;  // accelerators, by customer
+  std::set<job_id> interrupted_;
+  schedule result_;
+};
+
+}  // namespace
+
+auto decide(const placement_policy& policy, const schedule_view& view)
+    -> schedule {
+  pass one(view);
+  return std::visit([&](const auto& p) { return one.run(p); }, policy);
+}
+
+auto check_job(const job_spec& spec, std::span<const worker> workers,
+               const site_config& site) -> std::optional<problem> {
+  auto refuse = [](std::string detail) {
+    return problem{422, "Job can never run", std::move(detail),
+                   run_outcome::not_run};
+  };
+  auto customer = site.customers.find(spec.customer);
+  if (customer == site.customers.end()) {
+    return refuse("customer " + spec.customer + " is not configured");
+  }
+  if (!spec.borrow) {
+    bool fits =
+        std::ranges::any_of(customer->second.guarantees, [&](const auto& item) {
+          const auto& shape = item.second.shape;
+          return shape.accelerators >= spec.gang.accelerators &&
+                 shape.within <= spec.gang.within;
+        });
+    if (!fits) return refuse("no guarantee holds it and it may not borrow");
+  }
+  if (workers.empty()) return {};
+  cell_map cells(workers);
+  if (cells.find(need_of(spec), cell_scope::all, {}).empty()) {
+    return refuse("no " + std::string(to_string(spec.gang.within)) +
+                  " has room for " + std::to_string(spec.gang.accelerators) +
+                  " accelerators with " + std::to_string(spec.processors) +
+                  " processors and " + std::to_string(spec.memory_mb) + " MB");
+  }
+  return {};
+}
+
+auto check_guarantees(const site_config& site, std::span<const worker> workers)
+    -> std::optional<std::string> {
+  if (workers.empty()) return {};
+  std::vector<worker> whole(workers.begin(), workers.end());
+  for (auto& w : whole)
+    w.condition = worker_condition::ready;
+  cell_map cells(whole);
+  auto plan = plan_homes(site, {}, {}, cells);
+  if (plan.unmet.empty()) return {};
+  const auto& slot = plan.unmet.front();
+  const auto& shape =
+      site.customers.at(slot.customer).guarantees.at(slot.guarantee).shape;
+  return "customers." + slot.customer + ".guarantees." + slot.guarantee +
+         ": gang " + std::to_string(slot.ordinal + 1) + " of " +
+         std::to_string(shape.accelerators) + " accelerators in one " +
+         std::string(to_string(shape.within)) +
+         " does not fit beside the other guarantees";
+}
+
+auto largest_guaranteed(const site_config& site) -> gang_shape {
+  gang_shape largest{1, adjacency::worker};
+  for (const auto& [name, customer] : site.customers) {
+    for (const auto& [key, promise] : customer.guarantees) {
+      if (promise.shape.accelerators > largest.accelerators) {
+        largest = promise.shape;
+      }
+    }
+  }
+  return largest;
+}
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/core/jobs/worker.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace parsleyledge {
+
+/// Whether new gangs may be placed on a worker.
+enum class worker_condition {
+  ready,
+  quarantined,  // failed several different jobs
+  draining,
+  lost  // its lease ran out
+};
+
+/// A worker as the scheduler sees it.
+struct worker {
+  std::string name;
+  std::uint64_t incarnation = 0;
+  std::string address;  // ip:port
+  std::string data_centre;
+  std::string rack;
+  std::string accelerator_kind;
+  std::uint32_t processors = 0;
+  std::uint64_t memory_mb = 0;
+  std::uint32_t accelerators = 0;  // at most 64
+  worker_condition condition = worker_condition::ready;
+
+  auto operator==(const worker&) const -> bool = default;
+};
+
+/// All accelerators of the worker as a mask.
+constexpr auto full_mask(std::uint32_t accelerators) -> std::uint64_t {
+  return accelerators >= 64 ? ~std::uint64_t{0}
+                            : (std::uint64_t{1} << accelerators) - 1;
+}
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/core/problem.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace parsleyledge {
+
+/// What a refused caller may conclude about the execution of its request.
+enum class run_outcome {
+  not_run,  // no byte can have reached an endpoint, or a fence proves it
+  unknown,
+  conflict
+};
+
+/// A refusal, as told to a caller (RFC 9457).
+struct problem {
+  int status = 500;
+  std::string title;
+  std::string detail;
+  run_outcome outcome = run_outcome::not_run;
+};
+
+/// The value of an operation, or why it was refused.
+template <typename T>
+using result_or_problem = std::variant<T, problem>;
+
+/// The outcome's name on the wire.
+constexpr auto to_string(run_outcome outcome) -> std::string_view {
+  switch (outcome) {
+    case run_outcome::not_run:
+      return "not-run";
+    case run_outcome::unknown:
+      return "unknown";
+    case run_outcome::conflict:
+      return "conflict";
+  }
+  return "unknown";
+}
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/core/state/state_tables.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/config/config_version.h"
+#include "core/jobs/estimate.h"
+#include "core/jobs/job.h"
+#include "core/jobs/worker_failure.h"
+#include "core/state/command.h"
+#include "core/state/idempotency_key.h"
+#include "core/strong.h"
+
+namespace parsleyledge {
+
+/// A change of configuration that was accepted, kept to answer a resend.
+struct change_record {
+  std::string id;
+  std::uint64_t digest = 0;
+  config_version version;
+  std::string file;
+  time_point at;
+};
+
+/// The replicated state: the same on every replica after the same commands.
+struct state_tables {
+  config_version version;
+  std::map<std::string, std::string> files;
+  std::deque<change_record> changes;  // oldest first
+  std::uint64_t next_job = 1;
+  std::map<job_id, job_record> jobs;
+  std::deque<job_id> ended;  // oldest first
+  std::map<guarantee_slot, std::vector<assignment>> homes;
+  failure_table failures;                             // by worker
+  std::map<std::string, run_time_history> histories;  // by customer
+  std::map<key_name, key_record> keys;
+  std::deque<key_name> key_order;   // by claim, oldest first
+  std::deque<key_name> held_order;  // by answer, oldest first
+  std::uint64_t held_answer_bytes = 0;
+};
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/core/strong.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace parsleyledge {
+
+/// An integer that cannot be mixed up with one of another meaning.
+template <typename Tag, typename Rep = std::uint64_t>
+struct strong {
+  Rep value = {};
+
+  constexpr auto operator<=>(const strong&) const = default;
+
+  /// The following value.
+  constexpr auto next() const -> strong { return {value + 1}; }
+};
+
+}  // namespace parsleyledge
