--- /dev/null
+++ b/src/adapters/app.cpp
@@ -0,0 +1,66 @@
+#include "adapters/app.h"
+
+#include <csignal>
+#include <condition_variable>
+#include <cstdlib>
+#include <mutex>
+
+#include "adapters/log.h"
+#include "adapters/settings.h"
+
+namespace parsleyledge {
+
+namespace {
+
+constexpr std::chrono::milliseconds idle_check{10};
+constexpr int failure_status = 4;
+
+auto signal_set() -> sigset_t {
+  sigset_t set;
+  sigemptyset(&set);
+  sigaddset(&set, SIGTERM);
+  sigaddset(&set, SIGINT);
+  return set;
+}
+
+}  // namespace
+
+void block_signals() {
+  auto set = signal_set();
+  pthread_sigmask(SIG_BLOCK, &set, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+void wait_for_signal() {
+  auto set = signal_set();
+  int which = 0;
+  sigwait(&set, &which);
+}
+
+auto wait_until_idle(const http_server& server,
+                     std::chrono::milliseconds limit) -> bool {
+  std::mutex mutex;
+  std::condition_variable never;
+  std::unique_lock lock(mutex);
+  auto until = std::chrono::steady_clock::now() + limit;
+  while (server.busy() > 0 || server.connections() > 0) {
+    if (std::chrono::steady_clock::now() >= until) return false;
+    never.wait_for(lock, idle_check);
+  }
+  return true;
+}
+
+void stop_at_once(std::string_view event, std::string_view detail) {
+  log_event(log_level::error, event, {{"detail", detail}});
+  std::_Exit(failure_status);
+}
+
+void start_log_from_flag(std::string_view level, std::string_view process) {
+  log_level parsed{};
+  if (!parse_log_level(level, parsed)) {
+    refuse_setting("log_level", "expected debug, info, warning or error");
+  }
+  start_log(parsed, process);
+}
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/adapters/control_node.cpp
@@ -0,0 +1,691 @@
+#include "adapters/control_node.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <charconv>
+
+#include "adapters/clock.h"
+#include "adapters/codec.h"
+#include "adapters/json.h"
+#include "adapters/log.h"
+#include "adapters/toml.h"
+#include "core/jobs/cell_map.h"
+#include "core/jobs/scheduler.h"
+#include "core/overloaded.h"
+#include "wire.pb.h"
+
+namespace parsleyledge {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr milliseconds round_interval{200};
+constexpr milliseconds entry_silence{30'000};  // until it is forgotten
+constexpr std::size_t max_listed_jobs = 1000;
+
+auto to_id(std::string_view text) -> job_id {
+  job_id id;
+  std::from_chars(text.data(), text.data() + text.size(), id.value);
+  return id;
+}
+
+}  // namespace
+
+control_node::control_node(boost::asio::thread_pool& pool,
+                           control_settings settings, journal disk,
+                           agreement::recovered_state recovered,
+                           std::function<void(std::string_view)> fatal)
+    : pool_(pool),
+      settings_(std::move(settings)),
+      peers_({settings_.group, settings_.name},
+             [this](std::string_view from, wire::envelope message) {
+               receive(from, std::move(message));
+             }),
+      replica_(pool, settings_.replica, std::move(disk), std::move(recovered),
+               metrics_,
+               {[this](std::string_view address, agreement::message m) {
+                  wire::envelope out;
+                  write(m, *out.mutable_agreement());
+                  peers_.send(address, std::move(out));
+                },
+                [this] { schedule_round(); }, std::move(fatal)}),
+      rounds_(boost::asio::make_strand(pool)),
+      timer_(rounds_),
+      in_flight_(std::make_shared<std::atomic<int>>(0)),
+      tracker_(lease_timing{}),
+      site_(std::make_shared<site_config>()) {}
+
+auto control_node::start() -> std::string {
+  auto error = peers_.start(settings_.listen_peer);
+  if (!error.empty()) return error;
+  replica_.start();
+  schedule_round();
+  return {};
+}
+
+void control_node::transfer() {
+  replica_.transfer();
+}
+
+auto control_node::leads() -> bool {
+  return replica_.status().role == agreement::role::leader;
+}
+
+void control_node::stop() {
+  stopped_ = true;
+  replica_.stop();
+  peers_.stop();
+  boost::asio::post(rounds_, [this] { timer_.cancel(); });
+}
+
+void control_node::receive(std::string_view from, wire::envelope message) {
+  if (message.has_agreement()) {
+    if (auto m = read(message.agreement())) replica_.receive(std::move(*m));
+    return;
+  }
+  if (!message.has_request()) return;
+  boost::asio::post(pool_,
+                    [this, to = token(from), request = std::move(message)] {
+                      handle_call(to, request);
+                    });
+}
+
+void control_node::answer(const token& to, wire::call_reply reply) {
+  wire::envelope out;
+  *out.mutable_reply() = std::move(reply);
+  peers_.reply(to, std::move(out));
+}
+
+void control_node::answer(const token& to, std::uint64_t id,
+                          const problem& refusal) {
+  wire::call_reply reply;
+  reply.set_id(id);
+  write(refusal, *reply.mutable_refused());
+  answer(to, std::move(reply));
+}
+
+void control_node::handle_call(const token& from,
+                               const wire::envelope& message) {
+  const auto& call = message.request();
+  ++metrics_.counter("calls_total");
+  if (!replica_.may_serve()) {
+    wire::call_reply reply;
+    reply.set_id(call.id());
+    reply.set_leader(replica_.status().leader_address);
+    answer(from, std::move(reply));
+    return;
+  }
+  switch (call.what_case()) {
+    case wire::call::kChange:
+      if (auto what = read(call.change())) {
+        handle_change(from, call.id(), std::move(*what));
+      }
+      return;
+    case wire::call::kWorker: {
+      handle_worker(call);
+      wire::call_reply reply;
+      reply.set_id(call.id());
+      reply.set_noted(true);
+      answer(from, std::move(reply));
+      return;
+    }
+    case wire::call::kPoll:
+      handle_poll(from, call);
+      return;
+    case wire::call::kAsk:
+      handle_query(from, call);
+      return;
+    case wire::call::kMembers:
+      handle_members(from, call);
+      return;
+    case wire::call::kDrain: {
+      {
+        ranked_lock lock(workers_mutex_);
+        tracker_.drain(call.drain().name(), call.drain().draining());
+      }
+      wire::call_reply reply;
+      reply.set_id(call.id());
+      reply.set_noted(true);
+      answer(from, std::move(reply));
+      schedule_round();
+      return;
+    }
+    case wire::call::WHAT_NOT_SET:
+      return;
+  }
+}
+
+void control_node::handle_change(const token& from, std::uint64_t id,
+                                 command what) {
+  // Times are the leader's, so that they agree with its other decisions.
+  std::visit(
+      [](auto& one) {
+        if constexpr (requires { one.at; }) one.at = wall_now();
+      },
+      what);
+  if (auto refused = check(what)) {
+    answer(from, id, *refused);
+    return;
+  }
+  replica_.propose(what, [this, from, id](command_result result) {
+    wire::call_reply reply;
+    reply.set_id(id);
+    write(result, *reply.mutable_result());
+    answer(from, std::move(reply));
+  });
+}
+
+auto control_node::check(const command& what) -> std::optional<problem> {
+  using none = std::optional<problem>;
+  return std::visit(
+      overloaded{
+          [&](const put_file& put) { return check_file(put.name, put.body); },
+          [&](const delete_file& gone) { return check_file(gone.name, {}); },
+          [&](const submit_job& submit) -> none {
+            bool known = replica_.read_state([&](const auto& state) {
+              return state.find_job(submit.spec.customer, submit.spec.key) !=
+                     nullptr;
+            });
+            if (known) return {};
+            ranked_lock lock(workers_mutex_);
+            return check_job(submit.spec, tracker_.workers(), *site());
+          },
+          [](const cancel_jobs&) -> none { return {}; },
+          [](const claim_key&) -> none { return {}; },
+          [](const finish_key&) -> none { return {}; },
+          [](const drop_key&) -> none { return {}; },
+          [](const auto&) -> none {
+            return problem{400, "Bad request", "only the leader decides this",
+                           run_outcome::not_run};
+          }},
+      what);
+}
+
+auto control_node::check_file(std::string_view name,
+                              std::optional<std::string> body)
+    -> std::optional<problem> {
+  auto files = replica_.read_state(
+      [](const auto& state) { return state.tables().files; });
+  if (body) {
+    files[std::string(name)] = std::move(*body);
+  } else {
+    files.erase(std::string(name));
+  }
+  auto parsed = read_folder(files);
+  if (const auto* error = std::get_if<config_error>(&parsed)) {
+    return problem{422, "Configuration refused", error->text(),
+                   run_outcome::not_run};
+  }
+  std::vector<worker> workers;
+  {
+    ranked_lock lock(workers_mutex_);
+    workers.assign(tracker_.workers().begin(), tracker_.workers().end());
+  }
+  if (auto misfit = check_guarantees(std::get<site_config>(parsed), workers)) {
+    return problem{422, "Guarantees do not fit",
+                   std::string(name) + ": " + *misfit, run_outcome::not_run};
+  }
+  return {};
+}
+
+void control_node::handle_worker(const wire::call& call) {
+  auto self = read(call.worker());
+  auto reports = read_reports(call.worker());
+  {
+    ranked_lock lock(workers_mutex_);
+    tracker_.observe(self, reports, steady_now());
+  }
+  if (!reports.empty()) schedule_round();
+}
+
+void control_node::handle_poll(const token& from, const wire::call& call) {
+  const auto& poll = call.poll();
+  wire::call_reply reply;
+  reply.set_id(call.id());
+  auto& config = *reply.mutable_config();
+  replica_.read_state([&](const auto& state) {
+    const auto& tables = state.tables();
+    config.set_version(tables.version.value);
+    if (tables.version.value == poll.known()) return;
+    config.set_changed(true);
+    for (const auto& [name, body] : tables.files) {
+      auto& file = *config.add_files();
+      file.set_name(name);
+      file.set_body(body);
+    }
+  });
+  std::vector<slot_demand> demands;
+  demands.reserve(static_cast<std::size_t>(poll.demands_size()));
+  for (const auto& d : poll.demands()) {
+    demands.push_back({d.endpoint(), d.incarnation(), d.slots(), d.held(),
+                       d.busy(), d.wanted()});
+  }
+  auto now = steady_now();
+  {
+    ranked_lock lock(config_mutex_);
+    entries_[poll.name()] = {poll.in_force(), poll.data_centre(), now};
+    std::erase_if(entries_, [&](const auto& item) {
+      return now - item.second.heard_at > entry_silence;
+    });
+    for (const auto& g : ledger_.report(poll.name(), call.id(), demands, now)) {
+      auto& grant = *config.add_grants();
+      grant.set_endpoint(g.endpoint);
+      grant.set_incarnation(g.incarnation);
+      grant.set_slots(g.slots);
+    }
+  }
+  answer(from, std::move(reply));
+}
+
+void control_node::handle_query(const token& from, const wire::call& call) {
+  const auto& ask = call.ask();
+  auto found =
+      document(ask.what(), ask.argument(), ask.customer(), ask.state());
+  if (const auto* refused = std::get_if<problem>(&found)) {
+    answer(from, call.id(), *refused);
+    return;
+  }
+  wire::call_reply reply;
+  reply.set_id(call.id());
+  reply.set_document(std::get<std::string>(std::move(found)));
+  answer(from, std::move(reply));
+}
+
+void control_node::handle_members(const token& from, const wire::call& call) {
+  const auto& change = call.members();
+  agreement::replica_id id{change.id()};
+  auto edit = [id, address = change.address(), remove = change.remove()](
+                  std::span<const agreement::member> members) {
+    std::vector<agreement::member> edited(members.begin(), members.end());
+    std::erase_if(edited, [&](const auto& m) { return m.id == id; });
+    // The incarnation is learned when the new replica greets the group.
+    if (!remove) edited.push_back({id, {}, address, false});
+    return edited;
+  };
+  if (change.remove() && id == settings_.replica.id) {
+    answer(from, call.id(),
+           {409, "Replica leads", "it hands over; repeat the call",
+            run_outcome::not_run});
+    replica_.transfer();
+    return;
+  }
+  replica_.change_members(edit, [this, from, i = call.id()](bool accepted) {
+    if (!accepted) {
+      answer(from, i,
+             {409, "Change in progress",
+              "another change of members is not committed yet",
+              run_outcome::not_run});
+      return;
+    }
+    wire::call_reply reply;
+    reply.set_id(i);
+    reply.set_noted(true);
+    answer(from, std::move(reply));
+  });
+}
+
+auto control_node::document(std::string_view what, std::string_view argument,
+                            std::string_view customer, std::string_view state)
+    -> result_or_problem<std::string> {
+  if (what == "job") {
+    return replica_.read_state(
+        [&](const auto& s) -> result_or_problem<std::string> {
+          if (const auto* job = s.find_job(to_id(argument))) {
+            return json::serialize(to_json(*job));
+          }
+          return problem{404, "Not found",
+                         "there is no job " + std::string(argument),
+                         run_outcome::not_run};
+        });
+  }
+  if (what == "jobs") return job_documents(customer, state);
+  if (what == "config") return config_document_text();
+  if (what == "in-force") return in_force_text();
+  if (what == "workers") return workers_text();
+  if (what == "customers") return customers_text();
+  return problem{404, "Not found", "there is no document " + std::string(what),
+                 run_outcome::not_run};
+}
+
+auto control_node::job_documents(std::string_view customer,
+                                 std::string_view state) -> std::string {
+  auto wanted = parse_job_state(state);
+  json::array jobs;
+  std::size_t more = 0;
+  replica_.read_state([&](const auto& s) {
+    const auto& rows = s.tables().jobs;
+    for (auto it = rows.rbegin(); it != rows.rend(); ++it) {
+      const auto& job = it->second;
+      if (!customer.empty() && job.spec.customer != customer) continue;
+      if (wanted && job.state != *wanted) continue;
+      if (jobs.size() < max_listed_jobs) {
+        jobs.push_back(to_json(job));
+      } else {
+        ++more;
+      }
+    }
+  });
+  return json::serialize(
+      json::object{{"jobs", std::move(jobs)}, {"not_listed", more}});
+}
+
+auto control_node::config_document_text() -> std::string {
+  json::object files;
+  std::uint64_t version = 0;
+  json::array history;
+  replica_.read_state([&](const auto& s) {
+    version = s.tables().version.value;
+    for (const auto& [name, body] : s.tables().files)
+      files[name] = body;
+    const auto& changes = s.tables().changes;
+    for (auto it = changes.rbegin();
+         it != changes.rend() && history.size() < 100; ++it) {
+      history.push_back(json::object{{"version", it->version.value},
+                                     {"file", it->file},
+                                     {"change_id", it->id},
+                                     {"at", format_time(it->at)}});
+    }
+  });
+  return json::serialize(json::object{{"version", version},
+                                      {"files", std::move(files)},
+                                      {"merged", to_json(*site())},
+                                      {"history", std::move(history)}});
+}
+
+auto control_node::in_force_text() -> std::string {
+  auto version = replica_.read_state(
+      [](const auto& s) { return s.tables().version.value; });
+  json::array processes;
+  auto now = steady_now();
+  ranked_lock lock(config_mutex_);
+  for (const auto& [name, entry] : entries_) {
+    processes.push_back(
+        json::object{{"process", name},
+                     {"data_centre", entry.data_centre},
+                     {"version", entry.in_force},
+                     {"age_ms", (now - entry.heard_at).count()}});
+  }
+  return json::serialize(
+      json::object{{"version", version}, {"processes", std::move(processes)}});
+}
+
+auto control_node::workers_text() -> std::string {
+  std::map<std::string, std::uint64_t> used;
+  replica_.read_state([&](const auto& s) {
+    for (auto id : s.active_jobs()) {
+      for (const auto& a : s.find_job(id)->assignments) {
+        used[a.worker] |= a.accelerators;
+      }
+    }
+  });
+  json::array rows;
+  ranked_lock lock(workers_mutex_);
+  for (const auto& w : tracker_.workers()) {
+    auto row = to_json(w);
+    row["accelerators_in_use"] = std::popcount(used[w.name]);
+    rows.push_back(std::move(row));
+  }
+  return json::serialize(json::object{{"workers", std::move(rows)}});
+}
+
+auto control_node::customers_text() -> std::string {
+  auto config = site();
+  struct usage {
+    std::uint32_t waiting = 0;
+    std::uint32_t running = 0;
+    std::uint32_t accelerators = 0;
+    std::uint32_t borrowed = 0;
+  };
+  std::map<std::string, usage> used;
+  std::map<std::string, json::array> homes;
+  replica_.read_state([&](const auto& s) {
+    for (auto id : s.active_jobs()) {
+      const auto& job = *s.find_job(id);
+      auto& u = used[job.spec.customer];
+      if (job.state == job_state::queued) ++u.waiting;
+      if (!is_placed(job.state)) continue;
+      ++u.running;
+      u.accelerators += job.spec.gang.accelerators;
+      if (!job.claim) u.borrowed += job.spec.gang.accelerators;
+    }
+    for (const auto& [slot, cells] : s.tables().homes) {
+      json::array workers;
+      for (const auto& a : cells)
+        workers.emplace_back(a.worker);
+      homes[slot.customer].push_back(
+          json::object{{"guarantee", slot.guarantee},
+                       {"gang", slot.ordinal + 1},
+                       {"workers", std::move(workers)}});
+    }
+  });
+  json::array rows;
+  for (const auto& [name, customer] : config->customers) {
+    const auto& u = used[name];
+    rows.push_back(json::object{{"customer", name},
+                                {"share", customer.share},
+                                {"waiting", u.waiting},
+                                {"running", u.running},
+                                {"accelerators", u.accelerators},
+                                {"borrowed", u.borrowed},
+                                {"homes", homes[name]}});
+  }
+  return json::serialize(json::object{{"customers", std::move(rows)}});
+}
+
+auto control_node::site() -> std::shared_ptr<const site_config> {
+  ranked_lock lock(config_mutex_);
+  return site_;
+}
+
+void control_node::schedule_round() {
+  if (stopped_ || round_queued_.exchange(true)) return;
+  boost::asio::post(rounds_, [this] { run_round(); });
+}
+
+void control_node::run_round() {
+  round_queued_ = false;
+  if (stopped_) return;
+  auto now = steady_now();
+  auto wall = wall_now();
+  bool leads = replica_.may_serve();
+  if (leads && !led_) {
+    log_event(log_level::info, "leadership_taken", {{"name", settings_.name}});
+    {
+      ranked_lock lock(workers_mutex_);
+      tracker_.take_over(now);
+    }
+    in_flight_ = std::make_shared<std::atomic<int>>(0);
+    ranked_lock lock(config_mutex_);
+    ledger_.take_over(now);
+  }
+  led_ = leads;
+  if (leads) {
+    decide_round(now, wall);
+    track_round(now, wall);
+  }
+  timer_.expires_after(round_interval);
+  timer_.async_wait([this](const boost::system::error_code& ec) {
+    if (!ec) schedule_round();
+  });
+}
+
+void control_node::decide_round(time_point now, time_point wall) {
+  std::map<std::string, std::string> files;
+  config_version version;
+  {
+    ranked_lock lock(config_mutex_);
+    version = site_version_;
+  }
+  bool changed = replica_.read_state([&](const auto& s) {
+    if (s.tables().version == version) return false;
+    files = s.tables().files;
+    version = s.tables().version;
+    return true;
+  });
+  if (changed) {
+    auto parsed = read_folder(files);
+    if (auto* site = std::get_if<site_config>(&parsed)) {
+      ranked_lock lock(config_mutex_);
+      site_ = std::make_shared<const site_config>(std::move(*site));
+      site_version_ = version;
+    }
+  }
+  // Decisions on rows that are about to change would be made twice.
+  if (*in_flight_ > 0) return;
+  auto config = site();
+  auto begun = std::chrono::steady_clock::now();
+  auto plan = replica_.read_state([&](const auto& s) {
+    std::vector<const job_record*> jobs;
+    jobs.reserve(s.active_jobs().size());
+    for (auto id : s.active_jobs())
+      jobs.push_back(s.find_job(id));
+    ranked_lock lock(workers_mutex_);
+    tracker_.update_conditions(s.tables().failures, config->policy, now, wall);
+    if (tracker_.workers().empty()) return schedule{};
+    return decide(settings_.placement,
+                  {tracker_.workers(), jobs, s.tables().homes,
+                   s.tables().histories, *config, wall});
+  });
+  metrics_.latency("decision_seconds")
+      .record(std::chrono::steady_clock::now() - begun);
+  note_unmet(plan.unmet);
+  for (auto& what : plan.commands)
+    propose(std::move(what));
+}
+
+void control_node::note_unmet(std::span<const guarantee_slot> unmet) {
+  std::string text;
+  for (const auto& slot : unmet) {
+    text += slot.customer + "." + slot.guarantee + "[" +
+            std::to_string(slot.ordinal + 1) + "] ";
+  }
+  {
+    ranked_lock lock(config_mutex_);
+    if (text == unmet_text_) return;
+    unmet_text_ = text;
+  }
+  if (text.empty()) {
+    log_event(log_level::info, "guarantees_restored");
+  } else {
+    log_event(log_level::error, "guarantees_unmet",
+              {{"slots", std::string_view(text)}});
+  }
+}
+
+void control_node::track_round(time_point now, time_point wall) {
+  auto config = site();
+  auto actions = replica_.read_state([&](const auto& s) {
+    std::vector<const job_record*> jobs;
+    for (auto id : s.active_jobs()) {
+      const auto* job = s.find_job(id);
+      if (!job->assignments.empty()) jobs.push_back(job);
+    }
+    ranked_lock lock(workers_mutex_);
+    return tracker_.step(jobs, *config, now, wall);
+  });
+  for (auto& action : actions) {
+    std::visit(overloaded{[&](command& what) { propose(std::move(what)); },
+                          [&](platform_request& r) {
+                            boost::asio::co_spawn(
+                                boost::asio::make_strand(pool_),
+                                ask_worker(std::move(r)),
+                                boost::asio::detached);
+                          }},
+               action);
+  }
+}
+
+void control_node::propose(command what) {
+  ++*in_flight_;
+  replica_.propose(what, [this, count = in_flight_](const command_result&) {
+    --*count;
+    schedule_round();
+  });
+}
+
+auto control_node::ask_worker(platform_request request)
+    -> boost::asio::awaitable<void> {
+  auto sent_at = steady_now();
+  auto reply = co_await platform_.call(request);
+  {
+    ranked_lock lock(workers_mutex_);
+    tracker_.answer(request, reply, sent_at, steady_now());
+  }
+  schedule_round();
+}
+
+auto control_node::state_text() -> std::string {
+  auto status = replica_.status();
+  json::array members;
+  for (const auto& m : status.members) {
+    members.push_back(json::object{
+        {"replica", m.id.value}, {"address", m.address}, {"voter", m.voter}});
+  }
+  json::object tables;
+  replica_.read_state([&](const auto& s) {
+    tables = {{"config_version", s.tables().version.value},
+              {"files", s.tables().files.size()},
+              {"changes_remembered", s.tables().changes.size()},
+              {"jobs", s.tables().jobs.size()},
+              {"active_jobs", s.active_jobs().size()},
+              {"keys", s.tables().keys.size()},
+              {"homes", s.tables().homes.size()}};
+  });
+  std::string unmet;
+  {
+    ranked_lock lock(config_mutex_);
+    unmet = unmet_text_;
+  }
+  std::size_t workers = 0;
+  {
+    ranked_lock lock(workers_mutex_);
+    workers = tracker_.workers().size();
+  }
+  return json::serialize(
+      json::object{{"process", settings_.name},
+                   {"data_centre", settings_.data_centre},
+                   {"group", settings_.group},
+                   {"replica", settings_.replica.id.value},
+                   {"incarnation", settings_.replica.life.value},
+                   {"role", to_string(status.role)},
+                   {"leader", status.leader_address},
+                   {"serving", status.may_serve},
+                   {"term", status.term},
+                   {"commit", status.commit},
+                   {"last", status.last},
+                   {"snapshot", status.snapshot},
+                   {"members", std::move(members)},
+                   {"state", std::move(tables)},
+                   {"workers", workers},
+                   {"unmet_guarantees", unmet},
+                   {"peer_bytes_sent", peers_.bytes_sent()},
+                   {"peer_bytes_received", peers_.bytes_received()},
+                   {"peer_messages_dropped", peers_.dropped()}});
+}
+
+auto control_node::serve(http_request request)
+    -> boost::asio::awaitable<http_response> {
+  if (request.method != "GET") {
+    co_return make_response(problem{405, "Method not allowed",
+                                    "only GET is served here",
+                                    run_outcome::not_run});
+  }
+  if (request.target == "/healthz") {
+    auto role = replica_.status().role;
+    bool joined = role != agreement::role::unformed;
+    co_return make_response(joined ? 200 : 503, "text/plain",
+                            joined ? "ok\n" : "not in a group yet\n");
+  }
+  if (request.target == "/state") {
+    co_return make_response(200, "application/json", state_text());
+  }
+  if (request.target == "/metrics") {
+    co_return make_response(200, "text/plain; version=0.0.4", metrics_.print());
+  }
+  co_return make_response(problem{
+      404, "Not found", "there is no " + request.target, run_outcome::not_run});
+}
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/adapters/entry_node.cpp
@@ -0,0 +1,501 @@
+#include "adapters/entry_node.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <charconv>
+
+#include "adapters/clock.h"
+#include "adapters/codec.h"
+#include "adapters/json.h"
+#include "adapters/log.h"
+#include "adapters/toml.h"
+#include "core/overloaded.h"
+#include "wire.pb.h"
+
+namespace parsleyledge {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr milliseconds poll_interval{250};
+constexpr milliseconds poll_timeout{1000};
+constexpr milliseconds full_report{1000};
+constexpr milliseconds change_time{5000};
+constexpr std::size_t max_file = 256 * 1024;
+constexpr std::size_t max_name = 100;
+
+auto refuse(int status, std::string_view title, std::string detail)
+    -> http_response {
+  return make_response(problem{status, std::string(title), std::move(detail),
+                               run_outcome::not_run});
+}
+
+auto json_response(int status, const json::object& body) -> http_response {
+  return make_response(status, "application/json", json::serialize(body));
+}
+
+/// A value of a query string; empty if absent. Names and states need no
+/// percent coding.
+auto query_value(std::string_view query, std::string_view key)
+    -> std::string_view {
+  while (!query.empty()) {
+    auto part = query.substr(0, query.find('&'));
+    query.remove_prefix(std::min(part.size() + 1, query.size()));
+    if (part.size() > key.size() && part.starts_with(key) &&
+        part[key.size()] == '=') {
+      return part.substr(key.size() + 1);
+    }
+  }
+  return {};
+}
+
+auto is_file_name(std::string_view name) -> bool {
+  return !name.empty() && name.size() <= max_name && name.ends_with(".toml") &&
+         std::ranges::all_of(name, [](unsigned char c) {
+           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+         });
+}
+
+template <typename Number>
+auto parse_number(std::string_view text, Number& into) -> bool {
+  auto last = text.data() + text.size();
+  auto [at, ec] = std::from_chars(text.data(), last, into);
+  return ec == std::errc() && at == last && !text.empty();
+}
+
+auto digest_of(std::string_view name, std::string_view body) -> std::uint64_t {
+  return XXH3_64bits_withSeed(body.data(), body.size(),
+                              XXH3_64bits(name.data(), name.size()));
+}
+
+/// The routes of /v1: a path, the methods it takes, and what serves it.
+struct path_view {
+  std::string_view path;
+  std::string_view query;
+
+  /// The part after a prefix, if the path has it.
+  auto after(std::string_view prefix) const
+      -> std::optional<std::string_view> {
+    if (!path.starts_with(prefix) || path.size() == prefix.size()) return {};
+    return path.substr(prefix.size());
+  }
+};
+
+auto split_target(std::string_view target) -> path_view {
+  auto mark = target.find('?');
+  if (mark == std::string_view::npos) return {target, {}};
+  return {target.substr(0, mark), target.substr(mark + 1)};
+}
+
+}  // namespace
+
+entry_node::entry_node(asio::thread_pool& pool, entry_settings settings)
+    : pool_(pool),
+      settings_(std::move(settings)),
+      peers_({settings_.group, settings_.name},
+             [this](std::string_view, wire::envelope message) {
+               receive(std::move(message));
+             }),
+      control_(peers_, settings_.control),
+      gate_(settings_.routing, static_cast<std::uint64_t>(to_ms(wall_now()))),
+      members_(pool, peers_,
+               {settings_.name, settings_.listen_peer,
+                static_cast<std::uint64_t>(to_ms(wall_now()))},
+               settings_.entries,
+               [this](std::string_view endpoint, probe_result result,
+                      milliseconds latency) {
+                 gate_.note_probe(endpoint, result, latency);
+               }),
+      forwarder_(settings_.name, config_, control_, members_, gate_,
+                 metrics_) {}
+
+auto entry_node::start() -> std::string {
+  auto error = peers_.start(settings_.listen_peer);
+  if (!error.empty()) return error;
+  members_.start();
+  asio::co_spawn(asio::make_strand(pool_), poll_loop(), asio::detached);
+  return {};
+}
+
+void entry_node::begin_drain() {
+  draining_ = true;
+  members_.set_leaving();
+}
+
+void entry_node::stop() {
+  stopped_ = true;
+  members_.stop();
+  peers_.stop();
+}
+
+void entry_node::receive(wire::envelope message) {
+  if (message.has_reply()) {
+    control_.receive(std::move(*message.mutable_reply()));
+  } else if (message.has_entries()) {
+    members_.receive(message.entries());
+  }
+}
+
+auto entry_node::poll_loop() -> asio::awaitable<void> {
+  auto executor = co_await asio::this_coro::executor;
+  asio::steady_timer timer(executor);
+  while (!stopped_) {
+    co_await poll_once();
+    timer.expires_after(poll_interval);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+  }
+}
+
+// Reports what changed since the last report, and everything now and then.
+auto entry_node::demands_to_send(std::vector<slot_demand> demands,
+                                 time_point now) -> std::vector<slot_demand> {
+  bool full = now - full_report_at_ >= full_report;
+  if (full) full_report_at_ = now;
+  std::vector<slot_demand> send;
+  for (const auto& d : demands) {
+    auto old = std::ranges::find(last_demands_, d.endpoint,
+                                 &slot_demand::endpoint);
+    bool same = old != last_demands_.end() && old->held == d.held &&
+                old->wanted == d.wanted && old->incarnation == d.incarnation;
+    bool waits = d.wanted > d.held;
+    if (full || !same || waits) send.push_back(d);
+  }
+  last_demands_ = std::move(demands);
+  return send;
+}
+
+auto entry_node::poll_once() -> asio::awaitable<void> {
+  auto asked_at = steady_now();
+  auto demands = members_.read_table(
+      [&](const endpoint_table& table) { return gate_.update(table); });
+  wire::call request;
+  auto& poll = *request.mutable_poll();
+  poll.set_name(settings_.name);
+  poll.set_data_centre(settings_.data_centre);
+  poll.set_known(config_.version().value);
+  poll.set_in_force(config_.version().value);
+  for (const auto& d : demands_to_send(std::move(demands), asked_at)) {
+    auto& out = *poll.add_demands();
+    out.set_endpoint(d.endpoint);
+    out.set_incarnation(d.incarnation);
+    out.set_slots(d.slots);
+    out.set_held(d.held);
+    out.set_busy(d.busy);
+    out.set_wanted(d.wanted);
+  }
+  auto result = co_await control_.call_once(std::move(request), poll_timeout);
+  auto* reply = std::get_if<wire::call_reply>(&result);
+  if (reply == nullptr || !reply->has_config()) co_return;
+  const auto& config = reply->config();
+  config_version version{config.version()};
+  bool accepted = false;
+  if (config.changed() || !config_.confirm(version, asked_at)) {
+    std::map<std::string, std::string> files;
+    for (const auto& f : config.files()) files[f.name()] = f.body();
+    auto parsed = read_folder(files);
+    if (auto* site = std::get_if<site_config>(&parsed)) {
+      accepted = config_.replace(version, std::move(*site), asked_at);
+      log_event(log_level::info, "configuration_in_force",
+                {{"version", static_cast<std::int64_t>(version.value)}});
+    }
+  } else {
+    accepted = true;
+  }
+  if (!accepted) co_return;
+  std::vector<slot_grant> grants;
+  for (const auto& g : config.grants()) {
+    grants.push_back({g.endpoint(), g.incarnation(), g.slots()});
+  }
+  gate_.grant(grants, asked_at + config_holder::lease);
+}
+
+auto entry_node::health() -> http_response {
+  if (draining_) return make_response(503, "text/plain", "draining\n");
+  if (config_.in_force(steady_now()) == nullptr) {
+    return make_response(503, "text/plain", "configuration not confirmed\n");
+  }
+  return make_response(200, "text/plain", "ok\n");
+}
+
+auto entry_node::serve(http_request request)
+    -> asio::awaitable<http_response> {
+  std::string_view target = request.target;
+  if (target.starts_with("/s/")) {
+    auto response = co_await forwarder_.forward(std::move(request));
+    co_return response;
+  }
+  if (target.starts_with("/v1/")) {
+    auto response = co_await serve_api(request);
+    co_return response;
+  }
+  bool known = target == "/healthz" || target == "/state" ||
+               target == "/metrics";
+  if (!known) co_return refuse(404, "Not found", "there is no such path");
+  if (request.method != "GET") {
+    co_return refuse(405, "Method not allowed", "only GET is served here");
+  }
+  if (target == "/healthz") co_return health();
+  if (target == "/state") {
+    co_return make_response(200, "application/json", state_text());
+  }
+  co_return make_response(200, "text/plain; version=0.0.4", metrics_.print());
+}
+
+auto entry_node::serve_api(const http_request& request)
+    -> asio::awaitable<http_response> {
+  auto at = split_target(request.target);
+  std::string_view method = request.method;
+  auto wrong_method = [&] {
+    return refuse(405, "Method not allowed",
+                  std::string(method) + " is not served at " +
+                      std::string(at.path));
+  };
+  if (at.path == "/v1/jobs") {
+    if (method == "POST") co_return co_await submit(request);
+    if (method == "GET") co_return co_await document("jobs", "", at.query);
+    co_return wrong_method();
+  }
+  if (at.path == "/v1/jobs/cancel") {
+    if (method != "POST") co_return wrong_method();
+    auto parsed = parse_cancel(request.body);
+    if (auto* refused = std::get_if<problem>(&parsed)) {
+      co_return make_response(*refused);
+    }
+    co_return co_await cancel(std::get<cancel_jobs>(std::move(parsed)));
+  }
+  if (auto id = at.after("/v1/jobs/")) {
+    job_id job;
+    if (!parse_number(*id, job.value)) {
+      co_return refuse(404, "Not found",
+                       "there is no job " + std::string(*id));
+    }
+    if (method == "GET") co_return co_await document("job", *id, at.query);
+    if (method != "DELETE") co_return wrong_method();
+    cancel_jobs wave;
+    wave.ids.push_back(job);
+    co_return co_await cancel(std::move(wave));
+  }
+  if (auto name = at.after("/v1/config/files/")) {
+    if (method != "PUT" && method != "DELETE") co_return wrong_method();
+    co_return co_await change_file(request, std::string(*name));
+  }
+  if (auto number = at.after("/v1/replicas/")) {
+    if (method != "PUT" && method != "DELETE") co_return wrong_method();
+    co_return co_await change_member(request, std::string(*number));
+  }
+  if (auto name = at.after("/v1/drains/")) {
+    if (method != "PUT" && method != "DELETE") co_return wrong_method();
+    co_return co_await drain_worker(request, std::string(*name));
+  }
+  if (at.path == "/v1/endpoints" && method == "POST") {
+    co_return announce_endpoint(request);
+  }
+  if (at.path == "/v1/workers" && method == "POST") {
+    co_return co_await announce_worker(request);
+  }
+  for (std::string_view what :
+       {"config", "config/in-force", "workers", "customers", "endpoints"}) {
+    if (at.path.substr(std::string_view("/v1/").size()) != what) continue;
+    if (method != "GET") co_return wrong_method();
+    if (what == "endpoints") {
+      co_return json_response(200, members_.state_json());
+    }
+    auto document_name = what == "config/in-force" ? "in-force" : what;
+    co_return co_await document(document_name, "", at.query);
+  }
+  co_return refuse(404, "Not found",
+                   "there is no path " + std::string(at.path));
+}
+
+auto entry_node::submit(const http_request& request)
+    -> asio::awaitable<http_response> {
+  auto parsed = parse_job(request.body);
+  if (auto* refused = std::get_if<problem>(&parsed)) {
+    co_return make_response(*refused);
+  }
+  submit_job what{std::get<job_spec>(std::move(parsed)), {}};
+  auto until = steady_now() + change_time;
+  auto result = co_await control_.commit(command(std::move(what)), until);
+  if (auto* job = std::get_if<job_accepted>(&result)) {
+    co_return json_response(202, {{"job", job->job.value},
+                                  {"existed", job->existed}});
+  }
+  if (auto* refused = std::get_if<problem>(&result)) {
+    co_return make_response(*refused);
+  }
+  co_return refuse(500, "Bad answer", "the job's answer is unknown");
+}
+
+auto entry_node::cancel(cancel_jobs wave) -> asio::awaitable<http_response> {
+  auto until = steady_now() + change_time;
+  auto result = co_await control_.commit(command(std::move(wave)), until);
+  if (auto* done = std::get_if<jobs_cancelled>(&result)) {
+    co_return json_response(200, {{"cancelled", done->count}});
+  }
+  if (auto* refused = std::get_if<problem>(&result)) {
+    co_return make_response(*refused);
+  }
+  co_return refuse(500, "Bad answer", "the cancel's answer is unknown");
+}
+
+auto entry_node::change_file(const http_request& request, std::string name)
+    -> asio::awaitable<http_response> {
+  if (!is_file_name(name)) {
+    co_return refuse(400, "Bad request",
+                     "a file name has letters, digits, -, _ and . and ends "
+                     "in .toml");
+  }
+  if (request.body.size() > max_file) {
+    co_return refuse(413, "Content too large", "a file has at most 256 KiB");
+  }
+  auto match = request.header("If-Match");
+  if (match.size() > 1 && match.front() == '"') {
+    match = match.substr(1, match.size() - 2);
+  }
+  config_version base;
+  if (!parse_number(match, base.value)) {
+    co_return refuse(428, "Precondition required",
+                     "If-Match must be the version that the change is made to");
+  }
+  std::string change(request.header("Change-Id"));
+  if (change.empty() || change.size() > max_name) {
+    co_return refuse(400, "Bad request",
+                     "the header Change-Id is missing or too long");
+  }
+  command what;
+  if (request.method == "PUT") {
+    auto digest = digest_of(name, request.body);
+    what = put_file{name, request.body, base, change, digest, {}};
+  } else {
+    auto digest = digest_of(name, "\x01" "deleted");
+    what = delete_file{name, base, change, digest, {}};
+  }
+  auto until = steady_now() + change_time;
+  auto result = co_await control_.commit(std::move(what), until);
+  if (auto* accepted = std::get_if<config_accepted>(&result)) {
+    co_return json_response(200, {{"version", accepted->version.value}});
+  }
+  if (auto* conflict = std::get_if<config_conflict>(&result)) {
+    auto response = make_response(
+        problem{412, "Another change came first",
+                "the current version is " +
+                    std::to_string(conflict->current.value),
+                run_outcome::conflict});
+    response.headers.emplace_back("ETag",
+                                  std::to_string(conflict->current.value));
+    co_return response;
+  }
+  if (auto* refused = std::get_if<problem>(&result)) {
+    co_return make_response(*refused);
+  }
+  co_return refuse(500, "Bad answer", "the change's answer is unknown");
+}
+
+auto entry_node::announce_endpoint(const http_request& request)
+    -> http_response {
+  auto parsed = parse_endpoint(request.body);
+  if (auto* refused = std::get_if<problem>(&parsed)) {
+    return make_response(*refused);
+  }
+  auto done = members_.announce(std::get<endpoint_record>(std::move(parsed)));
+  if (auto* refused = std::get_if<problem>(&done)) {
+    return make_response(*refused);
+  }
+  return json_response(200, {{"sequence", std::get<std::uint64_t>(done)}});
+}
+
+auto entry_node::announce_worker(const http_request& request)
+    -> asio::awaitable<http_response> {
+  auto parsed = parse_worker(request.body);
+  if (auto* refused = std::get_if<problem>(&parsed)) {
+    co_return make_response(*refused);
+  }
+  const auto& said = std::get<worker_announcement>(parsed);
+  wire::call call;
+  write(said.self, *call.mutable_worker());
+  for (const auto& report : said.reports) {
+    write(report, *call.mutable_worker());
+  }
+  auto until = steady_now() + milliseconds(1500);
+  auto result = co_await control_.call(std::move(call), until);
+  if (auto* refused = std::get_if<problem>(&result)) {
+    co_return make_response(*refused);
+  }
+  co_return json_response(200, {{"noted", true}});
+}
+
+auto entry_node::change_member(const http_request& request, std::string number)
+    -> asio::awaitable<http_response> {
+  std::uint32_t id = 0;
+  if (!parse_number(number, id) || id == 0) {
+    co_return refuse(400, "Bad request", "a replica has a number above 0");
+  }
+  wire::call call;
+  call.mutable_members()->set_id(id);
+  call.mutable_members()->set_remove(request.method == "DELETE");
+  call.mutable_members()->set_address(request.body);
+  auto until = steady_now() + change_time;
+  auto result = co_await control_.call(std::move(call), until);
+  if (auto* refused = std::get_if<problem>(&result)) {
+    co_return make_response(*refused);
+  }
+  co_return json_response(202, {{"accepted", true}});
+}
+
+auto entry_node::drain_worker(const http_request& request, std::string name)
+    -> asio::awaitable<http_response> {
+  wire::call call;
+  call.mutable_drain()->set_name(name);
+  call.mutable_drain()->set_draining(request.method == "PUT");
+  auto until = steady_now() + change_time;
+  auto result = co_await control_.call(std::move(call), until);
+  if (auto* refused = std::get_if<problem>(&result)) {
+    co_return make_response(*refused);
+  }
+  co_return json_response(200, {{"draining", request.method == "PUT"}});
+}
+
+auto entry_node::document(std::string_view what, std::string_view argument,
+                          std::string_view query)
+    -> asio::awaitable<http_response> {
+  auto result =
+      co_await control_.document(what, argument, query_value(query, "customer"),
+                                 query_value(query, "state"));
+  if (auto* refused = std::get_if<problem>(&result)) {
+    co_return make_response(*refused);
+  }
+  co_return make_response(200, "application/json",
+                          std::get<std::string>(result));
+}
+
+auto entry_node::state_text() -> std::string {
+  auto now = steady_now();
+  auto left = (config_.lease_until() - now).count();
+  auto out = members_.state_json();
+  out["process"] = settings_.name;
+  out["data_centre"] = settings_.data_centre;
+  out["group"] = settings_.group;
+  out["draining"] = draining_.load();
+  out["config_version"] = config_.version().value;
+  out["config_lease_ms"] = left;
+  out["serving"] = left > 0 && !draining_;
+  if (left <= 0) {
+    out["refusing_because"] =
+        "the control group has not confirmed the configuration in time";
+  }
+  out["leader"] = control_.leader();
+  out["live_entries"] = members_.live_entries();
+  out["routes"] = gate_.rows_json();
+  out["peer_bytes_sent"] = peers_.bytes_sent();
+  out["peer_bytes_received"] = peers_.bytes_received();
+  out["peer_messages_dropped"] = peers_.dropped();
+  return json::serialize(out);
+}
+
+}  // namespace parsleyledge
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -65,7 +65,8 @@
   http_limits limits;
   http_handler handler;
   std::unique_ptr<tcp::acceptor> acceptor;
-  std::atomic<bool> draining{false};
+  std::atomic<bool> draining{false};  // close each after its answer
+  std::atomic<bool> closed{false};    // accept no more
   std::atomic<std::size_t> busy{0};
   std::atomic<std::size_t> open{0};
   std::mutex mutex;  // a leaf: nothing is locked under it
@@ -97,6 +98,11 @@
     auto space = buffer.prepare(4096);
     auto n = co_await stream->async_read_some(space, token);
     self.set_idle(stream, false);
+    // A request that came just as the server closes is still served.
+    if (ec == asio::error::operation_aborted &&
+        stream->socket().available() > 0) {
+      n = co_await stream->async_read_some(space, token);
+    }
     if (ec) co_return ec;
     buffer.commit(n);
   }
@@ -150,7 +156,7 @@
 
 template <typename Impl>
 auto accept_loop(std::shared_ptr<Impl> self) -> asio::awaitable<void> {
-  while (!self->draining) {
+  while (!self->closed) {
     beast::error_code ec;
     auto strand = asio::make_strand(self->workers);
     auto socket = co_await self->acceptor->async_accept(
@@ -201,6 +207,7 @@
 
 void http_server::close_idle() {
   impl_->draining = true;
+  impl_->closed = true;
   auto self = impl_;
   if (self->acceptor != nullptr) {
     asio::post(self->acceptor->get_executor(), [self] {
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -36,10 +36,10 @@
   /// error text, empty if it listens.
   auto listen(std::string_view address, http_handler handler) -> std::string;
 
-  /// Stops accepting; each connection closes after its present answer.
+  /// From now on each connection closes after its present answer.
   void drain();
 
-  /// Closes connections that wait for a next request and stops listening.
+  /// Stops listening and closes the connections that wait for a request.
   void close_idle();
 
   /// Requests that are being served.
--- /dev/null
+++ b/src/adapters/membership_node.cpp
@@ -0,0 +1,243 @@
+#include "adapters/membership_node.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include "adapters/clock.h"
+#include "adapters/codec.h"
+#include "adapters/json.h"
+#include "adapters/log.h"
+#include "adapters/peer_socket.h"
+#include "adapters/settings.h"
+#include "wire.pb.h"
+
+namespace parsleyledge {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr milliseconds spread_interval{250};
+constexpr milliseconds probe_interval{1000};
+constexpr milliseconds probe_timeout{500};
+constexpr milliseconds entry_silence{2000};  // until an entry counts as gone
+constexpr milliseconds full_interval{1000};
+constexpr std::size_t max_endpoints = 10'000;
+
+}  // namespace
+
+membership_node::membership_node(asio::thread_pool& pool, peer_socket& peers,
+                                 entry_identity self,
+                                 std::vector<std::string> seeds,
+                                 probe_handler probed)
+    : pool_(pool),
+      peers_(peers),
+      self_(std::move(self)),
+      probed_(std::move(probed)),
+      spread_timer_(pool),
+      probe_timer_(pool) {
+  for (auto& seed : seeds) {
+    if (seed != self_.address) entries_.try_emplace(seed);
+  }
+}
+
+void membership_node::start() {
+  schedule_spread();
+  schedule_probes();
+}
+
+void membership_node::stop() {
+  ranked_lock lock(mutex_);
+  stopped_ = true;
+  spread_timer_.cancel();
+  probe_timer_.cancel();
+}
+
+void membership_node::set_leaving() {
+  ranked_lock lock(mutex_);
+  leaving_ = true;
+}
+
+auto membership_node::announce(endpoint_record record)
+    -> result_or_problem<std::uint64_t> {
+  if (!is_address(record.address)) {
+    return problem{400, "Bad request", "address: must be ip:port",
+                   run_outcome::not_run};
+  }
+  ranked_lock lock(mutex_);
+  bool known = table_.find(record.name) != nullptr;
+  if (!known && table_.records().size() >= max_endpoints) {
+    return problem{503, "Too many endpoints", "the table is full",
+                   run_outcome::not_run};
+  }
+  record.heard_at = steady_now();
+  auto name = record.name;
+  if (!table_.announce(std::move(record))) {
+    return problem{409, "Outdated incarnation",
+                   name + " was announced with a later incarnation",
+                   run_outcome::conflict};
+  }
+  return table_.find(name)->sequence;
+}
+
+void membership_node::schedule_spread() {
+  spread_timer_.expires_after(spread_interval);
+  spread_timer_.async_wait([this](const boost::system::error_code& ec) {
+    if (ec) return;
+    spread();
+    ranked_lock lock(mutex_);
+    if (!stopped_) schedule_spread();
+  });
+}
+
+// Pushes what was announced here since the last push. The summary travels
+// along, so that an entry that missed something asks by sending its own.
+void membership_node::spread() {
+  std::vector<std::pair<std::string, wire::envelope>> out;
+  {
+    ranked_lock lock(mutex_);
+    auto now = steady_now();
+    for (const auto& name : table_.expire(now)) {
+      log_event(log_level::info, "endpoint_lapsed", {{"endpoint", name}});
+    }
+    for (auto& [address, entry] : entries_) {
+      wire::envelope envelope;
+      auto& gossip = *envelope.mutable_entries();
+      gossip.set_name(self_.name);
+      gossip.set_address(self_.address);
+      gossip.set_incarnation(self_.incarnation);
+      gossip.set_leaving(leaving_);
+      gossip.set_summary(table_.summary());
+      for (const auto& record : table_.announced_since(entry.pushed)) {
+        write(record, now, *gossip.add_endpoints());
+      }
+      entry.pushed = table_.revision();
+      out.emplace_back(address, std::move(envelope));
+    }
+  }
+  for (auto& [address, envelope] : out) {
+    peers_.send(address, std::move(envelope));
+  }
+}
+
+void membership_node::receive(const wire::gossip& message) {
+  wire::envelope full;
+  {
+    ranked_lock lock(mutex_);
+    auto now = steady_now();
+    auto& entry = entries_[message.address()];
+    if (message.incarnation() < entry.incarnation) return;
+    bool restarted = message.incarnation() > entry.incarnation;
+    if (restarted) entry.pushed = 0;
+    entry.name = message.name();
+    entry.incarnation = message.incarnation();
+    entry.heard_at = now;
+    entry.leaving = message.leaving();
+    for (const auto& record : message.endpoints()) {
+      table_.merge(read(record, now));
+    }
+    for (const auto& address : message.known()) {
+      if (address != self_.address) entries_.try_emplace(address);
+    }
+    bool differs = message.summary() != table_.summary();
+    if (message.full() || !differs ||
+        now - entry.full_sent_at < full_interval) {
+      return;
+    }
+    entry.full_sent_at = now;
+    auto& gossip = *full.mutable_entries();
+    gossip.set_name(self_.name);
+    gossip.set_address(self_.address);
+    gossip.set_incarnation(self_.incarnation);
+    gossip.set_leaving(leaving_);
+    gossip.set_full(true);
+    for (const auto& [name, record] : table_.records()) {
+      write(record, now, *gossip.add_endpoints());
+    }
+    for (const auto& [address, other] : entries_) gossip.add_known(address);
+  }
+  peers_.send(message.address(), std::move(full));
+}
+
+void membership_node::schedule_probes() {
+  probe_timer_.expires_after(probe_interval);
+  probe_timer_.async_wait([this](const boost::system::error_code& ec) {
+    if (ec) return;
+    std::vector<std::pair<std::string, std::string>> targets;
+    {
+      ranked_lock lock(mutex_);
+      if (stopped_) return;
+      for (const auto& [name, record] : table_.records()) {
+        targets.emplace_back(name, record.address);
+      }
+      schedule_probes();
+    }
+    for (auto& [name, address] : targets) {
+      asio::co_spawn(asio::make_strand(pool_), probe(name, address),
+                     asio::detached);
+    }
+  });
+}
+
+auto membership_node::probe(std::string endpoint, std::string address)
+    -> asio::awaitable<void> {
+  http_request request;
+  request.target = "/healthz";
+  exchange_limits limits;
+  limits.timeout = probe_timeout;
+  limits.connect = probe_timeout;
+  limits.idempotent = true;
+  limits.idle_connections = 1;
+  auto begun = steady_now();
+  auto result = co_await prober_.exchange(address, request, limits);
+  auto found = probe_result::failed;
+  if (auto* answered = std::get_if<exchange_answered>(&result)) {
+    auto status = answered->response.status;
+    // An endpoint without /healthz is alive; one that leaves says so by 503.
+    found = status == 503 ? probe_result::leaving : probe_result::ready;
+  }
+  probed_(endpoint, found, steady_now() - begun);
+}
+
+auto membership_node::live_entries() -> std::size_t {
+  ranked_lock lock(mutex_);
+  auto now = steady_now();
+  std::size_t live = 1;
+  for (const auto& [address, entry] : entries_) {
+    if (entry.incarnation != 0 && now - entry.heard_at < entry_silence) ++live;
+  }
+  return live;
+}
+
+auto membership_node::idle_connections(std::string_view endpoint)
+    -> std::size_t {
+  auto entries = live_entries();
+  ranked_lock lock(mutex_);
+  const auto* record = table_.find(endpoint);
+  if (record == nullptr || record->connections <= record->slots) return 0;
+  auto each = (record->connections - record->slots) / entries;
+  return each > 0 ? each - 1 : 0;  // one is for probes
+}
+
+auto membership_node::state_json() -> boost::json::object {
+  boost::json::array endpoints;
+  boost::json::array entries;
+  ranked_lock lock(mutex_);
+  auto now = steady_now();
+  for (const auto& [name, record] : table_.records()) {
+    auto row = to_json(record);
+    row["age_ms"] = (now - record.heard_at).count();
+    endpoints.push_back(std::move(row));
+  }
+  for (const auto& [address, entry] : entries_) {
+    boost::json::object row{{"address", address},
+                            {"name", entry.name},
+                            {"leaving", entry.leaving}};
+    if (entry.incarnation != 0) row["age_ms"] = (now - entry.heard_at).count();
+    entries.push_back(std::move(row));
+  }
+  return {{"endpoints", std::move(endpoints)},
+          {"entries", std::move(entries)}};
+}
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/adapters/operator_client.cpp
@@ -0,0 +1,122 @@
+#include "adapters/operator_client.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+#include "core/overloaded.h"
+
+namespace parsleyledge {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::chrono::milliseconds call_timeout{8000};
+constexpr std::chrono::milliseconds connect_timeout{1500};
+
+}  // namespace
+
+void give_up(exit_code code, std::string_view detail) {
+  std::cerr << detail << "\n";
+  std::exit(static_cast<int>(code));
+}
+
+operator_client::operator_client(std::vector<std::string> entries)
+    : entries_(std::move(entries)), pool_(1) {}
+
+operator_client::~operator_client() {
+  pool_.stop();
+  pool_.join();
+}
+
+auto operator_client::send(const http_request& request, bool repeatable)
+    -> exchange_result {
+  exchange_limits limits;
+  limits.timeout = call_timeout;
+  limits.connect = connect_timeout;
+  limits.idempotent = repeatable;
+  exchange_result last = exchange_not_sent{"no entry is known"};
+  for (const auto& entry : entries_) {
+    last = boost::asio::co_spawn(pool_,
+                                 client_.exchange(entry, request, limits),
+                                 boost::asio::use_future)
+               .get();
+    if (const auto* answered = std::get_if<exchange_answered>(&last)) {
+      // An entry that cannot serve says so; another one may.
+      bool elsewhere = answered->response.status == 503 &&
+                       answered->response.header("Parsley-Outcome") ==
+                           "not-run";
+      if (!elsewhere) return last;
+    } else if (std::holds_alternative<exchange_broken>(last) && !repeatable) {
+      return last;
+    }
+  }
+  return last;
+}
+
+auto operator_client::document(std::string_view target) -> json::value {
+  http_request request;
+  request.target = target;
+  auto result = send(request, true);
+  const auto* answered = std::get_if<exchange_answered>(&result);
+  if (answered == nullptr || answered->response.status != 200) {
+    std::exit(static_cast<int>(explain(result)));
+  }
+  json::error_code ec;
+  auto value = json::parse(answered->response.body, ec);
+  if (ec) give_up(exit_code::refused, "the answer is no JSON");
+  return value;
+}
+
+auto explain(const exchange_result& result) -> exit_code {
+  return std::visit(
+      overloaded{
+          [](const exchange_answered& answered) {
+            const auto& response = answered.response;
+            if (response.status < 300) return exit_code::done;
+            std::cerr << response.status << ": " << response.body << "\n";
+            return response.header("Parsley-Outcome") == "unknown"
+                       ? exit_code::unknown
+                       : exit_code::refused;
+          },
+          [](const exchange_not_sent& failed) {
+            std::cerr << "not sent: " << failed.reason << "\n";
+            return exit_code::refused;
+          },
+          [](const exchange_broken& failed) {
+            std::cerr << "outcome unknown: " << failed.reason << "\n";
+            return exit_code::unknown;
+          }},
+      result);
+}
+
+auto read_text(std::string_view path) -> std::string {
+  std::ifstream in{std::string(path), std::ios::binary};
+  if (!in) {
+    give_up(exit_code::bad_usage, "cannot read " + std::string(path));
+  }
+  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
+auto read_directory(std::string_view path)
+    -> std::map<std::string, std::string> {
+  std::map<std::string, std::string> files;
+  std::error_code ec;
+  std::filesystem::directory_iterator items(path, ec);
+  if (ec) {
+    give_up(exit_code::bad_usage,
+            "cannot read " + std::string(path) + ": " + ec.message());
+  }
+  for (const auto& item : items) {
+    auto name = item.path().filename().string();
+    if (item.path().extension() == ".toml") {
+      files[name] = read_text(item.path().string());
+    }
+  }
+  return files;
+}
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/adapters/platform_client.cpp
@@ -0,0 +1,70 @@
+#include "adapters/platform_client.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include "adapters/json.h"
+#include "core/overloaded.h"
+
+namespace parsleyledge {
+
+namespace {
+
+constexpr std::chrono::milliseconds call_timeout{900};
+
+auto refusal_text(std::string_view body) -> std::string {
+  boost::json::error_code ec;
+  auto value = boost::json::parse(body, ec);
+  if (!ec && value.is_object()) {
+    if (const auto* detail = value.get_object().if_contains("detail")) {
+      if (detail->is_string()) return std::string(detail->get_string());
+    }
+  }
+  return "refused";
+}
+
+auto to_reply(const http_response& response) -> platform_reply {
+  if (response.status >= 400 && response.status < 500) {
+    return worker_refused{refusal_text(response.body)};
+  }
+  if (response.status != 200) return worker_silent{};
+  auto tasks = parse_tasks(response.body);
+  if (auto* reports = std::get_if<std::vector<task_report>>(&tasks)) {
+    return worker_agreed{std::move(*reports)};
+  }
+  return worker_silent{};
+}
+
+}  // namespace
+
+auto platform_client::call(const platform_request& request)
+    -> boost::asio::awaitable<platform_reply> {
+  http_request out;
+  out.method = "POST";
+  out.headers.emplace_back("Content-Type", "application/json");
+  std::string address;
+  std::visit(overloaded{[&](const worker_call& call) {
+                          address = call.address;
+                          out.target = "/tasks/";
+                          out.target += to_string(call.verb);
+                          out.body = boost::json::serialize(to_json(call));
+                        },
+                        [&](const lease_renewal& renewal) {
+                          address = renewal.address;
+                          out.target = "/leases";
+                          out.body = boost::json::serialize(to_json(renewal));
+                        }},
+             request);
+  exchange_limits limits;
+  limits.timeout = call_timeout;
+  limits.connect = call_timeout;
+  limits.idempotent = true;  // a worker takes each call twice without harm
+  limits.idle_connections = 2;
+  auto result = co_await client_.exchange(address, out, limits);
+  if (auto* answered = std::get_if<exchange_answered>(&result)) {
+    co_return to_reply(answered->response);
+  }
+  co_return worker_silent{};
+}
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/adapters/replica_node.cpp
@@ -0,0 +1,354 @@
+#include "adapters/replica_node.h"
+
+#include <boost/asio.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include "adapters/clock.h"
+#include "adapters/codec.h"
+#include "adapters/io_error.h"
+#include "adapters/log.h"
+#include "core/overloaded.h"
+
+namespace parsleyledge {
+
+namespace {
+
+namespace ag = agreement;
+namespace leaf = boost::leaf;
+
+constexpr milliseconds tick_interval{20};
+constexpr std::uint64_t snapshot_bytes = 16u << 20;  // of log since the last
+
+auto not_leader() -> problem {
+  return {503, "No leader", "this replica does not lead the group",
+          run_outcome::not_run};
+}
+
+}  // namespace
+
+replica_node::replica_node(boost::asio::thread_pool& pool,
+                           ag::replica_settings settings, journal disk,
+                           ag::recovered_state recovered, metrics& counters,
+                           hooks hooks)
+    : pool_(pool),
+      timer_(pool),
+      disk_(std::move(disk)),
+      metrics_(counters),
+      hooks_(std::move(hooks)),
+      applied_(recovered.snapshot_last),
+      applied_members_(recovered.members),
+      replica_(std::move(settings), recovered, steady_now()) {
+  if (recovered.snapshot != nullptr) {
+    if (auto tables = decode_state(*recovered.snapshot)) {
+      state_ = replicated_state(std::move(*tables));
+    } else {
+      fail("the snapshot holds no valid state");
+    }
+  }
+}
+
+void replica_node::start() { schedule_tick(); }
+
+void replica_node::schedule_tick() {
+  timer_.expires_after(tick_interval);
+  timer_.async_wait([this](const boost::system::error_code& ec) {
+    if (ec) return;
+    {
+      ranked_lock lock(inbox_mutex_);
+      if (stopped_) return;
+    }
+    put(tick{});
+    schedule_tick();
+  });
+}
+
+void replica_node::stop() {
+  ranked_lock lock(inbox_mutex_);
+  stopped_ = true;
+  inbox_.clear();
+}
+
+void replica_node::receive(ag::message message) { put(std::move(message)); }
+
+void replica_node::propose(const command& what, result_handler done) {
+  put(proposal{encode(what), std::move(done)});
+}
+
+void replica_node::change_members(
+    std::function<std::vector<ag::member>(std::span<const ag::member>)> change,
+    std::function<void(bool)> done) {
+  put(member_proposal{std::move(change), std::move(done)});
+}
+
+void replica_node::transfer() { put(transfer_request{}); }
+
+void replica_node::put(input item) {
+  ranked_lock lock(inbox_mutex_);
+  if (stopped_) return;
+  inbox_.push_back(std::move(item));
+  if (pumping_) return;
+  pumping_ = true;
+  boost::asio::post(pool_, [this] { pump(); });
+}
+
+void replica_node::pump() {
+  while (true) {
+    std::deque<input> inputs;
+    {
+      ranked_lock lock(inbox_mutex_);
+      if (inbox_.empty() || stopped_) {
+        pumping_ = false;
+        return;
+      }
+      inputs.swap(inbox_);
+    }
+    carry_out(step(inputs));
+    maybe_snapshot();
+  }
+}
+
+auto replica_node::step(std::deque<input>& inputs) -> std::vector<ag::effect> {
+  std::vector<ag::effect> effects;
+  std::vector<std::function<void()>> answers;
+  std::vector<encoded_snapshot> snapshots;
+  auto add = [&](std::vector<ag::effect> more) {
+    std::ranges::move(more, std::back_inserter(effects));
+  };
+  {
+    ranked_lock lock(replica_mutex_);
+    auto now = steady_now();
+    std::vector<std::string> payloads;
+    std::vector<result_handler> handlers;
+    for (auto& item : inputs) {
+      std::visit(
+          overloaded{
+              [&](ag::message& m) { add(replica_.receive(m, now)); },
+              [&](proposal& p) {
+                payloads.push_back(std::move(p.payload));
+                handlers.push_back(std::move(p.done));
+              },
+              [&](member_proposal& p) {
+                bool done = replica_.propose_members(
+                    p.change(replica_.members()));
+                answers.push_back([done, tell = std::move(p.done)] {
+                  tell(done);
+                });
+              },
+              [&](tick&) { add(replica_.tick(now)); },
+              [&](transfer_request&) {
+                add(replica_.transfer_leadership(now));
+              },
+              [&](encoded_snapshot& s) { snapshots.push_back(s); }},
+          item);
+    }
+    auto first = replica_.propose(payloads);
+    for (std::size_t i = 0; i < handlers.size(); ++i) {
+      if (first) {
+        pending_[{first->index.value + i}] = {first->term,
+                                              std::move(handlers[i])};
+      } else if (handlers[i]) {
+        answers.push_back(
+            [tell = std::move(handlers[i])] { tell(not_leader()); });
+      }
+    }
+    add(replica_.flush(now));
+  }
+  for (const auto& snapshot : snapshots) install(snapshot);
+  for (const auto& answer : answers) answer();
+  return effects;
+}
+
+void replica_node::carry_out(std::vector<ag::effect> effects) {
+  while (!effects.empty()) {
+    auto send = [&](bool before_sync) {
+      for (auto& e : effects) {
+        auto* message = std::get_if<ag::send_message>(&e);
+        if (message == nullptr || message->before_sync != before_sync) continue;
+        hooks_.send(message->address, std::move(message->what));
+      }
+    };
+    send(true);
+    if (!write(effects)) return;
+    send(false);
+    std::vector<finished> done;
+    bool applied = false;
+    for (const auto& e : effects) {
+      if (const auto* entry = std::get_if<ag::apply_entry>(&e)) {
+        apply(entry->entry, done);
+        applied = true;
+      } else if (const auto* s = std::get_if<ag::persist_snapshot>(&e)) {
+        restore(*s);
+        applied = true;
+      }
+    }
+    std::vector<ag::effect> more;
+    {
+      ranked_lock lock(replica_mutex_);
+      more = replica_.persisted(replica_.last_position(), steady_now());
+    }
+    effects = std::move(more);
+    for (auto& f : done) {
+      if (f.done) f.done(std::move(f.result));
+    }
+    if (applied) hooks_.changed();
+  }
+}
+
+auto replica_node::write(std::span<const ag::effect> effects) -> bool {
+  auto begun = std::chrono::steady_clock::now();
+  auto syncs = disk_.syncs();
+  std::string error = leaf::try_handle_all(
+      [&]() -> leaf::result<std::string> {
+        for (const auto& e : effects) {
+          if (const auto* h = std::get_if<ag::persist_hard_state>(&e)) {
+            BOOST_LEAF_CHECK(disk_.append(h->state));
+          } else if (const auto* n = std::get_if<ag::persist_entries>(&e)) {
+            BOOST_LEAF_CHECK(disk_.append(n->entries));
+          } else if (const auto* s = std::get_if<ag::persist_snapshot>(&e)) {
+            ag::hard_state hard;
+            {
+              ranked_lock lock(replica_mutex_);
+              hard = replica_.hard();
+            }
+            BOOST_LEAF_CHECK(
+                disk_.write_snapshot(s->last, s->members, *s->bytes, hard, {}));
+          }
+        }
+        BOOST_LEAF_CHECK(disk_.sync());
+        return std::string();
+      },
+      [](const io_error& e) { return e.text(); },
+      []() { return std::string("unknown error"); });
+  if (disk_.syncs() != syncs) {
+    metrics_.latency("journal_sync_seconds")
+        .record(std::chrono::steady_clock::now() - begun);
+  }
+  if (error.empty()) return true;
+  fail(error);
+  return false;
+}
+
+void replica_node::apply(const ag::log_entry& entry,
+                         std::vector<finished>& done) {
+  command_result result = command_done{};
+  if (entry.kind == ag::entry_kind::membership) {
+    applied_members_ = entry.members;
+  } else if (entry.kind == ag::entry_kind::command) {
+    auto what = decode_command(entry.payload);
+    if (!what) {
+      fail("a committed command cannot be read; is this program too old?");
+      return;
+    }
+    ranked_lock lock(state_mutex_);
+    result = state_.apply(*what, entry.position.index);
+  }
+  applied_ = entry.position;
+  auto it = pending_.find(entry.position.index);
+  if (it == pending_.end()) return;
+  if (it->second.term != entry.position.term) {
+    // Another leader's entry took the place: this one can never commit.
+    result = problem{503, "Leader changed", "the change was not committed",
+                     run_outcome::not_run};
+  }
+  done.push_back({std::move(it->second.done), std::move(result)});
+  pending_.erase(it);
+}
+
+void replica_node::restore(const ag::persist_snapshot& snapshot) {
+  auto tables = decode_state(*snapshot.bytes);
+  if (!tables) {
+    fail("a received snapshot holds no valid state");
+    return;
+  }
+  applied_ = snapshot.last;
+  applied_members_ = snapshot.members;
+  {
+    ranked_lock lock(state_mutex_);
+    state_ = replicated_state(std::move(*tables));
+  }
+  // Whether these proposals are part of the snapshot cannot be told.
+  while (!pending_.empty() && pending_.begin()->first <= applied_.index) {
+    auto done = std::move(pending_.begin()->second.done);
+    pending_.erase(pending_.begin());
+    if (!done) continue;
+    done(problem{503, "Leader changed", "the change may have been committed",
+                 run_outcome::unknown});
+  }
+}
+
+// The tables are copied under the lock; they are encoded without it, by
+// another worker of the pool.
+void replica_node::maybe_snapshot() {
+  if (snapshot_running_ || disk_.bytes_since_snapshot() < snapshot_bytes) {
+    return;
+  }
+  snapshot_running_ = true;
+  auto tables = std::make_shared<state_tables>();
+  {
+    ranked_lock lock(state_mutex_);
+    *tables = state_.tables();
+  }
+  boost::asio::post(pool_, [this, tables, last = applied_] {
+    put(encoded_snapshot{
+        last, std::make_shared<const std::string>(encode(*tables))});
+  });
+}
+
+void replica_node::install(const encoded_snapshot& snapshot) {
+  snapshot_running_ = false;
+  std::vector<ag::log_entry> tail;
+  std::vector<ag::member> members;
+  ag::hard_state hard;
+  {
+    ranked_lock lock(replica_mutex_);
+    // A snapshot from the leader may have come first.
+    if (snapshot.last.index <= replica_.snapshot_position().index) return;
+    replica_.compact(snapshot.last, snapshot.bytes);
+    tail = replica_.log_tail();
+    members = replica_.snapshot_members();
+    hard = replica_.hard();
+  }
+  std::string error = leaf::try_handle_all(
+      [&]() -> leaf::result<std::string> {
+        BOOST_LEAF_CHECK(disk_.write_snapshot(snapshot.last, members,
+                                              *snapshot.bytes, hard, tail));
+        return std::string();
+      },
+      [](const io_error& e) { return e.text(); },
+      []() { return std::string("unknown error"); });
+  if (!error.empty()) fail(error);
+  log_event(log_level::info, "snapshot_written",
+            {{"index", static_cast<std::int64_t>(snapshot.last.index.value)},
+             {"bytes", static_cast<std::int64_t>(snapshot.bytes->size())}});
+}
+
+void replica_node::fail(std::string_view detail) {
+  {
+    ranked_lock lock(inbox_mutex_);
+    stopped_ = true;
+  }
+  hooks_.fatal(detail);
+}
+
+auto replica_node::may_serve() -> bool {
+  ranked_lock lock(replica_mutex_);
+  return replica_.may_serve(steady_now());
+}
+
+auto replica_node::status() -> replica_status {
+  ranked_lock lock(replica_mutex_);
+  replica_status s;
+  s.role = replica_.current_role();
+  s.term = replica_.current_term().value;
+  s.commit = replica_.commit_index().value;
+  s.last = replica_.last_position().index.value;
+  s.snapshot = replica_.snapshot_position().index.value;
+  s.may_serve = replica_.may_serve(steady_now());
+  s.members.assign(replica_.members().begin(), replica_.members().end());
+  if (const auto* leader = replica_.find_member(replica_.leader())) {
+    s.leader_address = leader->address;
+  }
+  return s;
+}
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/adapters/table.cpp
@@ -0,0 +1,30 @@
+#include "adapters/table.h"
+
+#include <algorithm>
+
+namespace parsleyledge {
+
+auto text_table::print() const -> std::string {
+  std::vector<std::size_t> widths;
+  auto measure = [&](const std::vector<std::string>& row) {
+    widths.resize(std::max(widths.size(), row.size()));
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      widths[i] = std::max(widths[i], row[i].size());
+    }
+  };
+  measure(header);
+  for (const auto& row : rows) measure(row);
+  std::string out;
+  auto add = [&](const std::vector<std::string>& row) {
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      out += row[i];
+      if (i + 1 < row.size()) out.append(widths[i] - row[i].size() + 2, ' ');
+    }
+    out += '\n';
+  };
+  add(header);
+  for (const auto& row : rows) add(row);
+  return out;
+}
+
+}  // namespace parsleyledge
--- a/src/apps/control.cpp
+++ b/src/apps/control.cpp
@@ -1,1 +1,139 @@
-int main() {}
+#include <absl/flags/flag.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/thread_pool.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include "adapters/app.h"
+#include "adapters/clock.h"
+#include "adapters/control_node.h"
+#include "adapters/http_server.h"
+#include "adapters/io_error.h"
+#include "adapters/journal.h"
+#include "adapters/log.h"
+#include "adapters/settings.h"
+
+using namespace parsleyledge;
+
+ABSL_FLAG(std::string, name, "", "this process's name, unique in the site");
+ABSL_FLAG(std::string, data_centre, "", "the data centre of this VM");
+ABSL_FLAG(std::string, group, "default", "the replicated group it belongs to");
+ABSL_FLAG(socket_address, listen_http, {}, "ip:port for /healthz and dumps");
+ABSL_FLAG(socket_address, listen_peer, {}, "ip:port for other processes");
+ABSL_FLAG(int, replica, 0, "this replica's number, from 1");
+ABSL_FLAG(numbered_address_list, peers, {},
+          "1=ip:port,2=ip:port,... of all replicas, this one included");
+ABSL_FLAG(std::string, data_folder, "", "folder of the journal, on a disk");
+ABSL_FLAG(std::string, placement, "cells", "cells, first_fit or best_fit");
+ABSL_FLAG(int, threads, 4, "workers of the pool");
+ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error");
+
+namespace {
+
+constexpr std::chrono::milliseconds transfer_limit{3000};
+constexpr std::chrono::milliseconds transfer_check{20};
+constexpr std::chrono::seconds last_answers{2};
+
+auto parse_placement(std::string_view name) -> placement_policy {
+  if (name == "cells") return cell_policy{};
+  if (name == "first_fit") return first_fit{};
+  if (name == "best_fit") return best_fit{};
+  refuse_setting("placement", "expected cells, first_fit or best_fit");
+}
+
+auto open_journal(journal& disk, const folder_owner& owner)
+    -> agreement::recovered_state {
+  namespace leaf = boost::leaf;
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<agreement::recovered_state> {
+        BOOST_LEAF_AUTO(state, disk.open(owner));
+        return state;
+      },
+      [](const io_error& e) -> agreement::recovered_state {
+        stop_at_once("data_folder_refused", e.text());
+      },
+      [](const journal_error& e) -> agreement::recovered_state {
+        stop_at_once("data_folder_refused", e.file + ": " + e.detail);
+      },
+      []() -> agreement::recovered_state {
+        stop_at_once("data_folder_refused", "unknown error");
+      });
+}
+
+auto read_replica_settings() -> agreement::replica_settings {
+  agreement::replica_settings settings;
+  auto number = absl::GetFlag(FLAGS_replica);
+  if (number < 1) refuse_setting("replica", "expected a number from 1");
+  settings.id = {static_cast<std::uint32_t>(number)};
+  bool found = false;
+  for (const auto& peer : absl::GetFlag(FLAGS_peers).items) {
+    settings.peers.push_back({{peer.number}, {}, peer.address, true});
+    found = found || peer.number == settings.id.value;
+  }
+  if (!found) refuse_setting("peers", "does not name this replica");
+  return settings;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  constexpr std::string_view required[] = {
+      "name", "data_centre", "listen_http", "listen_peer", "peers",
+      "data_folder"};
+  read_settings(argc, argv, "parsleyledge-control: a replica of the state",
+                required);
+  auto threads = absl::GetFlag(FLAGS_threads);
+  if (threads < 1 || threads > 256) {
+    refuse_setting("threads", "expected 1 to 256");
+  }
+  control_settings settings;
+  settings.name = absl::GetFlag(FLAGS_name);
+  settings.data_centre = absl::GetFlag(FLAGS_data_centre);
+  settings.group = absl::GetFlag(FLAGS_group);
+  settings.listen_peer = absl::GetFlag(FLAGS_listen_peer).text;
+  settings.placement = parse_placement(absl::GetFlag(FLAGS_placement));
+  settings.replica = read_replica_settings();
+  start_log_from_flag(absl::GetFlag(FLAGS_log_level), settings.name);
+  block_signals();
+
+  journal disk(disk_files(absl::GetFlag(FLAGS_data_folder)));
+  auto recovered =
+      open_journal(disk, {settings.group, settings.replica.id});
+  settings.replica.life = disk.life();
+  settings.replica.seed = disk.life().value;
+  log_event(log_level::info, "recovered",
+            {{"entries", static_cast<std::int64_t>(recovered.entries.size())}});
+
+  boost::asio::thread_pool pool(static_cast<std::size_t>(threads));
+  control_node node(pool, settings, std::move(disk), std::move(recovered),
+                    [](std::string_view detail) {
+                      stop_at_once("replica_stopped", detail);
+                    });
+  http_server server(pool, http_limits{});
+  auto error = node.start();
+  if (error.empty()) {
+    error = server.listen(absl::GetFlag(FLAGS_listen_http).text,
+                          [&node](http_request request) {
+                            return node.serve(std::move(request));
+                          });
+  }
+  if (!error.empty()) stop_at_once("start_failed", error);
+  log_event(log_level::info, "started");
+
+  wait_for_signal();
+  log_event(log_level::info, "handing_over");
+  auto until = steady_now() + transfer_limit;
+  node.transfer();
+  while (node.leads() && steady_now() < until) {
+    boost::asio::steady_timer timer(pool, transfer_check);
+    timer.wait();
+  }
+  server.drain();
+  server.close_idle();
+  wait_until_idle(server, last_answers);
+  node.stop();
+  pool.stop();
+  pool.join();
+  log_event(log_level::info, "stopped");
+  return 0;
+}
--- a/src/apps/ctl.cpp
+++ b/src/apps/ctl.cpp
@@ -1,1 +1,360 @@
-int main() {}
+#include <absl/flags/flag.h>
+#include <unistd.h>
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <functional>
+#include <iostream>
+#include <random>
+#include <span>
+
+#include "adapters/operator_client.h"
+#include "adapters/settings.h"
+#include "adapters/table.h"
+#include "adapters/toml.h"
+
+using namespace parsleyledge;
+namespace json = boost::json;
+
+ABSL_FLAG(address_list, entry, {}, "ip:port,... of entries, tried in turn");
+ABSL_FLAG(bool, json, false, "print JSON in place of tables");
+ABSL_FLAG(bool, wait, false, "job submit: wait until the job has ended");
+ABSL_FLAG(std::string, customer, "", "job list, job cancel: this customer's");
+ABSL_FLAG(std::string, state, "", "job list: in this state");
+ABSL_FLAG(bool, undo, false, "drain: take the worker back");
+
+namespace {
+
+constexpr std::chrono::milliseconds wait_interval{200};
+
+using arguments = std::span<const std::string>;
+
+/// One command: its words, how many arguments follow, and what it does.
+struct operator_command {
+  std::string_view words;
+  std::size_t arity;
+  std::string_view help;
+  std::function<exit_code(operator_client&, arguments)> run;
+};
+
+auto as_text(const json::value& value) -> std::string {
+  if (value.is_string()) return std::string(value.get_string());
+  return json::serialize(value);
+}
+
+/// Prints rows of objects as a table of the named members.
+void print_rows(const json::array& rows, std::vector<std::string> columns) {
+  text_table table{columns, {}};
+  for (const auto& row : rows) {
+    std::vector<std::string> cells;
+    for (const auto& column : columns) {
+      const auto* value = row.as_object().if_contains(column);
+      cells.push_back(value == nullptr ? "" : as_text(*value));
+    }
+    table.rows.push_back(std::move(cells));
+  }
+  std::cout << table.print();
+}
+
+auto show(operator_client& client, std::string_view target,
+          std::string_view member, std::vector<std::string> columns)
+    -> exit_code {
+  auto value = client.document(target);
+  if (absl::GetFlag(FLAGS_json)) {
+    std::cout << json::serialize(value) << "\n";
+  } else {
+    print_rows(value.at(member).as_array(), std::move(columns));
+  }
+  return exit_code::done;
+}
+
+auto check_directory(std::string_view path)
+    -> std::map<std::string, std::string> {
+  auto files = read_directory(path);
+  auto parsed = read_folder(files);
+  if (const auto* error = std::get_if<config_error>(&parsed)) {
+    give_up(exit_code::refused, error->text());
+  }
+  return files;
+}
+
+auto files_in_force(operator_client& client, std::uint64_t& version)
+    -> std::map<std::string, std::string> {
+  auto value = client.document("/v1/config");
+  version = value.at("version").to_number<std::uint64_t>();
+  std::map<std::string, std::string> files;
+  for (const auto& [name, body] : value.at("files").as_object()) {
+    files[name] = as_text(body);
+  }
+  return files;
+}
+
+auto new_change_id() -> std::string {
+  std::random_device random;
+  return std::to_string((std::uint64_t{random()} << 32) | random());
+}
+
+/// Sends one change of a file; moves the version on when it is accepted.
+auto send_change(operator_client& client, std::string_view method,
+                 std::string_view name, std::string_view body,
+                 std::uint64_t& version) -> exit_code {
+  http_request request;
+  request.method = method;
+  request.target = "/v1/config/files/";
+  request.target += name;
+  request.body = body;
+  request.headers = {{"If-Match", std::to_string(version)},
+                     {"Change-Id", new_change_id()}};
+  auto result = client.send(request, true);
+  auto code = explain(result);
+  if (code != exit_code::done) return code;
+  const auto& answered = std::get<exchange_answered>(result);
+  version = json::parse(answered.response.body)
+                .at("version")
+                .to_number<std::uint64_t>();
+  std::cout << method << " " << name << ": version " << version << "\n";
+  return code;
+}
+
+auto push(operator_client& client, arguments args) -> exit_code {
+  auto wanted = check_directory(args[0]);
+  std::uint64_t version = 0;
+  auto present = files_in_force(client, version);
+  for (const auto& [name, body] : present) {
+    if (wanted.contains(name)) continue;
+    auto code = send_change(client, "DELETE", name, "", version);
+    if (code != exit_code::done) return code;
+  }
+  for (const auto& [name, body] : wanted) {
+    auto it = present.find(name);
+    if (it != present.end() && it->second == body) continue;
+    auto code = send_change(client, "PUT", name, body, version);
+    if (code != exit_code::done) return code;
+  }
+  std::cout << "in force: version " << version << "\n";
+  return exit_code::done;
+}
+
+auto diff(operator_client& client, arguments args) -> exit_code {
+  auto wanted = read_directory(args[0]);
+  std::uint64_t version = 0;
+  auto present = files_in_force(client, version);
+  bool same = true;
+  for (const auto& [name, body] : wanted) {
+    auto it = present.find(name);
+    if (it != present.end() && it->second == body) continue;
+    std::cout << (it == present.end() ? "only in the folder: " : "differs: ")
+              << name << "\n";
+    same = false;
+  }
+  for (const auto& [name, body] : present) {
+    if (wanted.contains(name)) continue;
+    std::cout << "only in force: " << name << "\n";
+    same = false;
+  }
+  std::cout << "version in force: " << version << "\n";
+  return same ? exit_code::done : exit_code::refused;
+}
+
+auto show_config(operator_client& client, arguments) -> exit_code {
+  auto value = client.document("/v1/config");
+  if (absl::GetFlag(FLAGS_json)) {
+    std::cout << json::serialize(value) << "\n";
+    return exit_code::done;
+  }
+  std::cout << "# version " << value.at("version") << "\n";
+  for (const auto& [name, body] : value.at("files").as_object()) {
+    std::cout << "\n# --- " << std::string_view(name) << "\n" << as_text(body);
+  }
+  return exit_code::done;
+}
+
+void print_job(const json::value& job) {
+  print_rows(json::array{job}, {"job", "customer", "key", "state", "attempt",
+                                "started", "ended", "reason"});
+}
+
+auto wait_for_job(operator_client& client, std::string_view id) -> exit_code {
+  boost::asio::thread_pool pool(1);
+  boost::asio::steady_timer timer(pool);
+  bool terminal = ::isatty(STDERR_FILENO) != 0;
+  while (true) {
+    auto job = client.document("/v1/jobs/" + std::string(id));
+    auto state = as_text(job.at("state"));
+    if (terminal) std::cerr << "\rjob " << id << ": " << state << "      ";
+    bool ended = state == "done" || state == "failed" ||
+                 state == "cancelled" || state == "refused";
+    if (ended) {
+      if (terminal) std::cerr << "\n";
+      if (absl::GetFlag(FLAGS_json)) {
+        std::cout << json::serialize(job) << "\n";
+      } else {
+        print_job(job);
+      }
+      return state == "done" ? exit_code::done : exit_code::refused;
+    }
+    timer.expires_after(wait_interval);
+    timer.wait();
+  }
+}
+
+auto submit(operator_client& client, arguments args) -> exit_code {
+  http_request request;
+  request.method = "POST";
+  request.target = "/v1/jobs";
+  request.body = read_text(args[0]);
+  auto result = client.send(request, true);
+  auto code = explain(result);
+  if (code != exit_code::done) return code;
+  const auto& body = std::get<exchange_answered>(result).response.body;
+  auto id = as_text(json::parse(body).at("job"));
+  if (absl::GetFlag(FLAGS_wait)) return wait_for_job(client, id);
+  std::cout << (absl::GetFlag(FLAGS_json) ? body : "job " + id) << "\n";
+  return code;
+}
+
+auto show_job(operator_client& client, arguments args) -> exit_code {
+  auto job = client.document("/v1/jobs/" + args[0]);
+  if (absl::GetFlag(FLAGS_json)) {
+    std::cout << json::serialize(job) << "\n";
+    return exit_code::done;
+  }
+  print_job(job);
+  print_rows(job.at("assignments").as_array(),
+             {"worker", "accelerators", "processors", "memory_mb"});
+  return exit_code::done;
+}
+
+auto list_jobs(operator_client& client, arguments) -> exit_code {
+  auto target = "/v1/jobs?customer=" + absl::GetFlag(FLAGS_customer) +
+                "&state=" + absl::GetFlag(FLAGS_state);
+  return show(client, target, "jobs",
+              {"job", "customer", "key", "state", "attempt", "reason"});
+}
+
+auto cancel_job(operator_client& client, arguments args) -> exit_code {
+  http_request request;
+  request.method = "DELETE";
+  request.target = "/v1/jobs/" + args[0];
+  auto result = client.send(request, true);
+  auto code = explain(result);
+  if (code == exit_code::done) {
+    std::cout << std::get<exchange_answered>(result).response.body << "\n";
+  }
+  return code;
+}
+
+auto put_or_delete(operator_client& client, std::string_view target,
+                   bool remove, std::string_view body) -> exit_code {
+  http_request request;
+  request.method = remove ? "DELETE" : "PUT";
+  request.target = target;
+  request.body = body;
+  auto result = client.send(request, true);
+  auto code = explain(result);
+  if (code == exit_code::done) std::cout << "accepted\n";
+  return code;
+}
+
+auto dump(operator_client&, arguments args) -> exit_code {
+  if (!is_address(args[0])) give_up(exit_code::bad_usage, "expected ip:port");
+  operator_client there({args[0]});
+  std::cout << json::serialize(there.document("/state")) << "\n";
+  return exit_code::done;
+}
+
+auto commands() -> std::vector<operator_command> {
+  return {
+      {"config check", 1, "DIR: check a folder without sending it",
+       [](auto&, arguments args) {
+         check_directory(args[0]);
+         std::cout << "the folder is good\n";
+         return exit_code::done;
+       }},
+      {"config push", 1, "DIR: put a folder in force", push},
+      {"config show", 0, "print the files in force", show_config},
+      {"config diff", 1, "DIR: compare a folder with the files in force", diff},
+      {"config status", 0, "the version that each process has in force",
+       [](auto& client, arguments) {
+         return show(client, "/v1/config/in-force", "processes",
+                     {"process", "data_centre", "version", "age_ms"});
+       }},
+      {"config history", 0, "the latest changes, newest first",
+       [](auto& client, arguments) {
+         return show(client, "/v1/config", "history",
+                     {"version", "file", "at", "change_id"});
+       }},
+      {"job submit", 1, "FILE: submit a job (JSON); --wait to see it end",
+       submit},
+      {"job show", 1, "ID: one job", show_job},
+      {"job list", 0, "jobs, newest first; --customer, --state", list_jobs},
+      {"job cancel", 1, "ID: cancel a job", cancel_job},
+      {"customers", 0, "customers and the homes of their guarantees",
+       [](auto& client, arguments) {
+         return show(client, "/v1/customers", "customers",
+                     {"customer", "share", "waiting", "running",
+                      "accelerators", "borrowed"});
+       }},
+      {"workers", 0, "workers",
+       [](auto& client, arguments) {
+         return show(client, "/v1/workers", "workers",
+                     {"name", "data_centre", "rack", "accelerators",
+                      "accelerators_in_use", "condition"});
+       }},
+      {"endpoints", 0, "endpoints, as the entry knows them",
+       [](auto& client, arguments) {
+         return show(client, "/v1/endpoints", "endpoints",
+                     {"name", "service", "address", "data_centre", "slots",
+                      "connections", "state"});
+       }},
+      {"drain", 1, "WORKER: give it no new work; --undo to take it back",
+       [](auto& client, arguments args) {
+         return put_or_delete(client, "/v1/drains/" + args[0],
+                              absl::GetFlag(FLAGS_undo), "");
+       }},
+      {"replica add", 2, "NUMBER ip:port: add a control replica",
+       [](auto& client, arguments args) {
+         return put_or_delete(client, "/v1/replicas/" + args[0], false,
+                              args[1]);
+       }},
+      {"replica remove", 1, "NUMBER: remove a control replica",
+       [](auto& client, arguments args) {
+         return put_or_delete(client, "/v1/replicas/" + args[0], true, "");
+       }},
+      {"dump", 1, "ip:port: the state of one process", dump}};
+}
+
+auto usage() -> std::string {
+  std::string text = "parsleyctl [--entry ip:port] COMMAND\n\n";
+  for (const auto& c : commands()) {
+    text += "  " + std::string(c.words) + " " + std::string(c.help) + "\n";
+  }
+  return text + "\nExit status: 0 done, 1 refused, 2 bad usage, 3 unknown.\n";
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  auto words = read_settings(argc, argv, usage());
+  for (const auto& c : commands()) {
+    auto split = c.words.find(' ');
+    bool two = split != std::string_view::npos;
+    std::size_t used = two ? 2 : 1;
+    bool match = words.size() >= used && words[0] == c.words.substr(0, split) &&
+                 (!two || words[1] == c.words.substr(split + 1));
+    if (!match) continue;
+    if (words.size() != used + c.arity) {
+      give_up(exit_code::bad_usage, "usage: parsleyctl " +
+                                        std::string(c.words) + " " +
+                                        std::string(c.help));
+    }
+    bool local = c.words == "config check" || c.words == "dump";
+    auto entries = absl::GetFlag(FLAGS_entry).addresses;
+    if (entries.empty() && !local) {
+      give_up(exit_code::bad_usage, "--entry ip:port is required");
+    }
+    operator_client client(entries);
+    return static_cast<int>(c.run(client, arguments(words).subspan(used)));
+  }
+  give_up(exit_code::bad_usage, usage());
+}
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -89,6 +89,15 @@
   auto find_member(replica_id id) const -> const member*;
   auto settings() const -> const replica_settings& { return settings_; }
   auto transferring() const -> bool { return transferring_; }
+  auto hard() const -> const hard_state& { return hard_; }
+  auto snapshot_members() const -> const std::vector<member>& {
+    return snapshot_members_;
+  }
+
+  /// A copy of the entries that follow the snapshot.
+  auto log_tail() const -> std::vector<log_entry> {
+    return {log_.begin(), log_.end()};
+  }
 
   /// Last index known to be on the given replica's disk, as the leader sees.
   auto match_of(replica_id id) const -> log_index;
--- a/src/core/jobs/gang_tracker.cpp
+++ b/src/core/jobs/gang_tracker.cpp
@@ -22,6 +22,15 @@
   return wall - failures.back().at < policy.quarantine;
 }
 
+void gang_tracker::take_over(time_point now) {
+  led_since_ = now;
+  gangs_.clear();
+  for (auto& [name, c] : contacts_) {
+    c.heard_at = std::max(c.heard_at, now);
+    c.renewal_open = false;
+  }
+}
+
 auto gang_tracker::find_worker(std::string_view name) -> worker* {
   auto it = std::ranges::lower_bound(workers_, name, {}, &worker::name);
   return it != workers_.end() && it->name == name ? &*it : nullptr;
@@ -200,13 +209,16 @@
   actions.emplace_back(std::move(what));
 }
 
-auto gang_tracker::lost_worker(const job_record& job, gang& g)
+auto gang_tracker::lost_worker(const job_record& job, gang& g, time_point now)
     -> std::optional<std::string> {
   for (const auto& a : job.assignments) {
     const auto* w = find_worker(a.worker);
     auto& t = g.tasks[a.worker];
-    // A new leader waits for the worker to announce itself.
-    if (w == nullptr) continue;
+    if (w == nullptr) {
+      // A new leader waits for the worker to announce itself.
+      if (now - led_since_ > 2 * timing_.ttl) return a.worker;
+      continue;
+    }
     if (t.incarnation == 0) t.incarnation = w->incarnation;
     bool restarted = w->incarnation != t.incarnation;
     if (restarted || t.missing || w->condition == worker_condition::lost) {
@@ -255,7 +267,7 @@
                         "", job.progress, std::move(reason), wall},
             now, actions);
   };
-  if (auto lost = lost_worker(job, g)) {
+  if (auto lost = lost_worker(job, g, now)) {
     give_up("worker " + *lost + " was lost before the start");
     return;
   }
@@ -312,7 +324,7 @@
     end(attempt_result::done, false, "", "");
     return;
   }
-  if (auto lost = lost_worker(job, g)) {
+  if (auto lost = lost_worker(job, g, now)) {
     end(attempt_result::interrupted, true, "", "worker " + *lost + " was lost");
     return;
   }
@@ -366,7 +378,7 @@
             end_attempt{job.id, job.attempt, attempt_result::interrupted, true,
                         "", progress, job.reason, wall},
             now, actions);
-  } else if (auto lost = lost_worker(job, g)) {
+  } else if (auto lost = lost_worker(job, g, now)) {
     propose(
         job, g,
         end_attempt{job.id, job.attempt, attempt_result::interrupted, true, "",
--- a/src/core/jobs/gang_tracker.h
+++ b/src/core/jobs/gang_tracker.h
@@ -36,6 +36,10 @@
  public:
   explicit gang_tracker(lease_timing timing) : timing_(timing) {}
 
+  /// Forgets what an earlier leadership knew of tasks. Workers get the time
+  /// of a lease to make themselves heard.
+  void take_over(time_point now);
+
   /// Notes a worker's announcement.
   void observe(const worker& announced, std::span<const task_report> reports,
                time_point now);
@@ -106,7 +110,7 @@
   void step_overuse(const job_record& job, gang& g, const site_config& site,
                     time_point now, time_point wall,
                     std::vector<gang_action>& actions);
-  auto lost_worker(const job_record& job, gang& g)
+  auto lost_worker(const job_record& job, gang& g, time_point now)
       -> std::optional<std::string>;
   void renew_leases(std::span<const job_record* const> jobs, time_point now,
                     std::vector<gang_action>& actions);
@@ -114,6 +118,7 @@
   auto find_task(std::string_view worker, const task_ref& ref) -> task*;
 
   lease_timing timing_;
+  time_point led_since_;
   std::vector<worker> workers_;  // sorted by name
   std::map<std::string, contact, std::less<>> contacts_;
   std::map<std::string, bool, std::less<>> draining_;
--- a/src/core/requests/router.cpp
+++ b/src/core/requests/router.cpp
@@ -64,9 +64,16 @@
   });
 }
 
-void router::set_limit(std::string_view endpoint, std::uint32_t limit) {
+void router::set_limit(std::string_view endpoint, std::uint64_t incarnation,
+                       std::uint32_t limit) {
   auto it = rows_.find(endpoint);
-  if (it != rows_.end()) it->second.limit = limit;
+  if (it == rows_.end() || it->second.incarnation != incarnation) return;
+  it->second.limit = limit;
+}
+
+void router::give_back(const route& taken) {
+  auto it = rows_.find(taken.endpoint);
+  if (it != rows_.end() && it->second.in_flight > 0) --it->second.in_flight;
 }
 
 auto router::choose(std::string_view service,
--- a/src/core/requests/router.h
+++ b/src/core/requests/router.h
@@ -71,7 +71,8 @@
   }
 
   /// Sets how many requests this entry may have at an endpoint.
-  void set_limit(std::string_view endpoint, std::uint32_t limit);
+  void set_limit(std::string_view endpoint, std::uint64_t incarnation,
+                 std::uint32_t limit);
 
   /// Takes a slot at an endpoint of the service that is not in `avoid`.
   auto choose(std::string_view service, std::span<const std::string> avoid,
@@ -81,6 +82,9 @@
   void finish(const route& taken, const attempt_outcome& outcome,
               time_point now);
 
+  /// Gives a slot back that was not used.
+  void give_back(const route& taken);
+
   /// Learns from a probe.
   void note_probe(std::string_view endpoint, probe_result result,
                   milliseconds latency, time_point now);
