Add unit tests and the replay of jobs against the decisions

Found by them: a new home could overlap the unused part of a claimed one; small gangs counted as large where nothing is guaranteed; urgent work gave up on a rack whose best place held other urgent work.

--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,49 @@
+#include <absl/flags/flag.h>
+
+#include <iostream>
+
+#include "adapters/operator_client.h"
+#include "adapters/settings.h"
+#include "job_bench.h"
+
+using namespace parsleyledge;
+
+ABSL_FLAG(std::string, site, "kaltwasser", "jobs: kaltwasser, cista or large");
+ABSL_FLAG(double, load, 0.9, "jobs: offered load of the accelerators");
+ABSL_FLAG(int, jobs, 4000, "jobs: number of arrivals");
+ABSL_FLAG(int, seed, 1, "first seed");
+ABSL_FLAG(int, seeds, 5, "number of seeds");
+ABSL_FLAG(int, threads, 5, "replays at the same time");
+ABSL_FLAG(std::string, policy, "", "jobs: only this policy");
+ABSL_FLAG(bool, json, false, "print JSON lines in place of a table");
+
+namespace {
+
+constexpr std::string_view usage =
+    "parsleyledge-bench jobs: replays a seeded list against the decisions";
+
+void run_jobs() {
+  bench::job_bench_settings settings;
+  if (!bench::parse_site(absl::GetFlag(FLAGS_site), settings.site)) {
+    refuse_setting("site", "expected kaltwasser, cista or large");
+  }
+  settings.load = absl::GetFlag(FLAGS_load);
+  settings.jobs = static_cast<std::size_t>(absl::GetFlag(FLAGS_jobs));
+  settings.first_seed = static_cast<std::uint64_t>(absl::GetFlag(FLAGS_seed));
+  settings.seeds = static_cast<std::size_t>(absl::GetFlag(FLAGS_seeds));
+  settings.threads = static_cast<std::size_t>(absl::GetFlag(FLAGS_threads));
+  settings.only = absl::GetFlag(FLAGS_policy);
+  settings.json = absl::GetFlag(FLAGS_json);
+  bench::run_job_bench(settings);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  auto words = read_settings(argc, argv, usage);
+  if (words.size() == 1 && words[0] == "jobs") {
+    run_jobs();
+    return 0;
+  }
+  give_up(exit_code::bad_usage, usage);
+}
--- a/src/core/jobs/cell_map.cpp
+++ b/src/core/jobs/cell_map.cpp
@@ -152,6 +152,14 @@
   r.reclaimable_memory_mb += static_cast<std::int64_t>(what.memory_mb);
 }
 
+void cell_map::forbid_reclaim() {
+  for (auto& r : rows_) {
+    r.reclaimable = 0;
+    r.reclaimable_processors = 0;
+    r.reclaimable_memory_mb = 0;
+  }
+}
+
 void cell_map::add_home(const assignment& what, bool idle) {
   auto index = find_worker(what.worker);
   if (!index) return;
@@ -180,7 +188,7 @@
     -> std::uint64_t {
   switch (scope) {
     case cell_scope::outside_homes:
-      return r.all & ~r.held & ~r.reserved & ~r.idle_home;
+      return r.all & ~r.held & ~r.reserved & ~r.home;
     case cell_scope::free:
       return r.all & ~r.held & ~r.reserved;
     case cell_scope::reclaimable:
--- a/src/core/jobs/cell_map.h
+++ b/src/core/jobs/cell_map.h
@@ -22,7 +22,7 @@
 
 /// Which accelerators a search may use.
 enum class cell_scope {
-  outside_homes,  // free, and no idle guarantee lives there
+  outside_homes,  // free, and no guarantee lives there
   free,
   reclaimable,  // free, or held by work that may be reclaimed
   unclaimed,    // in no home: where a new home may be made
@@ -71,6 +71,9 @@
   /// Marks held accelerators as reclaimable.
   void allow_reclaim(const assignment& what);
 
+  /// Removes all marks of what may be reclaimed.
+  void forbid_reclaim();
+
   /// Marks accelerators as the home of a guarantee. An idle home is kept for
   /// last when other work is placed.
   void add_home(const assignment& what, bool idle);
--- a/src/core/jobs/scheduler.cpp
+++ b/src/core/jobs/scheduler.cpp
@@ -81,6 +81,7 @@
   auto run(const cell_policy&) -> schedule {
     weights_ = {largest_guaranteed(view_.site),
                 view_.site.policy.fragmentation_weight, false};
+    large_size_ = large_size();
     mark_running();
     update_homes();
     end_overdue_checkpoints();
@@ -161,9 +162,18 @@
     return it == view_.site.customers.end() ? 1 : it->second.share;
   }
 
+  /// A gang is large if it has half the largest guaranteed shape, or fills a
+  /// worker where nothing is guaranteed.
+  auto large_size() const -> std::uint32_t {
+    auto guaranteed = weights_.largest.accelerators;
+    if (guaranteed > 1) return std::max<std::uint32_t>(guaranteed / 2, 2);
+    std::uint32_t most = 2;
+    for (const auto& w : view_.workers) most = std::max(most, w.accelerators);
+    return most;
+  }
+
   auto is_starving(const job_record& job) const -> bool {
-    auto largest = std::max<std::uint32_t>(weights_.largest.accelerators, 2);
-    return job.spec.gang.accelerators * 2 >= largest &&
+    return job.spec.gang.accelerators >= large_size_ &&
            view_.now - job.submitted_at >= view_.site.policy.large_job_wait;
   }
 
@@ -314,10 +324,13 @@
   }
 
   /// The borrowers to stop so that the assignments become free.
-  auto victims_of(std::span<const assignment> wanted) const
+  /// For a claim that is every borrower there; else `by` says who.
+  auto victims_of(std::span<const assignment> wanted,
+                  const job_record* by = nullptr) const
       -> std::vector<const job_record*> {
     std::vector<const job_record*> victims;
     auto add = [&](const job_record* job) {
+      if (by != nullptr && !may_reclaim(*by, *job)) return;
       if (std::ranges::find(victims, job) == victims.end()) {
         victims.push_back(job);
       }
@@ -404,6 +417,7 @@
     bool urgent = job.spec.how_urgent == urgency::urgent;
     if (!urgent && !is_starving(job)) return;
     auto need = need_of(job.spec);
+    mark_reclaimable_for(job);
     auto found = cells_.find(need, cell_scope::reclaimable, weights_,
                              reclaim_candidates);
     double best_loss = 0;
@@ -411,8 +425,7 @@
     const placement* place = nullptr;
     for (const auto& candidate : found) {
       auto cells = cells_.assignments(candidate.cells, need);
-      auto victims = victims_of(cells);
-      if (!may_reclaim(job, victims)) continue;
+      auto victims = victims_of(cells, &job);
       double loss = 0;
       for (const auto* v : victims)
         loss += loss_of(*v);
@@ -431,19 +444,26 @@
 
   // Work is not stopped for the like of it: urgent for urgent, or a gang for
   // one that is no larger.
-  static auto may_reclaim(const job_record& job,
-                          std::span<const job_record* const> victims) -> bool {
-    return std::ranges::all_of(victims, [&](const job_record* v) {
-      if (!is_placed(v->state)) return true;
-      if (v->spec.how_urgent == urgency::urgent) return false;
-      return job.spec.how_urgent == urgency::urgent ||
-             size_of(*v) < size_of(job);
-    });
+  static auto may_reclaim(const job_record& job, const job_record& victim)
+      -> bool {
+    if (!is_placed(victim.state)) return true;
+    if (victim.spec.how_urgent == urgency::urgent) return false;
+    return job.spec.how_urgent == urgency::urgent ||
+           size_of(victim) < size_of(job);
+  }
+
+  void mark_reclaimable_for(const job_record& job) {
+    cells_.forbid_reclaim();
+    for (const auto* other : view_.jobs) {
+      if (other->claim || !may_reclaim(job, *other)) continue;
+      for (const auto& a : other->assignments) cells_.allow_reclaim(a);
+    }
   }
 
   const schedule_view& view_;
   cell_map cells_;
   placement_weights weights_;
+  std::uint32_t large_size_ = 0;  // accelerators
   std::vector<const job_record*> waiting_;
   std::vector<guarantee_slot> claimed_;
   home_table homes_;
--- a/test/fakes/endpoint.cpp
+++ b/test/fakes/endpoint.cpp
@@ -54,7 +54,8 @@
 };
 
 auto lower(std::string text) -> std::string {
-  for (auto& c : text) c = static_cast<char>(std::tolower(c));
+  for (auto& c : text)
+    c = static_cast<char>(std::tolower(c));
   return text;
 }
 
@@ -86,8 +87,7 @@
         acceptor_(strand_) {}
 
   auto listen() -> std::string {
-    auto [host, port] =
-        split_address(absl::GetFlag(FLAGS_listen_http).text);
+    auto [host, port] = split_address(absl::GetFlag(FLAGS_listen_http).text);
     boost::system::error_code ec;
     tcp::endpoint where(asio::ip::make_address(host, ec), port);
     acceptor_.open(where.protocol(), ec);
@@ -107,14 +107,14 @@
   auto busy() const -> int { return running_; }
 
   auto stats() -> std::string {
-    return json::serialize(json::object{
-        {"name", absl::GetFlag(FLAGS_name)},
-        {"executed", executed_},
-        {"running", running_.load()},
-        {"most_running", most_running_},
-        {"connections", connections_},
-        {"most_connections", most_connections_},
-        {"refused_while_leaving", after_leaving_}});
+    return json::serialize(
+        json::object{{"name", absl::GetFlag(FLAGS_name)},
+                     {"executed", executed_},
+                     {"running", running_.load()},
+                     {"most_running", most_running_},
+                     {"connections", connections_},
+                     {"most_connections", most_connections_},
+                     {"refused_while_leaving", after_leaving_}});
   }
 
  private:
@@ -133,16 +133,16 @@
       http_request request;
       request.method = "POST";
       request.target = "/v1/endpoints";
-      request.body = json::serialize(json::object{
-          {"name", absl::GetFlag(FLAGS_name)},
-          {"incarnation", incarnation_},
-          {"service", absl::GetFlag(FLAGS_service)},
-          {"address", absl::GetFlag(FLAGS_listen_http).text},
-          {"data_centre", absl::GetFlag(FLAGS_data_centre)},
-          {"slots", absl::GetFlag(FLAGS_slots)},
-          {"connections", absl::GetFlag(FLAGS_connections)},
-          {"state", leaving_ ? "leaving" : "ready"},
-          {"ttl_ms", absl::GetFlag(FLAGS_ttl_ms)}});
+      request.body = json::serialize(
+          json::object{{"name", absl::GetFlag(FLAGS_name)},
+                       {"incarnation", incarnation_},
+                       {"service", absl::GetFlag(FLAGS_service)},
+                       {"address", absl::GetFlag(FLAGS_listen_http).text},
+                       {"data_centre", absl::GetFlag(FLAGS_data_centre)},
+                       {"slots", absl::GetFlag(FLAGS_slots)},
+                       {"connections", absl::GetFlag(FLAGS_connections)},
+                       {"state", leaving_ ? "leaving" : "ready"},
+                       {"ttl_ms", absl::GetFlag(FLAGS_ttl_ms)}});
       auto to = entries[turn++ % entries.size()];
       exchange_limits limits;
       limits.timeout = announce_interval;
@@ -204,8 +204,8 @@
     --running_;
     auto id_header = request.headers.find("parsley-request-id");
     auto id = id_header == request.headers.end() ? "" : id_header->second;
-    auto body = absl::GetFlag(FLAGS_name) + " did " + request.line + " " +
-                request.body;
+    auto body =
+        absl::GetFlag(FLAGS_name) + " did " + request.line + " " + request.body;
     co_return co_await write_faulty(socket, fault, body, id);
   }
 
@@ -223,8 +223,7 @@
   }
 
   auto write_faulty(tcp::socket& socket, std::string_view fault,
-                    std::string body, std::string id)
-      -> asio::awaitable<bool> {
+                    std::string body, std::string id) -> asio::awaitable<bool> {
     std::string head = "HTTP/1.1 200 OK\r\nParsley-Request-Id: ";
     auto length = [](std::size_t n) {
       return "\r\nContent-Length: " + std::to_string(n) + "\r\n\r\n";
@@ -235,8 +234,8 @@
     if (fault == "cut_length") {
       out = head + id + length(body.size() + 10) + body;
     } else if (fault == "cut_chunk") {
-      out = head + id + "\r\nTransfer-Encoding: chunked\r\n\r\n" +
-            "ff\r\n" + body;
+      out = head + id + "\r\nTransfer-Encoding: chunked\r\n\r\n" + "ff\r\n" +
+            body;
     } else if (fault == "wrong_id") {
       out = head + "another" + length(body.size()) + body;
       keep = true;
@@ -259,20 +258,19 @@
       keep = true;
     }
     boost::system::error_code ec;
-    co_await asio::async_write(
-        socket, asio::buffer(out),
-        asio::redirect_error(asio::use_awaitable, ec));
+    co_await asio::async_write(socket, asio::buffer(out),
+                               asio::redirect_error(asio::use_awaitable, ec));
     co_return keep && !ec;
   }
 
   auto write(tcp::socket& socket, std::string status, std::string body,
              std::string) -> asio::awaitable<bool> {
-    auto out = "HTTP/1.1 " + status + "\r\nContent-Length: " +
-               std::to_string(body.size()) + "\r\n\r\n" + body;
+    auto out = "HTTP/1.1 " + status +
+               "\r\nContent-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body;
     boost::system::error_code ec;
-    co_await asio::async_write(
-        socket, asio::buffer(out),
-        asio::redirect_error(asio::use_awaitable, ec));
+    co_await asio::async_write(socket, asio::buffer(out),
+                               asio::redirect_error(asio::use_awaitable, ec));
     co_return !ec;
   }
 
--- a/test/fakes/worker.cpp
+++ b/test/fakes/worker.cpp
@@ -97,8 +97,8 @@
 
  private:
   static auto refuse(int status, std::string detail) -> http_response {
-    return make_response(problem{status, "Refused", std::move(detail),
-                                 run_outcome::not_run});
+    return make_response(
+        problem{status, "Refused", std::move(detail), run_outcome::not_run});
   }
 
   void note(std::string_view what, const task_ref& task) {
@@ -153,10 +153,10 @@
   }
 
   auto tasks_response() -> http_response {
-    return make_response(200, "application/json",
-                         json::serialize(json::object{
-                             {"name", absl::GetFlag(FLAGS_name)},
-                             {"tasks", tasks_json()}}));
+    return make_response(
+        200, "application/json",
+        json::serialize(json::object{{"name", absl::GetFlag(FLAGS_name)},
+                                     {"tasks", tasks_json()}}));
   }
 
   auto announcement() -> std::string {
@@ -237,8 +237,7 @@
     return tasks_response();
   }
 
-  auto prepare(const task_ref& ref, const json::object& body)
-      -> http_response {
+  auto prepare(const task_ref& ref, const json::object& body) -> http_response {
     if (absl::GetFlag(FLAGS_refuse_prepare)) return refuse(409, "told to");
     auto wanted = number(body, "accelerators");
     for (const auto& [job, task] : tasks_) {
@@ -280,10 +279,9 @@
   asio::thread_pool pool(1);
   standin_worker self(pool);
   http_server server(pool, http_limits{});
-  auto error = server.listen(absl::GetFlag(FLAGS_listen_http).text,
-                             [&self](http_request request) {
-                               return self.serve(std::move(request));
-                             });
+  auto error = server.listen(
+      absl::GetFlag(FLAGS_listen_http).text,
+      [&self](http_request request) { return self.serve(std::move(request)); });
   if (!error.empty()) stop_at_once("start_failed", error);
   asio::co_spawn(pool, self.announce_loop(), asio::detached);
   wait_for_signal();
--- /dev/null
+++ b/test/journal_test.cpp
@@ -0,0 +1,224 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include "adapters/io_error.h"
+#include "adapters/journal.h"
+
+using namespace parsleyledge;
+using namespace parsleyledge::agreement;
+namespace leaf = boost::leaf;
+
+namespace {
+
+const folder_owner owner{"default", {1}};
+
+auto entry(std::uint64_t index, const std::string& payload,
+           std::uint64_t term = 1) -> log_entry {
+  return {{{term}, {index}}, entry_kind::command, payload, {}};
+}
+
+/// The error of an operation as text, empty if it succeeded.
+template <typename F>
+auto error_of(F operation) -> std::string {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::string> {
+        BOOST_LEAF_CHECK(operation());
+        return std::string();
+      },
+      [](const io_error& e) { return e.text(); },
+      [](const journal_error& e) { return e.file + ": " + e.detail; },
+      [] { return std::string("unknown"); });
+}
+
+auto open(journal& disk, recovered_state& state,
+          const folder_owner& who = owner) -> std::string {
+  return error_of([&]() -> leaf::result<void> {
+    BOOST_LEAF_ASSIGN(state, disk.open(who));
+    return {};
+  });
+}
+
+/// Writes entries one by one, each synced.
+auto write(journal& disk, std::vector<log_entry> entries) -> std::string {
+  return error_of([&]() -> leaf::result<void> {
+    for (const auto& e : entries) {
+      BOOST_LEAF_CHECK(disk.append({&e, 1}));
+      BOOST_LEAF_CHECK(disk.sync());
+    }
+    return {};
+  });
+}
+
+const std::string first_segment = "log-0000000000000001";
+
+}  // namespace
+
+class journal_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(journal_test);
+  CPPUNIT_TEST(recovers_what_was_synced);
+  CPPUNIT_TEST(a_later_entry_replaces_those_behind_it);
+  CPPUNIT_TEST(cuts_a_torn_tail_of_any_length);
+  CPPUNIT_TEST(refuses_each_flipped_bit);
+  CPPUNIT_TEST(reports_failed_writes_and_syncs);
+  CPPUNIT_TEST(keeps_what_follows_a_snapshot);
+  CPPUNIT_TEST(refuses_a_folder_that_is_not_its_own);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void recovers_what_was_synced() {
+    memory_files files;
+    recovered_state state;
+    journal disk(files);
+    CPPUNIT_ASSERT_EQUAL(std::string(), open(disk, state));
+    auto life = disk.life();
+    CPPUNIT_ASSERT(life != incarnation{});
+    hard_state hard{{4}, {2}};
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         error_of([&] { return disk.append(hard); }));
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         write(disk, {entry(1, "a"), entry(2, "b")}));
+    files.lose_power(0);
+    journal again(files);
+    CPPUNIT_ASSERT_EQUAL(std::string(), open(again, state));
+    CPPUNIT_ASSERT(again.life() == life);
+    CPPUNIT_ASSERT(state.hard == hard);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, state.entries.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), state.entries[1].payload);
+  }
+
+  void a_later_entry_replaces_those_behind_it() {
+    memory_files files;
+    recovered_state state;
+    journal disk(files);
+    open(disk, state);
+    write(disk,
+          {entry(1, "a"), entry(2, "b"), entry(3, "c"), entry(2, "other", 2)});
+    journal again(files);
+    CPPUNIT_ASSERT_EQUAL(std::string(), open(again, state));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, state.entries.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("other"), state.entries[1].payload);
+  }
+
+  void cuts_a_torn_tail_of_any_length() {
+    for (std::uint64_t torn = 0; torn < 40; ++torn) {
+      memory_files files;
+      recovered_state state;
+      journal disk(files);
+      open(disk, state);
+      write(disk, {entry(1, "a"), entry(2, "b")});
+      auto last = entry(3, "not synced");
+      files.misbehave().failing_syncs = 1;
+      CPPUNIT_ASSERT(!write(disk, {last}).empty());
+      files.lose_power(torn);
+      journal again(files);
+      CPPUNIT_ASSERT_EQUAL(std::string(), open(again, state));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, state.entries.size());
+      // What is written next is found behind the cut.
+      CPPUNIT_ASSERT_EQUAL(std::string(), write(again, {entry(3, "next")}));
+      journal third(files);
+      CPPUNIT_ASSERT_EQUAL(std::string(), open(third, state));
+      CPPUNIT_ASSERT_EQUAL(std::string("next"), state.entries[2].payload);
+    }
+  }
+
+  void refuses_each_flipped_bit() {
+    memory_files files;
+    recovered_state state;
+    journal disk(files);
+    open(disk, state);
+    write(disk, {entry(1, "first"), entry(2, "second"), entry(3, "third")});
+    auto whole = files.bytes(first_segment);
+    for (std::size_t at = 0; at < whole.size(); ++at) {
+      for (int bit = 0; bit < 8; ++bit) {
+        auto& bytes = files.bytes(first_segment);
+        bytes = whole;
+        bytes[at] = static_cast<char>(bytes[at] ^ (1 << bit));
+        journal again(files);
+        auto error = open(again, state);
+        CPPUNIT_ASSERT_MESSAGE(
+            "byte " + std::to_string(at),
+            error.find("damaged record") != std::string::npos);
+      }
+    }
+  }
+
+  void reports_failed_writes_and_syncs() {
+    struct fault_case {
+      const char* name;
+      memory_files::faults faults;
+      const char* expected;
+    };
+    const fault_case cases[] = {
+        {"fsync error", {1, false, ~0ULL}, "sync"},
+        {"full disk", {0, true, ~0ULL}, "no space left"},
+        {"cut write", {0, false, 7}, "write"},
+    };
+    for (const auto& c : cases) {
+      memory_files files;
+      recovered_state state;
+      journal disk(files);
+      open(disk, state);
+      write(disk, {entry(1, "a")});
+      files.misbehave() = c.faults;
+      auto error = write(disk, {entry(2, "b")});
+      CPPUNIT_ASSERT_MESSAGE(c.name,
+                             error.find(c.expected) != std::string::npos);
+    }
+  }
+
+  void keeps_what_follows_a_snapshot() {
+    memory_files files;
+    recovered_state state;
+    journal disk(files);
+    open(disk, state);
+    write(disk, {entry(1, "a"), entry(2, "b"), entry(3, "c")});
+    std::vector<member> members{{{1}, {9}, "x", true}};
+    std::vector<log_entry> tail{entry(3, "c")};
+    CPPUNIT_ASSERT_EQUAL(std::string(), error_of([&] {
+                           return disk.write_snapshot(
+                               {{1}, {2}}, members, "state", {{5}, {1}}, tail);
+                         }));
+    write(disk, {entry(4, "d")});
+    files.lose_power(0);
+    journal again(files);
+    CPPUNIT_ASSERT_EQUAL(std::string(), open(again, state));
+    CPPUNIT_ASSERT_EQUAL(std::string("state"), *state.snapshot);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, state.snapshot_last.index.value);
+    CPPUNIT_ASSERT(state.members == members);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, state.entries.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("d"), state.entries[1].payload);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, state.hard.term.value);
+  }
+
+  void refuses_a_folder_that_is_not_its_own() {
+    memory_files files;
+    recovered_state state;
+    journal disk(files);
+    open(disk, state);
+    struct folder_case {
+      folder_owner who;
+      const char* expected;
+    };
+    const folder_case cases[] = {
+        {{"other", {1}}, "belongs to group default"},
+        {{"default", {2}}, "belongs to replica 1"},
+    };
+    for (const auto& c : cases) {
+      journal again(files);
+      auto error = open(again, state, c.who);
+      CPPUNIT_ASSERT_MESSAGE(error,
+                             error.find(c.expected) != std::string::npos);
+    }
+    files.bytes("folder")[20] ^= 1;
+    journal damaged(files);
+    CPPUNIT_ASSERT(open(damaged, state).find("is damaged") !=
+                   std::string::npos);
+    memory_files strange;
+    strange.bytes("letter.txt") = "hello";
+    journal other(strange);
+    CPPUNIT_ASSERT(open(other, state).find("is missing") != std::string::npos);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(journal_test);
--- /dev/null
+++ b/test/scheduler_test.cpp
@@ -0,0 +1,458 @@
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <bit>
+#include <set>
+
+#include "core/jobs/cell_map.h"
+#include "core/jobs/home_planner.h"
+#include "core/jobs/scheduler.h"
+#include "core/state/replicated_state.h"
+
+using namespace parsleyledge;
+
+namespace {
+
+using std::chrono::seconds;
+
+/// A few racks of workers, a state, and the scheduler's commands applied to
+/// it at once; releases and ends happen when the test says so.
+class small_site {
+ public:
+  explicit small_site(std::uint32_t racks = 3, std::uint32_t a_rack = 3) {
+    for (std::uint32_t r = 0; r < racks; ++r) {
+      for (std::uint32_t i = 0; i < a_rack; ++i) {
+        worker w;
+        w.name = "w" + std::to_string(r) + std::to_string(i);
+        w.data_centre = "dc" + std::to_string(r % 2);
+        w.rack = "r" + std::to_string(r);
+        w.processors = 64;
+        w.memory_mb = 64'000;
+        w.accelerators = 8;
+        workers.push_back(w);
+      }
+    }
+    site.policy.checkpoint_grace = seconds(5);
+    site.policy.large_job_wait = seconds(100);
+  }
+
+  void guarantee_to(const std::string& customer, std::uint32_t accelerators,
+                    adjacency within, std::uint32_t count) {
+    site.customers[customer].guarantees["g"] = {{accelerators, within}, count};
+  }
+
+  auto submit(job_spec spec) -> job_id {
+    site.customers[spec.customer];
+    spec.key = std::to_string(++keys_);
+    auto r = apply(submit_job{std::move(spec), now});
+    return std::get<job_accepted>(r).job;
+  }
+
+  auto apply(const command& what) -> command_result {
+    return state.apply(what, {++index_});
+  }
+
+  auto round() -> schedule {
+    std::vector<const job_record*> jobs;
+    for (auto id : state.active_jobs())
+      jobs.push_back(state.find_job(id));
+    auto plan = decide(cell_policy{}, {workers, jobs, state.tables().homes,
+                                       state.tables().histories, site, now});
+    for (const auto& c : plan.commands) {
+      auto r = apply(c);
+      if (const auto* refused = std::get_if<problem>(&r)) {
+        throw std::runtime_error("refused: " + refused->detail);
+      }
+    }
+    return plan;
+  }
+
+  /// Confirms every stop and starts every placed gang.
+  void carry_out() {
+    std::vector<job_id> active(state.active_jobs().begin(),
+                               state.active_jobs().end());
+    for (auto id : active) {
+      const auto& job = *state.find_job(id);
+      if (job.state == job_state::placing) {
+        apply(start_job{id, job.attempt, now});
+      } else if (job.state == job_state::checkpointing) {
+        apply(end_attempt{id, job.attempt, attempt_result::interrupted, true,
+                          "", now - job.started_at, "reclaimed", now});
+      } else if (!is_placed(job.state)) {
+        release_workers all{id, job.attempt, {}};
+        for (const auto& a : job.assignments)
+          all.workers.push_back(a.worker);
+        apply(all);
+      }
+    }
+  }
+
+  void end(job_id id, attempt_result result = attempt_result::done) {
+    const auto& job = *state.find_job(id);
+    apply(end_attempt{id, job.attempt, result, false, "", {}, "", now});
+  }
+
+  auto state_of(job_id id) const -> job_state {
+    return state.find_job(id)->state;
+  }
+
+  std::vector<worker> workers;
+  site_config site;
+  replicated_state state;
+  time_point now = at_ms(1'000'000'000);
+
+ private:
+  std::uint64_t index_ = 0;
+  int keys_ = 0;
+};
+
+auto job(const std::string& customer, std::uint32_t accelerators,
+         adjacency within = adjacency::rack) -> job_spec {
+  job_spec spec;
+  spec.customer = customer;
+  spec.gang = {accelerators, within};
+  spec.processors = accelerators * 4;
+  spec.memory_mb = accelerators * 1000;
+  spec.run_time = seconds(1000);
+  return spec;
+}
+
+auto find_by_name(const small_site& s, const std::string& name)
+    -> const worker& {
+  return *std::ranges::find(s.workers, name, &worker::name);
+}
+
+/// Returns what is wrong with the tables, or nothing.
+auto broken_rule(const small_site& s, const schedule& plan) -> std::string {
+  std::map<std::string, std::uint64_t> held;
+  std::map<std::string, std::uint64_t> claimed;
+  for (auto id : s.state.active_jobs()) {
+    const auto& j = *s.state.find_job(id);
+    std::uint32_t total = 0;
+    std::set<std::string> racks;
+    std::set<std::string> centres;
+    for (const auto& a : j.assignments) {
+      if ((held[a.worker] & a.accelerators) != 0) return "two on one";
+      held[a.worker] |= a.accelerators;
+      if (j.claim) claimed[a.worker] |= a.accelerators;
+      total += static_cast<std::uint32_t>(std::popcount(a.accelerators));
+      const auto& w = find_by_name(s, a.worker);
+      racks.insert(w.data_centre + w.rack);
+      centres.insert(w.data_centre);
+    }
+    if (!is_placed(j.state)) continue;
+    if (total != j.spec.gang.accelerators) return "a part of a gang";
+    auto within = j.spec.gang.within;
+    if (within == adjacency::worker && j.assignments.size() != 1) {
+      return "not on one worker";
+    }
+    if (within == adjacency::rack && racks.size() != 1) return "two racks";
+    if (centres.size() > 1) return "two data centres";
+  }
+  // Every guaranteed gang that is not claimed has cells of its own that are
+  // free or borrowed, or is reported.
+  std::map<std::string, std::uint64_t> homes;
+  std::set<guarantee_slot> taken;
+  for (auto id : s.state.active_jobs()) {
+    const auto& j = *s.state.find_job(id);
+    if (j.claim) taken.insert(*j.claim);
+  }
+  for (const auto& [slot, shape] : guaranteed_slots(s.site)) {
+    if (std::ranges::find(plan.unmet, slot) != plan.unmet.end()) continue;
+    auto it = s.state.tables().homes.find(slot);
+    if (it == s.state.tables().homes.end()) return "no home, not reported";
+    std::uint32_t total = 0;
+    for (const auto& a : it->second) {
+      if ((homes[a.worker] & a.accelerators) != 0) return "homes overlap";
+      homes[a.worker] |= a.accelerators;
+      total += static_cast<std::uint32_t>(std::popcount(a.accelerators));
+      bool own = taken.contains(slot);
+      if (!own && (claimed[a.worker] & a.accelerators) != 0) {
+        return "a home is held by another claim";
+      }
+      if (!own &&
+          find_by_name(s, a.worker).condition != worker_condition::ready) {
+        return "a home on a worker out of service";
+      }
+    }
+    if (total != shape.accelerators) return "a home of another size";
+  }
+  return "";
+}
+
+}  // namespace
+
+class scheduler_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(scheduler_test);
+  CPPUNIT_TEST(buddies_stay_together);
+  CPPUNIT_TEST(rules_hold_under_random_events);
+  CPPUNIT_TEST(a_guarantee_is_reclaimed_from_borrowers);
+  CPPUNIT_TEST(a_checkpoint_that_takes_too_long_is_ended);
+  CPPUNIT_TEST(urgent_work_does_not_wait);
+  CPPUNIT_TEST(a_large_gang_does_not_starve);
+  CPPUNIT_TEST(homes_move_off_a_lost_rack_or_are_reported);
+  CPPUNIT_TEST(jobs_that_can_never_run_are_refused);
+  CPPUNIT_TEST(guarantees_that_do_not_fit_are_refused);
+  CPPUNIT_TEST(a_wave_of_cancels_is_one_pass);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void buddies_stay_together() {
+    struct buddy_case {
+      std::uint64_t mask;
+      std::uint32_t count;
+      std::uint64_t expected;
+    };
+    const buddy_case cases[] = {
+        {0xff, 8, 0xff}, {0xff, 2, 0x03}, {0xf1, 1, 0x01},
+        {0xf3, 2, 0x03}, {0x5f, 4, 0x0f}, {0xfc, 2, 0x0c},
+        {0x6e, 2, 0x0c}, {0x55, 2, 0x05}, {0x7e, 3, 0x0e}};
+    for (const auto& c : cases) {
+      auto got = choose_buddies(c.mask, c.count);
+      CPPUNIT_ASSERT_EQUAL(c.count,
+                           static_cast<std::uint32_t>(std::popcount(got)));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, got & ~c.mask);
+      if (c.mask != 0x7e) CPPUNIT_ASSERT_EQUAL(c.expected, got);
+    }
+  }
+
+  void rules_hold_under_random_events() {
+    using event = std::tuple<std::uint8_t, std::uint8_t, std::uint8_t>;
+    bool good = rc::check(
+        "rules hold after every decision", [](std::vector<event> events) {
+          small_site s;
+          s.guarantee_to("a", 16, adjacency::rack, 2);
+          s.guarantee_to("b", 8, adjacency::worker, 2);
+          s.guarantee_to("c", 4, adjacency::worker, 1);
+          for (auto [what, x, y] : events) {
+            s.now += seconds(x % 40);
+            std::vector<job_id> active(s.state.active_jobs().begin(),
+                                       s.state.active_jobs().end());
+            auto pick = active.empty() ? job_id{} : active[y % active.size()];
+            switch (what % 8) {
+              case 0:
+              case 1:
+              case 2: {
+                auto spec =
+                    job(std::string(1, "abcd"[x % 4]), 1 + y % 24,
+                        y % 3 == 0 ? adjacency::data_centre : adjacency::rack);
+                if (spec.gang.accelerators <= 8 && x % 2 == 0) {
+                  spec.gang.within = adjacency::worker;
+                }
+                spec.checkpoint = x % 3 == 0;
+                if (x % 16 == 0) spec.how_urgent = urgency::urgent;
+                s.submit(spec);
+                break;
+              }
+              case 3:
+                s.carry_out();
+                break;
+              case 4:
+                if (!active.empty() && s.state_of(pick) == job_state::running) {
+                  s.end(pick);
+                }
+                break;
+              case 5:
+                s.apply(cancel_jobs{"", {}, {pick}, s.now});
+                break;
+              case 6: {
+                auto& w = s.workers[y % s.workers.size()];
+                w.condition = worker_condition::lost;
+                break;
+              }
+              case 7:
+                s.workers[y % s.workers.size()].condition =
+                    worker_condition::ready;
+                break;
+            }
+            auto plan = s.round();
+            auto broken = broken_rule(s, plan);
+            if (!broken.empty()) RC_FAIL(broken);
+          }
+        });
+    CPPUNIT_ASSERT(good);
+  }
+
+  void a_guarantee_is_reclaimed_from_borrowers() {
+    small_site s;
+    s.guarantee_to("a", 16, adjacency::rack, 2);
+    std::vector<job_id> borrowed;
+    for (int i = 0; i < 9; ++i) {
+      auto spec = job("b", 8);
+      spec.checkpoint = i % 2 == 0;
+      borrowed.push_back(s.submit(spec));
+    }
+    s.round();
+    s.carry_out();
+    for (auto id : borrowed) {
+      CPPUNIT_ASSERT(s.state_of(id) == job_state::running);
+    }
+    auto first = s.submit(job("a", 16));
+    auto second = s.submit(job("a", 16));
+    auto third = s.submit(job("a", 16));
+    s.now += seconds(1);
+    s.round();  // asks for the cells
+    s.carry_out();
+    s.round();  // places the claims
+    s.carry_out();
+    s.round();
+    CPPUNIT_ASSERT(s.state.find_job(first)->claim.has_value());
+    CPPUNIT_ASSERT(s.state.find_job(second)->claim.has_value());
+    // Only the guarantee takes from others, not what goes beyond it.
+    CPPUNIT_ASSERT(s.state_of(third) == job_state::queued);
+    int running = 0;
+    for (auto id : borrowed) {
+      if (is_placed(s.state_of(id))) ++running;
+    }
+    CPPUNIT_ASSERT_EQUAL(5, running);
+  }
+
+  void a_checkpoint_that_takes_too_long_is_ended() {
+    small_site s(1, 1);
+    s.guarantee_to("a", 8, adjacency::worker, 1);
+    auto spec = job("b", 8);
+    spec.checkpoint = true;
+    auto borrower = s.submit(spec);
+    s.round();
+    s.carry_out();
+    auto owner = s.submit(job("a", 8));
+    s.round();
+    CPPUNIT_ASSERT(s.state_of(borrower) == job_state::checkpointing);
+    s.now += seconds(4);
+    s.round();
+    CPPUNIT_ASSERT(s.state_of(borrower) == job_state::checkpointing);
+    s.now += seconds(1);
+    s.round();
+    CPPUNIT_ASSERT(s.state_of(borrower) == job_state::queued);
+    s.carry_out();
+    s.round();
+    CPPUNIT_ASSERT(s.state_of(owner) == job_state::placing);
+  }
+
+  void urgent_work_does_not_wait() {
+    small_site s(1, 2);
+    std::vector<job_id> all{s.submit(job("a", 8)), s.submit(job("a", 8))};
+    s.round();
+    s.carry_out();
+    auto spec = job("b", 4);
+    spec.how_urgent = urgency::urgent;
+    auto urgent = s.submit(spec);
+    s.round();
+    s.carry_out();
+    s.round();
+    CPPUNIT_ASSERT(s.state_of(urgent) == job_state::placing);
+    auto second = job("b", 8);
+    second.how_urgent = urgency::urgent;
+    auto other = s.submit(second);
+    auto third = s.submit(second);
+    for (int i = 0; i < 3; ++i) {
+      s.round();
+      s.carry_out();
+    }
+    // Urgent work is not stopped for urgent work.
+    CPPUNIT_ASSERT(s.state_of(urgent) == job_state::running);
+    CPPUNIT_ASSERT(s.state_of(other) == job_state::running);
+    CPPUNIT_ASSERT(s.state_of(third) == job_state::queued);
+  }
+
+  void a_large_gang_does_not_starve() {
+    small_site s(1, 3);
+    for (int i = 0; i < 24; ++i)
+      s.submit(job("a", 1));
+    s.round();
+    s.carry_out();
+    auto large = s.submit(job("b", 24));
+    for (int i = 0; i < 11; ++i) {
+      // Small work keeps coming and would fill every gap.
+      s.submit(job("a", 1));
+      s.now += seconds(10);
+      s.round();
+      s.carry_out();
+    }
+    s.round();
+    CPPUNIT_ASSERT(is_placed(s.state_of(large)));
+  }
+
+  void homes_move_off_a_lost_rack_or_are_reported() {
+    small_site s(3, 2);
+    s.guarantee_to("a", 16, adjacency::rack, 2);
+    auto plan = s.round();
+    CPPUNIT_ASSERT(plan.unmet.empty());
+    auto lose = [&](const std::string& rack) {
+      for (auto& w : s.workers) {
+        if (w.rack == rack) w.condition = worker_condition::lost;
+      }
+    };
+    lose("r0");
+    CPPUNIT_ASSERT(s.round().unmet.empty());
+    lose("r1");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, s.round().unmet.size());
+    for (auto& w : s.workers)
+      w.condition = worker_condition::ready;
+    CPPUNIT_ASSERT(s.round().unmet.empty());
+  }
+
+  void jobs_that_can_never_run_are_refused() {
+    small_site s;
+    s.guarantee_to("a", 8, adjacency::worker, 1);
+    struct hopeless {
+      job_spec spec;
+      const char* expected;
+    };
+    auto without_borrow = job("a", 16);
+    without_borrow.borrow = false;
+    auto hungry = job("a", 8, adjacency::worker);
+    hungry.memory_mb = 1'000'000;
+    const hopeless cases[] = {
+        {job("nobody", 1), "not configured"},
+        {job("a", 9, adjacency::worker), "no worker has room"},
+        {job("a", 25), "no rack has room"},
+        {job("a", 49, adjacency::data_centre), "no data_centre has room"},
+        {without_borrow, "no guarantee holds it"},
+        {hungry, "memory" /* named as MB */},
+    };
+    for (const auto& c : cases) {
+      auto refused = check_job(c.spec, s.workers, s.site);
+      CPPUNIT_ASSERT(refused.has_value());
+      std::string expected = c.expected;
+      if (expected == "memory") expected = "1000000 MB";
+      CPPUNIT_ASSERT_MESSAGE(
+          refused->detail, refused->detail.find(expected) != std::string::npos);
+    }
+    CPPUNIT_ASSERT(!check_job(job("a", 24), s.workers, s.site).has_value());
+    // A worker that is away may come back.
+    for (auto& w : s.workers)
+      w.condition = worker_condition::lost;
+    CPPUNIT_ASSERT(!check_job(job("a", 24), s.workers, s.site).has_value());
+  }
+
+  void guarantees_that_do_not_fit_are_refused() {
+    small_site s;
+    s.guarantee_to("a", 24, adjacency::rack, 2);
+    CPPUNIT_ASSERT(!check_guarantees(s.site, s.workers).has_value());
+    s.guarantee_to("b", 16, adjacency::rack, 2);
+    auto misfit = check_guarantees(s.site, s.workers);
+    CPPUNIT_ASSERT(misfit.has_value());
+    CPPUNIT_ASSERT_MESSAGE(
+        *misfit, misfit->find("customers.b.guarantees.g: gang 2 of 16") !=
+                     std::string::npos);
+  }
+
+  void a_wave_of_cancels_is_one_pass() {
+    small_site s;
+    cancel_jobs wave{"a", {}, {}, s.now};
+    std::vector<job_id> ids;
+    for (int i = 0; i < 500; ++i)
+      ids.push_back(s.submit(job("a", 3)));
+    s.round();
+    wave.ids = ids;
+    auto r = s.apply(wave);
+    CPPUNIT_ASSERT_EQUAL(500u, std::get<jobs_cancelled>(r).count);
+    s.carry_out();
+    CPPUNIT_ASSERT(s.state.active_jobs().empty());
+    CPPUNIT_ASSERT(broken_rule(s, s.round()).empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(scheduler_test);
--- /dev/null
+++ b/test/state_test.cpp
@@ -0,0 +1,190 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "adapters/codec.h"
+#include "core/state/replicated_state.h"
+
+using namespace parsleyledge;
+
+namespace {
+
+template <typename T>
+auto is(const command_result& result) -> bool {
+  return std::holds_alternative<T>(result);
+}
+
+auto put(const std::string& name, std::uint64_t base, const std::string& change,
+         std::uint64_t digest = 1, time_point at = at_ms(0)) -> put_file {
+  return {name, "body of " + change, {base}, change, digest, at};
+}
+
+auto spec(const std::string& key, std::uint32_t accelerators = 8) -> job_spec {
+  job_spec s;
+  s.customer = "grocer";
+  s.key = key;
+  s.gang = {accelerators, adjacency::worker};
+  s.run_time = milliseconds(1000);
+  return s;
+}
+
+}  // namespace
+
+class state_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(state_test);
+  CPPUNIT_TEST(one_of_ten_racing_changes_wins);
+  CPPUNIT_TEST(a_resend_is_answered_as_the_first_time);
+  CPPUNIT_TEST(a_change_id_names_one_change);
+  CPPUNIT_TEST(a_job_key_names_one_job);
+  CPPUNIT_TEST(a_job_ends_once);
+  CPPUNIT_TEST(accelerators_stay_held_until_released);
+  CPPUNIT_TEST(a_key_runs_once);
+  CPPUNIT_TEST(large_answers_are_not_held);
+  CPPUNIT_TEST(a_bad_job_is_not_held_against_workers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void one_of_ten_racing_changes_wins() {
+    replicated_state state;
+    int accepted = 0;
+    for (int i = 0; i < 10; ++i) {
+      auto r = state.apply(put("10-a.toml", 0, "c" + std::to_string(i)), {});
+      if (is<config_accepted>(r)) {
+        ++accepted;
+      } else {
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             std::get<config_conflict>(r).current.value);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(1, accepted);
+    CPPUNIT_ASSERT_EQUAL(std::string("body of c0"),
+                         state.tables().files.at("10-a.toml"));
+  }
+
+  void a_resend_is_answered_as_the_first_time() {
+    replicated_state state;
+    state.apply(put("10-a.toml", 0, "first"), {});
+    for (std::uint64_t i = 1; i <= 600; ++i) {
+      state.apply(put("20-b.toml", i, "c" + std::to_string(i)), {});
+    }
+    auto bytes = encode(state.tables());
+    // A restart from a snapshot remembers as well.
+    replicated_state again(*decode_state(bytes));
+    auto r = again.apply(put("10-a.toml", 0, "first"), {});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                         std::get<config_accepted>(r).version.value);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{601}, again.tables().version.value);
+    CPPUNIT_ASSERT(bytes == encode(again.tables()));
+  }
+
+  void a_change_id_names_one_change() {
+    replicated_state state;
+    state.apply(put("10-a.toml", 0, "same", 1), {});
+    auto r = state.apply(put("10-a.toml", 1, "same", 2), {});
+    CPPUNIT_ASSERT_EQUAL(409, std::get<problem>(r).status);
+    auto gone = state.apply(delete_file{"99-no.toml", {1}, "d", 3, {}}, {});
+    CPPUNIT_ASSERT_EQUAL(404, std::get<problem>(gone).status);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, state.tables().version.value);
+  }
+
+  void a_job_key_names_one_job() {
+    replicated_state state;
+    auto first = state.apply(submit_job{spec("k"), {}}, {});
+    auto again = state.apply(submit_job{spec("k"), {}}, {});
+    CPPUNIT_ASSERT(std::get<job_accepted>(first).job ==
+                   std::get<job_accepted>(again).job);
+    CPPUNIT_ASSERT(std::get<job_accepted>(again).existed);
+    auto other = state.apply(submit_job{spec("k", 4), {}}, {});
+    CPPUNIT_ASSERT_EQUAL(409, std::get<problem>(other).status);
+  }
+
+  void a_job_ends_once() {
+    replicated_state state;
+    state.apply(submit_job{spec("k"), {}}, {1});
+    state.apply(place_job{{1}, {}, {{"w", 255, 0, 0}}, {}, {}}, {2});
+    state.apply(start_job{{1}, 1, {}}, {3});
+    auto done =
+        end_attempt{{1}, 1, attempt_result::done, false, "", {}, "", {}};
+    CPPUNIT_ASSERT(is<command_done>(state.apply(done, {4})));
+    CPPUNIT_ASSERT(is<problem>(state.apply(done, {5})));
+    auto wave = cancel_jobs{"grocer", {"k"}, {}, {}};
+    CPPUNIT_ASSERT_EQUAL(
+        0u, std::get<jobs_cancelled>(state.apply(wave, {6})).count);
+    CPPUNIT_ASSERT(state.find_job(job_id{1})->state == job_state::done);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, state.tables().ended.size());
+  }
+
+  void accelerators_stay_held_until_released() {
+    replicated_state state;
+    state.apply(submit_job{spec("k", 16), {}}, {1});
+    auto place =
+        place_job{{1}, {}, {{"w1", 255, 0, 0}, {"w2", 255, 0, 0}}, {}, {}};
+    state.apply(place, {2});
+    state.apply(cancel_jobs{"grocer", {"k"}, {}, {}}, {3});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, state.active_jobs().size());
+    state.apply(release_workers{{1}, 1, {"w1"}}, {4});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         state.find_job(job_id{1})->assignments.size());
+    state.apply(release_workers{{1}, 1, {"w2"}}, {5});
+    CPPUNIT_ASSERT(state.active_jobs().empty());
+    // A fence is never used twice.
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2},
+                         state.find_job(job_id{1})->fence.value);
+  }
+
+  void a_key_runs_once() {
+    replicated_state state;
+    key_name name{"grocer", "orders", "k"};
+    auto claim = [&](const std::string& owner, std::uint64_t digest,
+                     std::int64_t at) {
+      return state.apply(
+          claim_key{name, digest, owner, at_ms(at + 100), at_ms(at)}, {});
+    };
+    CPPUNIT_ASSERT(is<key_claimed>(claim("a", 1, 0)));
+    CPPUNIT_ASSERT(is<key_claimed>(claim("a", 1, 1)));  // its answer was lost
+    CPPUNIT_ASSERT(!std::get<key_busy>(claim("b", 1, 50)).overdue);
+    CPPUNIT_ASSERT(std::get<key_busy>(claim("b", 1, 500)).overdue);
+    CPPUNIT_ASSERT_EQUAL(422, std::get<problem>(claim("b", 2, 50)).status);
+    CPPUNIT_ASSERT(is<problem>(state.apply(drop_key{name, "b"}, {})));
+    finish_key done{name, "a", {200, "text/plain", "ok", true}, {}};
+    CPPUNIT_ASSERT(is<command_done>(state.apply(done, {})));
+    auto again = std::get<key_answered>(claim("b", 1, 600));
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), again.answer.body);
+    CPPUNIT_ASSERT(is<problem>(state.apply(drop_key{name, "a"}, {})));
+    // A claim that provably did not run is free again.
+    name.key = "other";
+    CPPUNIT_ASSERT(is<key_claimed>(claim("a", 1, 0)));
+    CPPUNIT_ASSERT(is<command_done>(state.apply(drop_key{name, "a"}, {})));
+    CPPUNIT_ASSERT(is<key_claimed>(claim("b", 1, 1)));
+  }
+
+  void large_answers_are_not_held() {
+    replicated_state state;
+    key_name name{"grocer", "orders", "k"};
+    state.apply(claim_key{name, 1, "a", at_ms(100), at_ms(0)}, {});
+    stored_answer large{200, "text/plain", std::string(100'000, 'x'), true};
+    state.apply(finish_key{name, "a", large, {}}, {});
+    auto r = state.apply(claim_key{name, 1, "b", at_ms(300), at_ms(200)}, {});
+    CPPUNIT_ASSERT(!std::get<key_answered>(r).answer.held);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, state.tables().held_answer_bytes);
+  }
+
+  void a_bad_job_is_not_held_against_workers() {
+    replicated_state state;
+    state.apply(submit_job{spec("bad"), {}}, {1});
+    for (std::uint32_t i = 1; i <= 3; ++i) {
+      auto worker = "w" + std::to_string(i);
+      state.apply(place_job{{1}, {}, {{worker, 1, 0, 0}}, {}, {}}, {i * 10});
+      state.apply(start_job{{1}, i, {}}, {});
+      state.apply(
+          end_attempt{
+              {1}, i, attempt_result::failed, i < 3, worker, {}, "crashed", {}},
+          {});
+      state.apply(release_workers{{1}, i, {worker}}, {});
+    }
+    CPPUNIT_ASSERT(state.find_job(job_id{1})->state == job_state::failed);
+    for (const auto& [worker, failures] : state.tables().failures) {
+      CPPUNIT_ASSERT(failures.empty());
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(state_test);
