Keep reserved cells in the state, hold places back for large gangs

Ruled out: claims taking the freed cells (their order changed nothing by itself). Change: a reservation is a command, stable over passes and leaders; large gangs have a place held back from a quarter of the wait bound on, where only work that ends in time or can be checkpointed is put.

--- a/bench/job_mix.cpp
+++ b/bench/job_mix.cpp
@@ -138,6 +138,22 @@
   return shape.kinds.front();
 }
 
+/// Stretches the arrivals so that the work drawn offers exactly this many
+/// accelerators' worth.
+void scale_to_load(job_mix& mix, double accelerators) {
+  double work = 0;
+  for (const auto& a : mix.arrivals) {
+    work += a.spec.gang.accelerators * static_cast<double>(a.actual.count());
+  }
+  auto first = mix.arrivals.front().at;
+  auto span = static_cast<double>((mix.arrivals.back().at - first).count());
+  auto factor = work / accelerators / span;
+  for (auto& a : mix.arrivals) {
+    auto offset = static_cast<double>((a.at - first).count()) * factor;
+    a.at = first + milliseconds(static_cast<std::int64_t>(offset));
+  }
+}
+
 }  // namespace
 
 auto make_mix(site_kind kind, double load, std::uint64_t seed, std::size_t jobs)
@@ -193,6 +209,7 @@
       mix.arrivals.push_back(std::move(a));
     }
   }
+  scale_to_load(mix, load * capacity);
   return mix;
 }
 
--- a/bench/job_replay.cpp
+++ b/bench/job_replay.cpp
@@ -264,6 +264,8 @@
   }
 
   auto result() -> replay_result {
+    for (auto& [w, n] : why_)
+      std::fprintf(stderr, "%s: %llu\n", w.c_str(), (unsigned long long)n);
     replay_result r;
     r.mean_completion = mean(completion_);
     r.p95_completion = quantile(completion_, 0.95);
--- a/src/adapters/app.cpp
+++ b/src/adapters/app.cpp
@@ -1,7 +1,7 @@
 #include "adapters/app.h"
 
-#include <csignal>
 #include <condition_variable>
+#include <csignal>
 #include <cstdlib>
 #include <mutex>
 
@@ -37,8 +37,8 @@
   sigwait(&set, &which);
 }
 
-auto wait_until_idle(const http_server& server,
-                     std::chrono::milliseconds limit) -> bool {
+auto wait_until_idle(const http_server& server, std::chrono::milliseconds limit)
+    -> bool {
   std::mutex mutex;
   std::condition_variable never;
   std::unique_lock lock(mutex);
--- a/src/adapters/app.h
+++ b/src/adapters/app.h
@@ -19,12 +19,11 @@
 
 /// Waits until the server has no request left, at most this long. Returns
 /// whether it has none.
-auto wait_until_idle(const http_server& server,
-                     std::chrono::milliseconds limit) -> bool;
+auto wait_until_idle(const http_server& server, std::chrono::milliseconds limit)
+    -> bool;
 
 /// Ends the process at once after a failure that forbids to go on.
-[[noreturn]] void stop_at_once(std::string_view event,
-                               std::string_view detail);
+[[noreturn]] void stop_at_once(std::string_view event, std::string_view detail);
 
 /// Starts the log at the level that a flag names, or refuses the flag.
 void start_log_from_flag(std::string_view level, std::string_view process);
--- a/src/adapters/codec.cpp
+++ b/src/adapters/codec.cpp
@@ -165,6 +165,13 @@
   to.set_at(to_ms(from.at));
 }
 
+static void write_one(const reserve_cells& from, wire::command& command) {
+  auto& to = *command.mutable_reserve();
+  to.set_job(from.job.value);
+  if (from.claim) write(*from.claim, *to.mutable_claim());
+  write_all(from.cells, *to.mutable_cells());
+}
+
 static void write_one(const start_job& from, wire::command& command) {
   auto& to = *command.mutable_start();
   to.set_job(from.job.value);
@@ -269,6 +276,14 @@
   return to;
 }
 
+static auto read_one(const wire::reserve_cells& from) -> reserve_cells {
+  reserve_cells to;
+  to.job = {from.job()};
+  if (from.has_claim()) to.claim = read(from.claim());
+  to.cells = read_all<std::vector<assignment>>(from.cells());
+  return to;
+}
+
 static auto read_one(const wire::end_attempt& from) -> end_attempt {
   return {{from.job()},
           from.attempt(),
@@ -447,6 +462,12 @@
   for (const auto& worker : from.failed_on)
     to.add_failed_on(worker);
   to.set_reclaims(from.reclaims);
+  write_all(from.reserved, *to.mutable_reserved());
+  if (from.reserved_claim) {
+    write(*from.reserved_claim, *to.mutable_reserved_claim());
+  }
+  for (const auto& worker : from.ran_on)
+    to.add_ran_on(worker);
 }
 
 static auto read(const wire::job_record& from) -> job_record {
@@ -467,6 +488,11 @@
   to.progress = milliseconds(from.progress_ms());
   to.failed_on = strings<std::vector<std::string>>(from.failed_on());
   to.reclaims = from.reclaims();
+  to.reserved = read_all<std::vector<assignment>>(from.reserved());
+  if (from.has_reserved_claim()) {
+    to.reserved_claim = read(from.reserved_claim());
+  }
+  to.ran_on = strings<std::vector<std::string>>(from.ran_on());
   return to;
 }
 
@@ -514,6 +540,8 @@
     case kind::kFinish:
       return finish_key{read(from.finish().name()), from.finish().owner(),
                         read(from.finish().what()), at_ms(from.finish().at())};
+    case kind::kReserve:
+      return read_one(from.reserve());
     case kind::kDrop:
       return drop_key{read(from.drop().name()), from.drop().owner()};
     case kind::WHAT_NOT_SET:
--- a/src/adapters/control_client.cpp
+++ b/src/adapters/control_client.cpp
@@ -94,8 +94,7 @@
   *out.mutable_request() = std::move(request);
   peers_.send(w->asked, std::move(out));
   boost::system::error_code ec;
-  co_await w->timer.async_wait(
-      asio::redirect_error(asio::use_awaitable, ec));
+  co_await w->timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
   {
     ranked_lock lock(mutex_);
     waiters_.erase(id);
@@ -137,8 +136,7 @@
     auto* refused = std::get_if<problem>(&result);
     bool again = refused != nullptr && refused->status == 503;
     if (!again) co_return result;
-    may_have_acted =
-        may_have_acted || refused->outcome == run_outcome::unknown;
+    may_have_acted = may_have_acted || refused->outcome == run_outcome::unknown;
     last = std::move(*refused);
     auto executor = co_await asio::this_coro::executor;
     asio::steady_timer pause(executor, no_leader_pause);
@@ -164,8 +162,7 @@
 }
 
 auto control_client::document(std::string_view what, std::string_view argument,
-                              std::string_view customer,
-                              std::string_view state)
+                              std::string_view customer, std::string_view state)
     -> asio::awaitable<result_or_problem<std::string>> {
   wire::call request;
   auto& ask = *request.mutable_ask();
--- a/src/adapters/entry_node.cpp
+++ b/src/adapters/entry_node.cpp
@@ -79,8 +79,7 @@
   std::string_view query;
 
   /// The part after a prefix, if the path has it.
-  auto after(std::string_view prefix) const
-      -> std::optional<std::string_view> {
+  auto after(std::string_view prefix) const -> std::optional<std::string_view> {
     if (!path.starts_with(prefix) || path.size() == prefix.size()) return {};
     return path.substr(prefix.size());
   }
@@ -111,8 +110,8 @@
                       milliseconds latency) {
                  gate_.note_probe(endpoint, result, latency);
                }),
-      forwarder_(settings_.name, config_, control_, members_, gate_,
-                 metrics_) {}
+      forwarder_(settings_.name, config_, control_, members_, gate_, metrics_) {
+}
 
 auto entry_node::start() -> std::string {
   auto error = peers_.start(settings_.listen_peer);
@@ -159,8 +158,8 @@
   if (full) full_report_at_ = now;
   std::vector<slot_demand> send;
   for (const auto& d : demands) {
-    auto old = std::ranges::find(last_demands_, d.endpoint,
-                                 &slot_demand::endpoint);
+    auto old =
+        std::ranges::find(last_demands_, d.endpoint, &slot_demand::endpoint);
     bool same = old != last_demands_.end() && old->held == d.held &&
                 old->wanted == d.wanted && old->incarnation == d.incarnation;
     bool waits = d.wanted > d.held;
@@ -197,7 +196,8 @@
   bool accepted = false;
   if (config.changed() || !config_.confirm(version, asked_at)) {
     std::map<std::string, std::string> files;
-    for (const auto& f : config.files()) files[f.name()] = f.body();
+    for (const auto& f : config.files())
+      files[f.name()] = f.body();
     auto parsed = read_folder(files);
     if (auto* site = std::get_if<site_config>(&parsed)) {
       accepted = config_.replace(version, std::move(*site), asked_at);
@@ -223,8 +223,7 @@
   return make_response(200, "text/plain", "ok\n");
 }
 
-auto entry_node::serve(http_request request)
-    -> asio::awaitable<http_response> {
+auto entry_node::serve(http_request request) -> asio::awaitable<http_response> {
   std::string_view target = request.target;
   if (target.starts_with("/s/")) {
     auto response = co_await forwarder_.forward(std::move(request));
@@ -234,8 +233,8 @@
     auto response = co_await serve_api(request);
     co_return response;
   }
-  bool known = target == "/healthz" || target == "/state" ||
-               target == "/metrics";
+  bool known =
+      target == "/healthz" || target == "/state" || target == "/metrics";
   if (!known) co_return refuse(404, "Not found", "there is no such path");
   if (request.method != "GET") {
     co_return refuse(405, "Method not allowed", "only GET is served here");
@@ -252,9 +251,9 @@
   auto at = split_target(request.target);
   std::string_view method = request.method;
   auto wrong_method = [&] {
-    return refuse(405, "Method not allowed",
-                  std::string(method) + " is not served at " +
-                      std::string(at.path));
+    return refuse(
+        405, "Method not allowed",
+        std::string(method) + " is not served at " + std::string(at.path));
   };
   if (at.path == "/v1/jobs") {
     if (method == "POST") co_return co_await submit(request);
@@ -272,8 +271,7 @@
   if (auto id = at.after("/v1/jobs/")) {
     job_id job;
     if (!parse_number(*id, job.value)) {
-      co_return refuse(404, "Not found",
-                       "there is no job " + std::string(*id));
+      co_return refuse(404, "Not found", "there is no job " + std::string(*id));
     }
     if (method == "GET") co_return co_await document("job", *id, at.query);
     if (method != "DELETE") co_return wrong_method();
@@ -323,8 +321,8 @@
   auto until = steady_now() + change_time;
   auto result = co_await control_.commit(command(std::move(what)), until);
   if (auto* job = std::get_if<job_accepted>(&result)) {
-    co_return json_response(202, {{"job", job->job.value},
-                                  {"existed", job->existed}});
+    co_return json_response(
+        202, {{"job", job->job.value}, {"existed", job->existed}});
   }
   if (auto* refused = std::get_if<problem>(&result)) {
     co_return make_response(*refused);
@@ -373,7 +371,9 @@
     auto digest = digest_of(name, request.body);
     what = put_file{name, request.body, base, change, digest, {}};
   } else {
-    auto digest = digest_of(name, "\x01" "deleted");
+    auto digest = digest_of(name,
+                            "\x01"
+                            "deleted");
     what = delete_file{name, base, change, digest, {}};
   }
   auto until = steady_now() + change_time;
@@ -382,11 +382,10 @@
     co_return json_response(200, {{"version", accepted->version.value}});
   }
   if (auto* conflict = std::get_if<config_conflict>(&result)) {
-    auto response = make_response(
-        problem{412, "Another change came first",
-                "the current version is " +
-                    std::to_string(conflict->current.value),
-                run_outcome::conflict});
+    auto response = make_response(problem{
+        412, "Another change came first",
+        "the current version is " + std::to_string(conflict->current.value),
+        run_outcome::conflict});
     response.headers.emplace_back("ETag",
                                   std::to_string(conflict->current.value));
     co_return response;
--- a/src/adapters/forwarder.cpp
+++ b/src/adapters/forwarder.cpp
@@ -28,8 +28,7 @@
 constexpr std::size_t max_key = 200;
 constexpr std::string_view prefix = "/s/";
 
-auto refuse(int status, std::string_view title, std::string detail)
-    -> problem {
+auto refuse(int status, std::string_view title, std::string detail) -> problem {
   return {status, std::string(title), std::move(detail), run_outcome::not_run};
 }
 
@@ -62,11 +61,11 @@
 
 auto replay(const key_answered& ran) -> http_response {
   if (!ran.answer.held) {
-    return make_response(problem{
-        409, "Already ran",
-        "the request ran at " + format_time(ran.ran_at) +
-            "; its answer is no longer held",
-        run_outcome::conflict});
+    return make_response(problem{409, "Already ran",
+                                 "the request ran at " +
+                                     format_time(ran.ran_at) +
+                                     "; its answer is no longer held",
+                                 run_outcome::conflict});
   }
   auto response = make_response(static_cast<int>(ran.answer.status),
                                 ran.answer.content_type, ran.answer.body);
@@ -116,7 +115,8 @@
 
 /// Reads the parts of a request that routing needs.
 template <typename Errand>
-auto parse_request(const site_config& site, Errand& e) -> std::optional<problem> {
+auto parse_request(const site_config& site, Errand& e)
+    -> std::optional<problem> {
   std::string_view rest = e.request.target;
   rest.remove_prefix(prefix.size());
   auto end = rest.find_first_of("/?");
@@ -175,9 +175,9 @@
   auto site = config_.in_force(e.begun);
   if (site == nullptr) {
     count("not-run");
-    co_return make_response(refuse(
-        503, "Configuration not confirmed",
-        "this entry has not heard from the control group in time"));
+    co_return make_response(
+        refuse(503, "Configuration not confirmed",
+               "this entry has not heard from the control group in time"));
   }
   if (auto refused = parse_request(*site, e)) {
     count("not-run");
@@ -287,8 +287,8 @@
               gate_.leave(taken, e.service, attempt_failed{});
               may_repeat = true;
               if (!tried || last.outcome == run_outcome::not_run) {
-                last = {make_response(refuse(503, "Endpoint not reached",
-                                             failed.reason)),
+                last = {make_response(
+                            refuse(503, "Endpoint not reached", failed.reason)),
                         false, run_outcome::not_run};
               }
             },
@@ -297,10 +297,10 @@
               if (failed.timed_out) health = attempt_timed_out{now - begun};
               gate_.leave(taken, e.service, health);
               may_repeat = e.repeatable && !failed.timed_out;
-              problem told{failed.timed_out ? 504 : 502,
-                           failed.timed_out ? "Deadline passed"
-                                            : "Endpoint failed",
-                           failed.reason, run_outcome::unknown};
+              problem told{
+                  failed.timed_out ? 504 : 502,
+                  failed.timed_out ? "Deadline passed" : "Endpoint failed",
+                  failed.reason, run_outcome::unknown};
               last = {make_response(told), false, run_outcome::unknown};
             }},
         result);
--- a/src/adapters/json.cpp
+++ b/src/adapters/json.cpp
@@ -39,8 +39,7 @@
   }
 
   auto number(std::string_view key, std::uint64_t low, std::uint64_t high,
-              std::uint64_t fallback, bool required = false)
-      -> std::uint64_t {
+              std::uint64_t fallback, bool required = false) -> std::uint64_t {
     const auto* value = object_.if_contains(key);
     if (value == nullptr) return missing(key, required), fallback;
     json::error_code ec;
@@ -159,8 +158,8 @@
   if (const auto* usage = value.get_object().if_contains("usage")) {
     if (usage->is_object()) {
       object_reader used(usage->get_object(), "reports.usage.");
-      report.processors = static_cast<std::uint32_t>(
-          used.number("processors", 0, 1u << 20, 0));
+      report.processors =
+          static_cast<std::uint32_t>(used.number("processors", 0, 1u << 20, 0));
       report.memory_mb = used.number("memory_mb", 0, max_number, 0);
       in.adopt(used);
     } else {
@@ -188,10 +187,14 @@
 
 auto condition_name(worker_condition condition) -> std::string_view {
   switch (condition) {
-    case worker_condition::ready: return "ready";
-    case worker_condition::quarantined: return "quarantined";
-    case worker_condition::draining: return "draining";
-    case worker_condition::lost: return "lost";
+    case worker_condition::ready:
+      return "ready";
+    case worker_condition::quarantined:
+      return "quarantined";
+    case worker_condition::draining:
+      return "draining";
+    case worker_condition::lost:
+      return "lost";
   }
   return "unknown";
 }
@@ -205,8 +208,7 @@
   std::tm parts{};
   gmtime_r(&seconds, &parts);
   std::array<char, 40> text{};
-  auto n =
-      std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+  auto n = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
   std::snprintf(text.data() + n, text.size() - n, ".%03dZ",
                 static_cast<int>(ms % 1000));
   return text.data();
@@ -214,8 +216,8 @@
 
 auto parse_job(std::string_view body) -> result_or_problem<job_spec> {
   return parse_body<job_spec>(body, [](object_reader& in) {
-    in.only({"key", "customer", "gang", "processors", "memory_mb",
-             "run_time_s", "urgency", "borrow", "checkpoint", "payload"});
+    in.only({"key", "customer", "gang", "processors", "memory_mb", "run_time_s",
+             "urgency", "borrow", "checkpoint", "payload"});
     job_spec spec;
     spec.key = in.text("key");
     spec.customer = in.text("customer");
@@ -346,11 +348,9 @@
       {"key", spec.key},
       {"state", to_string(job.state)},
       {"reason", job.reason},
-      {"gang",
-       json::object{{"accelerators", spec.gang.accelerators},
-                    {"adjacency", to_string(spec.gang.within)}}},
-      {"urgency",
-       spec.how_urgent == urgency::urgent ? "urgent" : "normal"},
+      {"gang", json::object{{"accelerators", spec.gang.accelerators},
+                            {"adjacency", to_string(spec.gang.within)}}},
+      {"urgency", spec.how_urgent == urgency::urgent ? "urgent" : "normal"},
       {"run_time_s", static_cast<double>(spec.run_time.count()) / 1000},
       {"attempt", job.attempt},
       {"reclaims", job.reclaims},
@@ -358,7 +358,9 @@
       {"placed", format_time(job.placed_at)},
       {"started", format_time(job.started_at)},
       {"ended", format_time(job.ended_at)},
-      {"assignments", assignments_json(job.assignments)}};
+      {"ran_on", json::value_from(job.ran_on)},
+      {"assignments", assignments_json(job.assignments)},
+      {"reserved", assignments_json(job.reserved)}};
   if (job.claim) out["guarantee"] = job.claim->guarantee;
   return out;
 }
@@ -377,17 +379,17 @@
 }
 
 auto to_json(const endpoint_record& record) -> json::object {
-  return {{"name", record.name},
-          {"incarnation", record.incarnation},
-          {"sequence", record.sequence},
-          {"service", record.service},
-          {"address", record.address},
-          {"data_centre", record.data_centre},
-          {"slots", record.slots},
-          {"connections", record.connections},
-          {"state",
-           record.state == endpoint_state::leaving ? "leaving" : "ready"},
-          {"ttl_ms", record.ttl.count()}};
+  return {
+      {"name", record.name},
+      {"incarnation", record.incarnation},
+      {"sequence", record.sequence},
+      {"service", record.service},
+      {"address", record.address},
+      {"data_centre", record.data_centre},
+      {"slots", record.slots},
+      {"connections", record.connections},
+      {"state", record.state == endpoint_state::leaving ? "leaving" : "ready"},
+      {"ttl_ms", record.ttl.count()}};
 }
 
 auto to_json(const site_config& site) -> json::object {
@@ -454,7 +456,8 @@
 
 auto to_json(const lease_renewal& renewal) -> json::object {
   json::array tasks;
-  for (const auto& task : renewal.tasks) tasks.push_back(to_json(task));
+  for (const auto& task : renewal.tasks)
+    tasks.push_back(to_json(task));
   return {{"ttl_ms", renewal.ttl.count()}, {"tasks", std::move(tasks)}};
 }
 
--- a/src/adapters/membership_node.cpp
+++ b/src/adapters/membership_node.cpp
@@ -154,7 +154,8 @@
     for (const auto& [name, record] : table_.records()) {
       write(record, now, *gossip.add_endpoints());
     }
-    for (const auto& [address, other] : entries_) gossip.add_known(address);
+    for (const auto& [address, other] : entries_)
+      gossip.add_known(address);
   }
   peers_.send(message.address(), std::move(full));
 }
@@ -230,14 +231,12 @@
     endpoints.push_back(std::move(row));
   }
   for (const auto& [address, entry] : entries_) {
-    boost::json::object row{{"address", address},
-                            {"name", entry.name},
-                            {"leaving", entry.leaving}};
+    boost::json::object row{
+        {"address", address}, {"name", entry.name}, {"leaving", entry.leaving}};
     if (entry.incarnation != 0) row["age_ms"] = (now - entry.heard_at).count();
     entries.push_back(std::move(row));
   }
-  return {{"endpoints", std::move(endpoints)},
-          {"entries", std::move(entries)}};
+  return {{"endpoints", std::move(endpoints)}, {"entries", std::move(entries)}};
 }
 
 }  // namespace parsleyledge
--- a/src/adapters/operator_client.cpp
+++ b/src/adapters/operator_client.cpp
@@ -40,15 +40,15 @@
   limits.idempotent = repeatable;
   exchange_result last = exchange_not_sent{"no entry is known"};
   for (const auto& entry : entries_) {
-    last = boost::asio::co_spawn(pool_,
-                                 client_.exchange(entry, request, limits),
-                                 boost::asio::use_future)
-               .get();
+    last =
+        boost::asio::co_spawn(pool_, client_.exchange(entry, request, limits),
+                              boost::asio::use_future)
+            .get();
     if (const auto* answered = std::get_if<exchange_answered>(&last)) {
       // An entry that cannot serve says so; another one may.
-      bool elsewhere = answered->response.status == 503 &&
-                       answered->response.header("Parsley-Outcome") ==
-                           "not-run";
+      bool elsewhere =
+          answered->response.status == 503 &&
+          answered->response.header("Parsley-Outcome") == "not-run";
       if (!elsewhere) return last;
     } else if (std::holds_alternative<exchange_broken>(last) && !repeatable) {
       return last;
@@ -73,23 +73,23 @@
 
 auto explain(const exchange_result& result) -> exit_code {
   return std::visit(
-      overloaded{
-          [](const exchange_answered& answered) {
-            const auto& response = answered.response;
-            if (response.status < 300) return exit_code::done;
-            std::cerr << response.status << ": " << response.body << "\n";
-            return response.header("Parsley-Outcome") == "unknown"
-                       ? exit_code::unknown
-                       : exit_code::refused;
-          },
-          [](const exchange_not_sent& failed) {
-            std::cerr << "not sent: " << failed.reason << "\n";
-            return exit_code::refused;
-          },
-          [](const exchange_broken& failed) {
-            std::cerr << "outcome unknown: " << failed.reason << "\n";
-            return exit_code::unknown;
-          }},
+      overloaded{[](const exchange_answered& answered) {
+                   const auto& response = answered.response;
+                   if (response.status < 300) return exit_code::done;
+                   std::cerr << response.status << ": " << response.body
+                             << "\n";
+                   return response.header("Parsley-Outcome") == "unknown"
+                              ? exit_code::unknown
+                              : exit_code::refused;
+                 },
+                 [](const exchange_not_sent& failed) {
+                   std::cerr << "not sent: " << failed.reason << "\n";
+                   return exit_code::refused;
+                 },
+                 [](const exchange_broken& failed) {
+                   std::cerr << "outcome unknown: " << failed.reason << "\n";
+                   return exit_code::unknown;
+                 }},
       result);
 }
 
--- a/src/adapters/replica_node.cpp
+++ b/src/adapters/replica_node.cpp
@@ -47,7 +47,9 @@
   }
 }
 
-void replica_node::start() { schedule_tick(); }
+void replica_node::start() {
+  schedule_tick();
+}
 
 void replica_node::schedule_tick() {
   timer_.expires_after(tick_interval);
@@ -68,7 +70,9 @@
   inbox_.clear();
 }
 
-void replica_node::receive(ag::message message) { put(std::move(message)); }
+void replica_node::receive(ag::message message) {
+  put(std::move(message));
+}
 
 void replica_node::propose(const command& what, result_handler done) {
   put(proposal{encode(what), std::move(done)});
@@ -80,7 +84,9 @@
   put(member_proposal{std::move(change), std::move(done)});
 }
 
-void replica_node::transfer() { put(transfer_request{}); }
+void replica_node::transfer() {
+  put(transfer_request{});
+}
 
 void replica_node::put(input item) {
   ranked_lock lock(inbox_mutex_);
@@ -121,24 +127,22 @@
     std::vector<result_handler> handlers;
     for (auto& item : inputs) {
       std::visit(
-          overloaded{
-              [&](ag::message& m) { add(replica_.receive(m, now)); },
-              [&](proposal& p) {
-                payloads.push_back(std::move(p.payload));
-                handlers.push_back(std::move(p.done));
-              },
-              [&](member_proposal& p) {
-                bool done = replica_.propose_members(
-                    p.change(replica_.members()));
-                answers.push_back([done, tell = std::move(p.done)] {
-                  tell(done);
-                });
-              },
-              [&](tick&) { add(replica_.tick(now)); },
-              [&](transfer_request&) {
-                add(replica_.transfer_leadership(now));
-              },
-              [&](encoded_snapshot& s) { snapshots.push_back(s); }},
+          overloaded{[&](ag::message& m) { add(replica_.receive(m, now)); },
+                     [&](proposal& p) {
+                       payloads.push_back(std::move(p.payload));
+                       handlers.push_back(std::move(p.done));
+                     },
+                     [&](member_proposal& p) {
+                       bool done = replica_.propose_members(
+                           p.change(replica_.members()));
+                       answers.push_back(
+                           [done, tell = std::move(p.done)] { tell(done); });
+                     },
+                     [&](tick&) { add(replica_.tick(now)); },
+                     [&](transfer_request&) {
+                       add(replica_.transfer_leadership(now));
+                     },
+                     [&](encoded_snapshot& s) { snapshots.push_back(s); }},
           item);
     }
     auto first = replica_.propose(payloads);
@@ -153,8 +157,10 @@
     }
     add(replica_.flush(now));
   }
-  for (const auto& snapshot : snapshots) install(snapshot);
-  for (const auto& answer : answers) answer();
+  for (const auto& snapshot : snapshots)
+    install(snapshot);
+  for (const auto& answer : answers)
+    answer();
   return effects;
 }
 
@@ -289,8 +295,8 @@
     *tables = state_.tables();
   }
   boost::asio::post(pool_, [this, tables, last = applied_] {
-    put(encoded_snapshot{
-        last, std::make_shared<const std::string>(encode(*tables))});
+    put(encoded_snapshot{last,
+                         std::make_shared<const std::string>(encode(*tables))});
   });
 }
 
--- a/src/adapters/replica_node.h
+++ b/src/adapters/replica_node.h
@@ -62,11 +62,10 @@
   void propose(const command& what, result_handler done);
 
   /// Proposes another set of members, and tells whether it was accepted.
-  void change_members(
-      std::function<std::vector<agreement::member>(
-          std::span<const agreement::member>)>
-          change,
-      std::function<void(bool)> done);
+  void change_members(std::function<std::vector<agreement::member>(
+                          std::span<const agreement::member>)>
+                          change,
+                      std::function<void(bool)> done);
 
   /// Hands leadership over, if this replica leads.
   void transfer();
@@ -129,7 +128,7 @@
 
   boost::asio::thread_pool& pool_;
   boost::asio::steady_timer timer_;
-  journal disk_;      // used by the one that pumps
+  journal disk_;  // used by the one that pumps
   metrics& metrics_;
   hooks hooks_;
   std::map<agreement::log_index, pending> pending_;  // likewise
--- a/src/adapters/request_gate.cpp
+++ b/src/adapters/request_gate.cpp
@@ -170,7 +170,8 @@
     }
     demands.push_back(std::move(d));
   }
-  for (auto& [service, queue] : queues_) wake(service, now);
+  for (auto& [service, queue] : queues_)
+    wake(service, now);
   return demands;
 }
 
@@ -183,7 +184,8 @@
     router_.set_limit(g.endpoint, g.incarnation, g.slots);
   }
   auto now = steady_now();
-  for (auto& [service, queue] : queues_) wake(service, now);
+  for (auto& [service, queue] : queues_)
+    wake(service, now);
 }
 
 auto request_gate::rows_json() -> boost::json::array {
@@ -191,17 +193,16 @@
   ranked_lock lock(mutex_);
   auto now = steady_now();
   for (const auto& [name, row] : router_.rows()) {
-    rows.push_back(boost::json::object{
-        {"endpoint", name},
-        {"service", row.service},
-        {"address", row.address},
-        {"slots_granted", row.limit},
-        {"in_flight", row.in_flight},
-        {"latency_ms", row.latency_ms},
-        {"failures", row.failures},
-        {"ejected", row.ejected_until > now},
-        {"leaving", row.leaving},
-        {"served", row.served}});
+    rows.push_back(boost::json::object{{"endpoint", name},
+                                       {"service", row.service},
+                                       {"address", row.address},
+                                       {"slots_granted", row.limit},
+                                       {"in_flight", row.in_flight},
+                                       {"latency_ms", row.latency_ms},
+                                       {"failures", row.failures},
+                                       {"ejected", row.ejected_until > now},
+                                       {"leaving", row.leaving},
+                                       {"served", row.served}});
   }
   return rows;
 }
--- a/src/apps/control.cpp
+++ b/src/apps/control.cpp
@@ -77,9 +77,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  constexpr std::string_view required[] = {
-      "name", "data_centre", "listen_http", "listen_peer", "peers",
-      "data_folder"};
+  constexpr std::string_view required[] = {"name",        "data_centre",
+                                           "listen_http", "listen_peer",
+                                           "peers",       "data_folder"};
   read_settings(argc, argv, "parsleyledge-control: a replica of the state",
                 required);
   auto threads = absl::GetFlag(FLAGS_threads);
@@ -97,18 +97,16 @@
   block_signals();
 
   journal disk(disk_files(absl::GetFlag(FLAGS_data_folder)));
-  auto recovered =
-      open_journal(disk, {settings.group, settings.replica.id});
+  auto recovered = open_journal(disk, {settings.group, settings.replica.id});
   settings.replica.life = disk.life();
   settings.replica.seed = disk.life().value;
   log_event(log_level::info, "recovered",
             {{"entries", static_cast<std::int64_t>(recovered.entries.size())}});
 
   boost::asio::thread_pool pool(static_cast<std::size_t>(threads));
-  control_node node(pool, settings, std::move(disk), std::move(recovered),
-                    [](std::string_view detail) {
-                      stop_at_once("replica_stopped", detail);
-                    });
+  control_node node(
+      pool, settings, std::move(disk), std::move(recovered),
+      [](std::string_view detail) { stop_at_once("replica_stopped", detail); });
   http_server server(pool, http_limits{});
   auto error = node.start();
   if (error.empty()) {
--- a/src/apps/ctl.cpp
+++ b/src/apps/ctl.cpp
@@ -171,7 +171,7 @@
 
 void print_job(const json::value& job) {
   print_rows(json::array{job}, {"job", "customer", "key", "state", "attempt",
-                                "started", "ended", "reason"});
+                                "started", "ended", "ran_on", "reason"});
 }
 
 auto wait_for_job(operator_client& client, std::string_view id) -> exit_code {
@@ -182,8 +182,8 @@
     auto job = client.document("/v1/jobs/" + std::string(id));
     auto state = as_text(job.at("state"));
     if (terminal) std::cerr << "\rjob " << id << ": " << state << "      ";
-    bool ended = state == "done" || state == "failed" ||
-                 state == "cancelled" || state == "refused";
+    bool ended = state == "done" || state == "failed" || state == "cancelled" ||
+                 state == "refused";
     if (ended) {
       if (terminal) std::cerr << "\n";
       if (absl::GetFlag(FLAGS_json)) {
@@ -292,8 +292,8 @@
       {"customers", 0, "customers and the homes of their guarantees",
        [](auto& client, arguments) {
          return show(client, "/v1/customers", "customers",
-                     {"customer", "share", "waiting", "running",
-                      "accelerators", "borrowed"});
+                     {"customer", "share", "waiting", "running", "accelerators",
+                      "borrowed"});
        }},
       {"workers", 0, "workers",
        [](auto& client, arguments) {
--- a/src/apps/entry.cpp
+++ b/src/apps/entry.cpp
@@ -40,9 +40,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  constexpr std::string_view required[] = {"name", "data_centre",
-                                           "listen_http", "listen_peer",
-                                           "control"};
+  constexpr std::string_view required[] = {"name", "data_centre", "listen_http",
+                                           "listen_peer", "control"};
   read_settings(argc, argv, "parsleyledge-entry: callers' way in", required);
   auto threads = absl::GetFlag(FLAGS_threads);
   if (threads < 1 || threads > 256) {
--- a/src/core/jobs/cell_map.cpp
+++ b/src/core/jobs/cell_map.cpp
@@ -13,6 +13,7 @@
 constexpr double leftover_cost = 0.05;  // an accelerator left on the worker
 constexpr double home_cost = 2.0;       // an accelerator of an idle home
 constexpr double reclaim_cost = 1.0;    // an accelerator to be reclaimed
+constexpr double held_back_cost = 1.0;  // an accelerator that is held back
 
 auto count_bits(std::uint64_t mask) -> std::uint32_t {
   return static_cast<std::uint32_t>(std::popcount(mask));
@@ -179,20 +180,21 @@
   if (index) rows_[*index].reserved |= what.accelerators;
 }
 
-void cell_map::clear_reservations() {
-  for (auto& r : rows_)
-    r.reserved = 0;
+void cell_map::hold_back(const assignment& what) {
+  auto index = find_worker(what.worker);
+  if (index) rows_[*index].held_back |= what.accelerators;
 }
 
-auto cell_map::available(const row& r, cell_scope scope) const
+auto cell_map::available(const row& r, cell_scope scope, bool held_back) const
     -> std::uint64_t {
+  auto closed = r.reserved | (held_back ? 0 : r.held_back);
   switch (scope) {
     case cell_scope::outside_homes:
-      return r.all & ~r.held & ~r.reserved & ~r.home;
+      return r.all & ~r.held & ~closed & ~r.home;
     case cell_scope::free:
-      return r.all & ~r.held & ~r.reserved;
+      return r.all & ~r.held & ~closed;
     case cell_scope::reclaimable:
-      return r.all & (~r.held | r.reclaimable) & ~r.reserved;
+      return r.all & (~r.held | r.reclaimable) & ~closed;
     case cell_scope::unclaimed:
       return r.all & ~r.home & (~r.held | r.reclaimable);
     case cell_scope::all:
@@ -203,7 +205,7 @@
 
 /// How many accelerators of the gang the worker can take.
 auto cell_map::capacity(const row& r, const search& s) const -> std::uint32_t {
-  auto count = count_bits(available(r, s.scope));
+  auto count = count_bits(available(r, s.scope, s.weights.held_back));
   if (s.scope == cell_scope::unclaimed || count == 0) return count;
   auto processors = r.processors;
   auto memory = r.memory_mb;
@@ -250,7 +252,7 @@
   auto n = s.need.shape.accelerators;
   for (std::uint32_t i = 0; i < rows_.size(); ++i) {
     const auto& r = rows_[i];
-    auto mask = available(r, s.scope);
+    auto mask = available(r, s.scope, s.weights.held_back);
     if (count_bits(mask) < n || capacity(r, s) < n) continue;
     auto own = mask;
     if (s.scope == cell_scope::reclaimable && count_bits(mask & ~r.held) >= n) {
@@ -260,6 +262,7 @@
     double cost = leftover_cost * (count_bits(mask) - n);
     cost += home_cost * count_bits(chosen & r.idle_home);
     cost += reclaim_cost * count_bits(chosen & r.held);
+    cost += held_back_cost * count_bits(chosen & r.held_back);
     if (s.weights.fragmentation > 0) {
       cost += s.weights.fragmentation *
               stranded_change(i, n, s.weights.largest) / n;
@@ -303,7 +306,7 @@
     }
     auto n = std::min(rest, take.count);
     const auto& r = rows_[take.worker];
-    auto mask = available(r, s.scope);
+    auto mask = available(r, s.scope, s.weights.held_back);
     auto preferred = mask & ~r.held & ~r.idle_home;
     if (count_bits(preferred) < n) preferred = mask & ~r.held;
     if (count_bits(preferred) < n) preferred = mask;
@@ -327,6 +330,7 @@
       const auto& r = rows_[c.worker];
       cost += home_cost * count_bits(c.accelerators & r.idle_home);
       cost += reclaim_cost * count_bits(c.accelerators & r.held);
+      cost += held_back_cost * count_bits(c.accelerators & r.held_back);
       cost += leftover_cost;  // fewer workers are better
     }
     if (s.weights.fragmentation > 0) {
@@ -404,10 +408,20 @@
 auto cell_map::is_free(const assignment& what) const -> bool {
   auto index = find_worker(what.worker);
   if (!index) return false;
-  auto free = available(rows_[*index], cell_scope::free);
+  auto free = available(rows_[*index], cell_scope::free, true);
   return (free & what.accelerators) == what.accelerators;
 }
 
+auto cell_map::is_borrowable(std::span<const assignment> cells) const -> bool {
+  return std::ranges::all_of(cells, [&](const assignment& a) {
+    auto index = find_worker(a.worker);
+    if (!index) return false;
+    const auto& r = rows_[*index];
+    auto usable = r.all & (~r.held | r.reclaimable) & ~r.reserved;
+    return (usable & a.accelerators) == a.accelerators;
+  });
+}
+
 auto cell_map::has_room(const assignment& what) const -> bool {
   auto index = find_worker(what.worker);
   if (!index) return false;
--- a/src/core/jobs/cell_map.h
+++ b/src/core/jobs/cell_map.h
@@ -46,6 +46,7 @@
   gang_shape largest;        // the shape that must not become unplaceable
   double fragmentation = 0;  // weight of accelerators that are stranded
   bool first_fit = false;    // take the first place instead of the best
+  bool held_back = false;    // may use accelerators that are held back
 };
 
 /// The accelerators of the site, split like buddies: accelerator, pair, quad,
@@ -84,8 +85,9 @@
   /// Keeps accelerators for a job that waits for them to become free.
   void reserve(const assignment& what);
 
-  /// Removes all reservations.
-  void clear_reservations();
+  /// Keeps accelerators from work that would still run, and could not be
+  /// reclaimed, when a large gang is due there.
+  void hold_back(const assignment& what);
 
   /// The best places in different domains, at most `limit`, best first.
   auto find(const gang_need& need, cell_scope scope,
@@ -99,6 +101,10 @@
   /// Whether the assignment's accelerators are all free and unreserved.
   auto is_free(const assignment& what) const -> bool;
 
+  /// Whether the assignments' workers take work and no claim holds any of
+  /// their accelerators.
+  auto is_borrowable(std::span<const assignment> cells) const -> bool;
+
   /// Whether the assignment's processors and memory are free too.
   auto has_room(const assignment& what) const -> bool;
 
@@ -121,6 +127,7 @@
     std::uint64_t home = 0;
     std::uint64_t idle_home = 0;
     std::uint64_t reserved = 0;
+    std::uint64_t held_back = 0;
     std::int64_t processors = 0;
     std::int64_t memory_mb = 0;
     std::int64_t reclaimable_processors = 0;
@@ -134,7 +141,8 @@
   };
   struct search;
 
-  auto available(const row& r, cell_scope scope) const -> std::uint64_t;
+  auto available(const row& r, cell_scope scope, bool held_back) const
+      -> std::uint64_t;
   auto capacity(const row& r, const search& s) const -> std::uint32_t;
   auto fill(std::span<const std::uint32_t> workers, const search& s) const
       -> std::vector<cell>;
--- a/src/core/jobs/job.h
+++ b/src/core/jobs/job.h
@@ -76,6 +76,9 @@
   fence_number fence;
   std::optional<guarantee_slot> claim;
   std::vector<assignment> assignments;
+  std::vector<assignment> reserved;  // kept for it while it waits
+  std::optional<guarantee_slot> reserved_claim;
+  std::vector<std::string> ran_on;  // workers of the latest attempt
   time_point submitted_at;
   time_point placed_at;
   time_point started_at;
--- a/src/core/jobs/scheduler.cpp
+++ b/src/core/jobs/scheduler.cpp
@@ -15,6 +15,9 @@
 using std::chrono::seconds;
 
 constexpr std::size_t reclaim_candidates = 8;
+constexpr std::size_t max_held_back = 4;  // gangs with a place held back
+constexpr std::size_t max_reservations = 8;
+constexpr int hold_back_divisor = 4;  // from this part of the wait bound
 constexpr seconds aging{3600};  // a wait of this length halves a job's score
 constexpr seconds shortest{1};  // floor of an estimate
 
@@ -26,6 +29,15 @@
   return std::max<std::uint32_t>(job.spec.gang.accelerators, 1);
 }
 
+/// Whether all accelerators of `part` are in `whole`.
+auto covers(std::span<const assignment> whole, std::span<const assignment> part)
+    -> bool {
+  return std::ranges::all_of(part, [&](const assignment& p) {
+    auto it = std::ranges::find(whole, p.worker, &assignment::worker);
+    return it != whole.end() && (p.accelerators & ~it->accelerators) == 0;
+  });
+}
+
 auto overlaps(std::span<const assignment> a, std::span<const assignment> b)
     -> bool {
   for (const auto& x : a) {
@@ -87,10 +99,22 @@
     end_overdue_checkpoints();
     order_queue();
     for (const auto*& job : waiting_) {
-      if (try_claim(*job)) job = nullptr;
+      if (!job->reserved.empty() && use_reservation(*job)) job = nullptr;
     }
     std::erase(waiting_, nullptr);
+    hold_back_for_large();
     failed_needs failed;
+    // Cells that were freed for a gang that comes first must not go to a
+    // claim, which has a home to go to.
+    for (const auto*& job : waiting_) {
+      if (!comes_first(*job)) break;
+      if (!try_claim(*job)) try_borrow(*job, failed);
+      job = nullptr;
+    }
+    for (const auto*& job : waiting_) {
+      if (job != nullptr && try_claim(*job)) job = nullptr;
+    }
+    std::erase(waiting_, nullptr);
     for (const auto* job : waiting_)
       try_borrow(*job, failed);
     return std::move(result_);
@@ -168,7 +192,8 @@
     auto guaranteed = weights_.largest.accelerators;
     if (guaranteed > 1) return std::max<std::uint32_t>(guaranteed / 2, 2);
     std::uint32_t most = 2;
-    for (const auto& w : view_.workers) most = std::max(most, w.accelerators);
+    for (const auto& w : view_.workers)
+      most = std::max(most, w.accelerators);
     return most;
   }
 
@@ -177,6 +202,10 @@
            view_.now - job.submitted_at >= view_.site.policy.large_job_wait;
   }
 
+  auto comes_first(const job_record& job) const -> bool {
+    return job.spec.how_urgent == urgency::urgent || is_starving(job);
+  }
+
   // Short and small work first, which lowers the mean completion time; waiting
   // and a customer's unused share move a job forward.
   auto score(const job_record& job) const -> double {
@@ -218,6 +247,60 @@
       waiting_[i] = queue[i].job;
   }
 
+  // Large gangs that will soon have waited too long get a place each, where
+  // no work is put any more that would be in the way when they are due.
+  void hold_back_for_large() {
+    auto bound = view_.site.policy.large_job_wait;
+    std::vector<const job_record*> due;
+    for (const auto* job : waiting_) {
+      if (job->spec.gang.accelerators >= large_size_ && job->spec.borrow &&
+          job->spec.how_urgent == urgency::normal &&
+          view_.now - job->submitted_at >= bound / hold_back_divisor) {
+        due.push_back(job);
+      }
+    }
+    std::ranges::sort(due, {}, [](const auto* job) {
+      return std::pair(job->submitted_at, job->id);
+    });
+    if (due.size() > max_held_back) due.resize(max_held_back);
+    auto weights = weights_;
+    for (const auto* job : due) {
+      auto at = std::max(job->submitted_at + bound, view_.now);
+      held_until_ = held_until_ ? std::min(*held_until_, at) : at;
+      auto need = need_of(job->spec);
+      auto best = best_reclaim(*job, need, weights, at);
+      for (const auto& a : best.cells)
+        cells_.hold_back(a);
+    }
+  }
+
+  /// A place for a gang, and the work to stop for it at a given time.
+  struct reclaim_plan {
+    std::vector<assignment> cells;
+    std::vector<const job_record*> victims;
+    double loss = 0;
+  };
+
+  /// The place whose work in the way loses the least if stopped at `at`.
+  auto best_reclaim(const job_record& job, const gang_need& need,
+                    const placement_weights& weights, time_point at)
+      -> reclaim_plan {
+    mark_reclaimable_for(job);
+    auto found =
+        cells_.find(need, cell_scope::reclaimable, weights, reclaim_candidates);
+    reclaim_plan best;
+    for (const auto& candidate : found) {
+      auto cells = cells_.assignments(candidate.cells, need);
+      auto victims = victims_of(cells, &job);
+      double loss = 0;
+      for (const auto* v : victims)
+        loss += loss_of(*v, at);
+      if (!best.cells.empty() && loss >= best.loss) continue;
+      best = {std::move(cells), std::move(victims), loss};
+    }
+    return best;
+  }
+
   /// The unclaimed slots of the job's customer that can hold it, the tightest
   /// first.
   auto fitting_slots(const job_record& job) const
@@ -260,6 +343,56 @@
     return cells_.assignments(cells, need_of(job.spec));
   }
 
+  /// Takes the cells kept for a job once they are free, and stops what is in
+  /// the way. False if they are no longer to be had.
+  auto use_reservation(const job_record& job) -> bool {
+    const auto& claim = job.reserved_claim;
+    if (claim) {
+      bool taken = std::ranges::find(claimed_, *claim) != claimed_.end();
+      auto home = homes_.find(*claim);
+      if (taken || home == homes_.end() ||
+          !covers(home->second, job.reserved)) {
+        return false;
+      }
+    } else if (!cells_.is_borrowable(job.reserved)) {
+      return false;
+    }
+    bool free = std::ranges::all_of(job.reserved, [&](const assignment& a) {
+      return cells_.is_free(a) && cells_.has_room(a);
+    });
+    if (free) {
+      place(job, job.reserved, claim, {});
+      return true;
+    }
+    reclaim(victims_of(job.reserved, claim ? nullptr : &job),
+            reclaim_reason(job, claim.has_value()));
+    if (claim) claimed_.push_back(*claim);
+    for (const auto& a : job.reserved)
+      cells_.reserve(a);
+    ++reservations_;
+    return true;
+  }
+
+  static auto reclaim_reason(const job_record& job, bool claim) -> std::string {
+    if (claim) return "reclaimed for a guarantee of " + job.spec.customer;
+    return job.spec.how_urgent == urgency::urgent
+               ? "reclaimed for urgent work"
+               : "reclaimed for a large gang that waited";
+  }
+
+  /// Keeps cells for a job and stops what is in the way.
+  void reserve(const job_record& job, std::optional<guarantee_slot> claim,
+               std::span<const assignment> cells,
+               std::span<const job_record* const> victims) {
+    reclaim(victims, reclaim_reason(job, claim.has_value()));
+    if (claim) claimed_.push_back(*claim);
+    for (const auto& a : cells)
+      cells_.reserve(a);
+    ++reservations_;
+    result_.commands.emplace_back(
+        reserve_cells{job.id, std::move(claim), {cells.begin(), cells.end()}});
+  }
+
   auto try_claim(const job_record& job) -> bool {
     auto slots = fitting_slots(job);
     if (slots.empty()) return false;
@@ -287,7 +420,7 @@
       auto victims = victims_of(part);
       double loss = 0;
       for (const auto* v : victims)
-        loss += loss_of(*v);
+        loss += loss_of(*v, view_.now);
       if (!best || loss < best->loss) {
         best = option{&slot, std::move(part), std::move(victims), loss};
       }
@@ -316,10 +449,7 @@
         }
       }
     }
-    reclaim(best->victims, "reclaimed for a guarantee of " + job.spec.customer);
-    claimed_.push_back(*best->slot);  // kept for this job
-    for (const auto& a : best->cells)
-      cells_.reserve(a);
+    reserve(job, *best->slot, best->cells, best->victims);
     return true;
   }
 
@@ -351,9 +481,11 @@
     return victims;
   }
 
-  // Work that would be repeated, in accelerator seconds.
-  auto loss_of(const job_record& job) const -> double {
+  // Work that would be repeated if stopped at this time, in accelerator
+  // seconds; none if it has ended by then.
+  auto loss_of(const job_record& job, time_point at) const -> double {
     if (job.state != job_state::running) return 0;
+    if (at > view_.now && job.started_at + estimate(job) <= at) return 0;
     seconds grace = view_.site.policy.checkpoint_grace;
     auto lost = job.spec.checkpoint
                     ? std::chrono::duration<double>(grace)
@@ -398,13 +530,22 @@
                                             view_.now});
   }
 
+  auto may_use_held_back(const job_record& job) const -> bool {
+    return job.spec.checkpoint || comes_first(job) ||
+           job.spec.gang.accelerators >= large_size_ ||
+           view_.now + estimate(job) <= *held_until_;
+  }
+
   auto place_free(const job_record& job, cell_scope scope, failed_needs& failed)
       -> bool {
     auto need = need_of(job.spec);
     if (failed.covers(need)) return false;
-    auto found = cells_.find(need, scope, weights_);
+    auto weights = weights_;
+    weights.held_back = !held_until_ || may_use_held_back(job);
+    auto found = cells_.find(need, scope, weights);
     if (found.empty()) {
-      failed.add(need);
+      // With fewer cells to choose from, no says nothing of the others.
+      if (weights.held_back) failed.add(need);
       return false;
     }
     place(job, cells_.assignments(found.front().cells, need), {}, {});
@@ -416,30 +557,12 @@
     if (place_free(job, cell_scope::free, failed)) return;
     bool urgent = job.spec.how_urgent == urgency::urgent;
     if (!urgent && !is_starving(job)) return;
+    if (!urgent && reservations_ >= max_reservations) return;
     auto need = need_of(job.spec);
-    mark_reclaimable_for(job);
-    auto found = cells_.find(need, cell_scope::reclaimable, weights_,
-                             reclaim_candidates);
-    double best_loss = 0;
-    std::vector<const job_record*> best;
-    const placement* place = nullptr;
-    for (const auto& candidate : found) {
-      auto cells = cells_.assignments(candidate.cells, need);
-      auto victims = victims_of(cells, &job);
-      double loss = 0;
-      for (const auto* v : victims)
-        loss += loss_of(*v);
-      if (place != nullptr && loss >= best_loss) continue;
-      place = &candidate;
-      best = std::move(victims);
-      best_loss = loss;
-    }
-    if (place == nullptr) return;
-    reclaim(best, urgent ? "reclaimed for urgent work"
-                         : "reclaimed for a large gang that waited");
-    for (const auto& a : cells_.assignments(place->cells, need)) {
-      cells_.reserve(a);
-    }
+    auto weights = weights_;
+    weights.held_back = true;
+    auto best = best_reclaim(job, need, weights, view_.now);
+    if (!best.cells.empty()) reserve(job, {}, best.cells, best.victims);
   }
 
   // Work is not stopped for the like of it: urgent for urgent, or a gang for
@@ -456,7 +579,8 @@
     cells_.forbid_reclaim();
     for (const auto* other : view_.jobs) {
       if (other->claim || !may_reclaim(job, *other)) continue;
-      for (const auto& a : other->assignments) cells_.allow_reclaim(a);
+      for (const auto& a : other->assignments)
+        cells_.allow_reclaim(a);
     }
   }
 
@@ -470,6 +594,8 @@
   std::map<std::uint32_t, std::vector<const job_record*>> borrowers_;
   std::map<std::string, double> borrowed_;  // accelerators, by customer
   std::set<job_id> interrupted_;
+  std::size_t reservations_ = 0;  // jobs that wait for cells to become free
+  std::optional<time_point> held_until_;  // the first gang is due then
   schedule result_;
 };
 
--- a/src/core/state/command.h
+++ b/src/core/state/command.h
@@ -53,6 +53,13 @@
   time_point at;
 };
 
+/// Keeps accelerators for a waiting job while others are stopped there.
+struct reserve_cells {
+  job_id job;
+  std::optional<guarantee_slot> claim;
+  std::vector<assignment> cells;
+};
+
 /// Every worker of the gang is prepared: the gang starts.
 struct start_job {
   job_id job;
@@ -134,7 +141,8 @@
 
 using command =
     std::variant<put_file, delete_file, submit_job, cancel_jobs, place_job,
-                 start_job, checkpoint_job, end_attempt, refuse_job,
-                 release_workers, move_homes, claim_key, finish_key, drop_key>;
+                 reserve_cells, start_job, checkpoint_job, end_attempt,
+                 refuse_job, release_workers, move_homes, claim_key, finish_key,
+                 drop_key>;
 
 }  // namespace parsleyledge
--- a/src/core/state/replicated_state.cpp
+++ b/src/core/state/replicated_state.cpp
@@ -150,6 +150,11 @@
   job.fence = {index_.value};
   job.claim = what.claim;
   job.assignments = what.assignments;
+  job.reserved.clear();
+  job.reserved_claim.reset();
+  job.ran_on.clear();
+  for (const auto& a : what.assignments)
+    job.ran_on.push_back(a.worker);
   job.placed_at = what.at;
   if (what.claim && !what.new_home.empty()) {
     tables_.homes[*what.claim] = what.new_home;
@@ -157,6 +162,16 @@
   return command_done{};
 }
 
+auto replicated_state::apply_one(const reserve_cells& what) -> command_result {
+  auto it = tables_.jobs.find(what.job);
+  if (it == tables_.jobs.end() || it->second.state != job_state::queued) {
+    return stale("job is not waiting");
+  }
+  it->second.reserved = what.cells;
+  it->second.reserved_claim = what.claim;
+  return command_done{};
+}
+
 auto replicated_state::attempt_of(job_id id, std::uint32_t attempt)
     -> job_record* {
   auto it = tables_.jobs.find(id);
@@ -309,6 +324,8 @@
   job.reason = reason;
   job.ended_at = at;
   job.claim.reset();
+  job.reserved.clear();
+  job.reserved_claim.reset();
   tables_.ended.push_back(job.id);
   update_active(job);
 }
--- a/src/core/state/replicated_state.h
+++ b/src/core/state/replicated_state.h
@@ -38,6 +38,7 @@
   auto apply_one(const submit_job& what) -> command_result;
   auto apply_one(const cancel_jobs& what) -> command_result;
   auto apply_one(const place_job& what) -> command_result;
+  auto apply_one(const reserve_cells& what) -> command_result;
   auto apply_one(const start_job& what) -> command_result;
   auto apply_one(const checkpoint_job& what) -> command_result;
   auto apply_one(const end_attempt& what) -> command_result;
