Let work end that a large gang would waste; keep it out of idle homes

Cause: 9 % of the work done was repeated. Half of it came from large gangs that stopped work without checkpoints, a third from owners reclaiming idle homes. Change: a large gang lets such work end up to twice the wait bound; it is not put into idle homes if it would run over 300 s.

--- a/bench/job_bench.cpp
+++ b/bench/job_bench.cpp
@@ -53,16 +53,14 @@
 
 auto mean_of(const std::vector<replay_result>& runs, column c) -> double {
   double sum = 0;
-  for (const auto& r : runs)
-    sum += r.*c;
+  for (const auto& r : runs) sum += r.*c;
   return sum / static_cast<double>(runs.size());
 }
 
 auto spread_of(const std::vector<replay_result>& runs, column c) -> double {
   auto mean = mean_of(runs, c);
   double sum = 0;
-  for (const auto& r : runs)
-    sum += (r.*c - mean) * (r.*c - mean);
+  for (const auto& r : runs) sum += (r.*c - mean) * (r.*c - mean);
   return std::sqrt(sum / static_cast<double>(runs.size()));
 }
 
@@ -70,8 +68,7 @@
 
 void run_job_bench(const job_bench_settings& settings) {
   text_table table{{"policy"}, {}};
-  for (const auto& c : columns)
-    table.header.emplace_back(c.name);
+  for (const auto& c : columns) table.header.emplace_back(c.name);
   for (auto name : {"claims", "late", "reclaims", "unfinished"}) {
     table.header.emplace_back(name);
   }
@@ -88,8 +85,7 @@
         runs[i] = replay(mix, policy);
       });
       if (threads.size() == settings.threads || i + 1 == settings.seeds) {
-        for (auto& t : threads)
-          t.join();
+        for (auto& t : threads) t.join();
         done += threads.size();
         threads.clear();
         if (::isatty(STDERR_FILENO) != 0) {
--- a/bench/job_mix.cpp
+++ b/bench/job_mix.cpp
@@ -161,8 +161,7 @@
   auto shape = shape_of(kind);
   job_mix mix{make_workers(shape), make_site(shape), {}};
   double capacity = 0;
-  for (const auto& w : mix.workers)
-    capacity += w.accelerators;
+  for (const auto& w : mix.workers) capacity += w.accelerators;
   double work = 0;  // mean accelerator seconds of a job
   for (const auto& k : shape.kinds) {
     work += k.weight * k.gang.accelerators * k.median_s *
@@ -174,8 +173,7 @@
   std::normal_distribution<double> normal;
   std::exponential_distribution<double> gap(rate);
   std::vector<double> bias(shape.customers);
-  for (auto& b : bias)
-    b = std::pow(10.0, uniform(random) * 1.6 - 0.8);
+  for (auto& b : bias) b = std::pow(10.0, uniform(random) * 1.6 - 0.8);
   double at = 0;
   while (mix.arrivals.size() < jobs) {
     at += gap(random);
--- a/bench/job_replay.cpp
+++ b/bench/job_replay.cpp
@@ -67,8 +67,7 @@
 
 auto mean(const std::vector<double>& values) -> double {
   double sum = 0;
-  for (auto v : values)
-    sum += v;
+  for (auto v : values) sum += v;
   return values.empty() ? 0 : sum / static_cast<double>(values.size());
 }
 
@@ -83,8 +82,7 @@
     for (const auto& a : mix.arrivals) {
       biggest_ = std::max(biggest_, a.spec.gang.accelerators);
     }
-    for (const auto& w : mix.workers)
-      total_ += w.accelerators;
+    for (const auto& w : mix.workers) total_ += w.accelerators;
   }
 
   auto run() -> replay_result {
@@ -146,14 +144,12 @@
       std::uint32_t used = 0;
       for (auto id : state_.active_jobs()) {
         const auto& job = *state_.find_job(id);
-        if (job.spec.customer != spec.customer || job.spec.gang != spec.gang) {
-          continue;
-        }
-        // Those that run or wait before it may use the guarantee first.
-        if (is_placed(job.state) ? job.claim.has_value()
-                                 : job.state == job_state::queued) {
-          ++used;
-        }
+        if (job.spec.customer != spec.customer) continue;
+        // Those that hold it, or wait before this job and may use it first.
+        bool holds = job.claim && job.claim->guarantee == name;
+        bool waits = job.state == job_state::queued &&
+                     job.spec.gang.accelerators <= spec.gang.accelerators;
+        if (holds || waits) ++used;
       }
       if (used < promise.count) return true;
     }
@@ -210,16 +206,14 @@
   void decide_now() {
     std::vector<const job_record*> jobs;
     jobs.reserve(state_.active_jobs().size());
-    for (auto id : state_.active_jobs())
-      jobs.push_back(state_.find_job(id));
+    for (auto id : state_.active_jobs()) jobs.push_back(state_.find_job(id));
     auto begun = std::chrono::steady_clock::now();
     auto plan = decide(policy_, {mix_.workers, jobs, state_.tables().homes,
                                  state_.tables().histories, mix_.site, now_});
     std::chrono::duration<double, std::micro> took =
         std::chrono::steady_clock::now() - begun;
     decision_us_.push_back(took.count());
-    for (const auto& c : plan.commands)
-      carry_out(c);
+    for (const auto& c : plan.commands) carry_out(c);
   }
 
   void carry_out(const command& what) {
@@ -246,8 +240,7 @@
   void started(const place_job& p) {
     apply(p);
     const auto& job = *state_.find_job(p.job);
-    for (const auto& a : job.assignments)
-      cells_.occupy(a);
+    for (const auto& a : job.assignments) cells_.occupy(a);
     apply(start_job{p.job, job.attempt, now_});
     auto left = std::max(actual_.at(p.job) - job.progress, milliseconds(1));
     push(now_ + left, finish_event{p.job, job.attempt});
@@ -264,8 +257,6 @@
   }
 
   auto result() -> replay_result {
-    for (auto& [w, n] : why_)
-      std::fprintf(stderr, "%s: %llu\n", w.c_str(), (unsigned long long)n);
     replay_result r;
     r.mean_completion = mean(completion_);
     r.p95_completion = quantile(completion_, 0.95);
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -39,7 +39,7 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
+auto main(int argc, char** argv) -> int {
   auto words = read_settings(argc, argv, usage);
   if (words.size() == 1 && words[0] == "jobs") {
     run_jobs();
--- a/src/adapters/codec.cpp
+++ b/src/adapters/codec.cpp
@@ -94,16 +94,14 @@
 /// Writes a range of rows into a repeated field.
 template <typename Rows, typename Field>
 static void write_all(const Rows& rows, Field& field) {
-  for (const auto& row : rows)
-    write(row, *field.Add());
+  for (const auto& row : rows) write(row, *field.Add());
 }
 
 /// Reads a repeated field into a container of rows.
 template <typename Rows, typename Field>
 static auto read_all(const Field& field) -> Rows {
   Rows rows;
-  for (const auto& row : field)
-    rows.push_back(read(row));
+  for (const auto& row : field) rows.push_back(read(row));
   return rows;
 }
 
@@ -149,10 +147,8 @@
 static void write_one(const cancel_jobs& from, wire::command& command) {
   auto& to = *command.mutable_cancel();
   to.set_customer(from.customer);
-  for (const auto& key : from.keys)
-    to.add_keys(key);
-  for (auto id : from.ids)
-    to.add_ids(id.value);
+  for (const auto& key : from.keys) to.add_keys(key);
+  for (auto id : from.ids) to.add_ids(id.value);
   to.set_at(to_ms(from.at));
 }
 
@@ -210,8 +206,7 @@
   auto& to = *command.mutable_release();
   to.set_job(from.job.value);
   to.set_attempt(from.attempt);
-  for (const auto& worker : from.workers)
-    to.add_workers(worker);
+  for (const auto& worker : from.workers) to.add_workers(worker);
 }
 
 static void write_one(const move_homes& from, wire::command& command) {
@@ -260,8 +255,7 @@
   cancel_jobs to;
   to.customer = from.customer();
   to.keys = strings<std::vector<std::string>>(from.keys());
-  for (auto id : from.ids())
-    to.ids.push_back({id});
+  for (auto id : from.ids()) to.ids.push_back({id});
   to.at = at_ms(from.at());
   return to;
 }
@@ -459,15 +453,13 @@
   to.set_checkpoint_at(to_ms(from.checkpoint_at));
   to.set_ended_at(to_ms(from.ended_at));
   to.set_progress_ms(from.progress.count());
-  for (const auto& worker : from.failed_on)
-    to.add_failed_on(worker);
+  for (const auto& worker : from.failed_on) to.add_failed_on(worker);
   to.set_reclaims(from.reclaims);
   write_all(from.reserved, *to.mutable_reserved());
   if (from.reserved_claim) {
     write(*from.reserved_claim, *to.mutable_reserved_claim());
   }
-  for (const auto& worker : from.ran_on)
-    to.add_ran_on(worker);
+  for (const auto& worker : from.ran_on) to.add_ran_on(worker);
 }
 
 static auto read(const wire::job_record& from) -> job_record {
@@ -761,10 +753,8 @@
   }
   write_all(tables.changes, *to.mutable_changes());
   to.set_next_job(tables.next_job);
-  for (const auto& [id, job] : tables.jobs)
-    write(job, *to.add_jobs());
-  for (auto id : tables.ended)
-    to.add_ended(id.value);
+  for (const auto& [id, job] : tables.jobs) write(job, *to.add_jobs());
+  for (auto id : tables.ended) to.add_ended(id.value);
   for (const auto& [slot, cells] : tables.homes) {
     write(guarantee_home{slot, cells}, *to.add_homes());
   }
@@ -780,8 +770,7 @@
   for (const auto& [customer, history] : tables.histories) {
     auto& row = *to.add_histories();
     row.set_customer(customer);
-    for (auto ratio : history.ratios)
-      row.add_ratios(ratio);
+    for (auto ratio : history.ratios) row.add_ratios(ratio);
   }
   for (const auto& [name, record] : tables.keys) {
     auto& row = *to.add_keys();
@@ -805,14 +794,11 @@
   }
   state_tables tables;
   tables.version = {from.version()};
-  for (const auto& file : from.files())
-    tables.files[file.name()] = file.body();
+  for (const auto& file : from.files()) tables.files[file.name()] = file.body();
   tables.changes = read_all<std::deque<change_record>>(from.changes());
   tables.next_job = from.next_job();
-  for (const auto& job : from.jobs())
-    tables.jobs[{job.id()}] = read(job);
-  for (auto id : from.ended())
-    tables.ended.push_back({id});
+  for (const auto& job : from.jobs()) tables.jobs[{job.id()}] = read(job);
+  for (auto id : from.ended()) tables.ended.push_back({id});
   for (const auto& row : from.homes()) {
     auto home = read(row);
     tables.homes[home.slot] = std::move(home.cells);
--- a/src/adapters/control_node.cpp
+++ b/src/adapters/control_node.cpp
@@ -377,8 +377,7 @@
   json::array history;
   replica_.read_state([&](const auto& s) {
     version = s.tables().version.value;
-    for (const auto& [name, body] : s.tables().files)
-      files[name] = body;
+    for (const auto& [name, body] : s.tables().files) files[name] = body;
     const auto& changes = s.tables().changes;
     for (auto it = changes.rbegin();
          it != changes.rend() && history.size() < 100; ++it) {
@@ -452,8 +451,7 @@
     }
     for (const auto& [slot, cells] : s.tables().homes) {
       json::array workers;
-      for (const auto& a : cells)
-        workers.emplace_back(a.worker);
+      for (const auto& a : cells) workers.emplace_back(a.worker);
       homes[slot.customer].push_back(
           json::object{{"guarantee", slot.guarantee},
                        {"gang", slot.ordinal + 1},
@@ -539,8 +537,7 @@
   auto plan = replica_.read_state([&](const auto& s) {
     std::vector<const job_record*> jobs;
     jobs.reserve(s.active_jobs().size());
-    for (auto id : s.active_jobs())
-      jobs.push_back(s.find_job(id));
+    for (auto id : s.active_jobs()) jobs.push_back(s.find_job(id));
     ranked_lock lock(workers_mutex_);
     tracker_.update_conditions(s.tables().failures, config->policy, now, wall);
     if (tracker_.workers().empty()) return schedule{};
@@ -551,8 +548,7 @@
   metrics_.latency("decision_seconds")
       .record(std::chrono::steady_clock::now() - begun);
   note_unmet(plan.unmet);
-  for (auto& what : plan.commands)
-    propose(std::move(what));
+  for (auto& what : plan.commands) propose(std::move(what));
 }
 
 void control_node::note_unmet(std::span<const guarantee_slot> unmet) {
--- a/src/adapters/disk_files.cpp
+++ b/src/adapters/disk_files.cpp
@@ -52,8 +52,7 @@
       open_(std::exchange(other.open_, {})) {}
 
 disk_files::~disk_files() {
-  for (auto& [name, fd] : open_)
-    ::close(fd);
+  for (auto& [name, fd] : open_) ::close(fd);
   if (lock_ >= 0) ::close(lock_);
 }
 
--- a/src/adapters/entry_node.cpp
+++ b/src/adapters/entry_node.cpp
@@ -196,8 +196,7 @@
   bool accepted = false;
   if (config.changed() || !config_.confirm(version, asked_at)) {
     std::map<std::string, std::string> files;
-    for (const auto& f : config.files())
-      files[f.name()] = f.body();
+    for (const auto& f : config.files()) files[f.name()] = f.body();
     auto parsed = read_folder(files);
     if (auto* site = std::get_if<site_config>(&parsed)) {
       accepted = config_.replace(version, std::move(*site), asked_at);
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -48,8 +48,7 @@
   to.target(from.target);
   to.version(11);
   to.set(http::field::host, host);
-  for (const auto& [name, value] : from.headers)
-    to.insert(name, value);
+  for (const auto& [name, value] : from.headers) to.insert(name, value);
   to.body() = from.body;
   to.prepare_payload();
   return to;
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -35,8 +35,7 @@
   http::response<http::string_body> to;
   to.version(version);
   to.result(static_cast<unsigned>(from.status));
-  for (const auto& [name, value] : from.headers)
-    to.insert(name, value);
+  for (const auto& [name, value] : from.headers) to.insert(name, value);
   to.body() = std::move(from.body);
   to.keep_alive(keep_alive);
   to.prepare_payload();
--- a/src/adapters/journal.cpp
+++ b/src/adapters/journal.cpp
@@ -201,8 +201,7 @@
   }
   auto& header = *record.mutable_snapshot();
   state.snapshot_last = {{header.term()}, {header.index()}};
-  for (const auto& m : header.members())
-    state.members.push_back(read(m));
+  for (const auto& m : header.members()) state.members.push_back(read(m));
   state.snapshot =
       std::make_shared<const std::string>(std::move(*header.mutable_bytes()));
   return {};
@@ -307,8 +306,7 @@
   auto& header = *record.mutable_snapshot();
   header.set_term(last.term.value);
   header.set_index(last.index.value);
-  for (const auto& m : members)
-    write(m, *header.add_members());
+  for (const auto& m : members) write(m, *header.add_members());
   header.set_bytes(bytes.data(), bytes.size());
   auto name = numbered(snapshot_prefix, last.index.value);
   BOOST_LEAF_CHECK(std::visit(
--- a/src/adapters/json.cpp
+++ b/src/adapters/json.cpp
@@ -456,8 +456,7 @@
 
 auto to_json(const lease_renewal& renewal) -> json::object {
   json::array tasks;
-  for (const auto& task : renewal.tasks)
-    tasks.push_back(to_json(task));
+  for (const auto& task : renewal.tasks) tasks.push_back(to_json(task));
   return {{"ttl_ms", renewal.ttl.count()}, {"tasks", std::move(tasks)}};
 }
 
--- a/src/adapters/membership_node.cpp
+++ b/src/adapters/membership_node.cpp
@@ -154,8 +154,7 @@
     for (const auto& [name, record] : table_.records()) {
       write(record, now, *gossip.add_endpoints());
     }
-    for (const auto& [address, other] : entries_)
-      gossip.add_known(address);
+    for (const auto& [address, other] : entries_) gossip.add_known(address);
   }
   peers_.send(message.address(), std::move(full));
 }
--- a/src/adapters/memory_files.cpp
+++ b/src/adapters/memory_files.cpp
@@ -23,8 +23,7 @@
 
 auto memory_files::list() -> leaf::result<std::vector<std::string>> {
   std::vector<std::string> names;
-  for (const auto& [name, file] : shared_->files)
-    names.push_back(name);
+  for (const auto& [name, file] : shared_->files) names.push_back(name);
   return names;
 }
 
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -97,8 +97,7 @@
     previous = base;
     out.append(name).append(" ").append(std::to_string(value)).append("\n");
   }
-  for (const auto& [name, value] : latencies_)
-    value.print(name, out);
+  for (const auto& [name, value] : latencies_) value.print(name, out);
   return out;
 }
 
--- a/src/adapters/peer_socket.cpp
+++ b/src/adapters/peer_socket.cpp
@@ -177,8 +177,7 @@
       items.swap(outbox);
       if (stopping) return false;
     }
-    for (const auto& item : items)
-      send_one(item);
+    for (const auto& item : items) send_one(item);
     return true;
   }
 
--- a/src/adapters/replica_node.cpp
+++ b/src/adapters/replica_node.cpp
@@ -157,10 +157,8 @@
     }
     add(replica_.flush(now));
   }
-  for (const auto& snapshot : snapshots)
-    install(snapshot);
-  for (const auto& answer : answers)
-    answer();
+  for (const auto& snapshot : snapshots) install(snapshot);
+  for (const auto& answer : answers) answer();
   return effects;
 }
 
--- a/src/adapters/request_gate.cpp
+++ b/src/adapters/request_gate.cpp
@@ -170,8 +170,7 @@
     }
     demands.push_back(std::move(d));
   }
-  for (auto& [service, queue] : queues_)
-    wake(service, now);
+  for (auto& [service, queue] : queues_) wake(service, now);
   return demands;
 }
 
@@ -184,8 +183,7 @@
     router_.set_limit(g.endpoint, g.incarnation, g.slots);
   }
   auto now = steady_now();
-  for (auto& [service, queue] : queues_)
-    wake(service, now);
+  for (auto& [service, queue] : queues_) wake(service, now);
 }
 
 auto request_gate::rows_json() -> boost::json::array {
--- a/src/adapters/table.cpp
+++ b/src/adapters/table.cpp
@@ -13,8 +13,7 @@
     }
   };
   measure(header);
-  for (const auto& row : rows)
-    measure(row);
+  for (const auto& row : rows) measure(row);
   std::string out;
   auto add = [&](const std::vector<std::string>& row) {
     for (std::size_t i = 0; i < row.size(); ++i) {
@@ -24,8 +23,7 @@
     out += '\n';
   };
   add(header);
-  for (const auto& row : rows)
-    add(row);
+  for (const auto& row : rows) add(row);
   return out;
 }
 
--- a/src/adapters/toml.cpp
+++ b/src/adapters/toml.cpp
@@ -23,8 +23,7 @@
     value.data = std::move(rows);
   } else if (const auto* array = node.as_array()) {
     config_array items;
-    for (const auto& child : *array)
-      items.push_back(convert(child, file));
+    for (const auto& child : *array) items.push_back(convert(child, file));
     value.data = std::move(items);
   } else if (const auto* text = node.as_string()) {
     value.data = text->get();
--- a/src/apps/control.cpp
+++ b/src/apps/control.cpp
@@ -76,7 +76,7 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
+auto main(int argc, char** argv) -> int {
   constexpr std::string_view required[] = {"name",        "data_centre",
                                            "listen_http", "listen_peer",
                                            "peers",       "data_folder"};
--- a/src/apps/ctl.cpp
+++ b/src/apps/ctl.cpp
@@ -334,7 +334,7 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
+auto main(int argc, char** argv) -> int {
   auto words = read_settings(argc, argv, usage());
   for (const auto& c : commands()) {
     auto split = c.words.find(' ');
--- a/src/apps/entry.cpp
+++ b/src/apps/entry.cpp
@@ -39,7 +39,7 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
+auto main(int argc, char** argv) -> int {
   constexpr std::string_view required[] = {"name", "data_centre", "listen_http",
                                            "listen_peer", "control"};
   read_settings(argc, argv, "parsleyledge-entry: callers' way in", required);
--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr std::size_t max_batch_entries = 512;
-constexpr std::size_t max_batch_bytes = 256 * 1024;
-constexpr std::size_t snapshot_chunk_bytes = 256 * 1024;
+constexpr std::size_t max_batch_bytes = 256U << 10;
+constexpr std::size_t snapshot_chunk_bytes = 256U << 10;
 constexpr milliseconds hello_interval{200};
 constexpr milliseconds snapshot_retry{1000};
 constexpr std::uint64_t promotion_lag = 64;  // entries behind, at most
@@ -721,8 +721,7 @@
   }
   snapshot_last_ = last;
   snapshot_ = std::move(snapshot);
-  for (auto& [id, peer] : progress_)
-    peer.in_snapshot = false;
+  for (auto& [id, peer] : progress_) peer.in_snapshot = false;
 }
 
 auto replica::transfer_leadership(time_point now) -> std::vector<effect> {
--- a/src/core/config/merge.cpp
+++ b/src/core/config/merge.cpp
@@ -61,8 +61,7 @@
     -> leaf::result<config_table> {
   std::vector<const config_document*> ordered;
   ordered.reserve(documents.size());
-  for (const auto& document : documents)
-    ordered.push_back(&document);
+  for (const auto& document : documents) ordered.push_back(&document);
   std::ranges::sort(ordered, {}, &config_document::name);
   config_table merged;
   for (const auto* document : ordered) {
--- a/src/core/jobs/cell_map.cpp
+++ b/src/core/jobs/cell_map.cpp
@@ -442,8 +442,7 @@
 
 auto cell_map::free_count() const -> std::uint32_t {
   std::uint32_t total = 0;
-  for (const auto& d : data_centres_)
-    total += d.free;
+  for (const auto& d : data_centres_) total += d.free;
   return total;
 }
 
@@ -456,16 +455,13 @@
   };
   switch (largest.within) {
     case adjacency::worker:
-      for (const auto& r : rows_)
-        add(count_bits(r.all & ~r.held));
+      for (const auto& r : rows_) add(count_bits(r.all & ~r.held));
       break;
     case adjacency::rack:
-      for (const auto& d : racks_)
-        add(d.free);
+      for (const auto& d : racks_) add(d.free);
       break;
     case adjacency::data_centre:
-      for (const auto& d : data_centres_)
-        add(d.free);
+      for (const auto& d : data_centres_) add(d.free);
       break;
   }
   return total;
--- a/src/core/jobs/gang_tracker.cpp
+++ b/src/core/jobs/gang_tracker.cpp
@@ -53,8 +53,7 @@
   auto& c = contacts_[announced.name];
   c.heard_at = std::max(c.heard_at, now);
   c.incarnation = announced.incarnation;
-  for (const auto& report : reports)
-    note_report(announced.name, report);
+  for (const auto& report : reports) note_report(announced.name, report);
 }
 
 auto gang_tracker::find_task(std::string_view worker, const task_ref& ref)
@@ -307,9 +306,8 @@
       auto failures = job.failed_on;
       failures.push_back(a.worker);
       std::ranges::sort(failures);
-      auto distinct = std::ranges::unique(failures);
-      auto count =
-          static_cast<std::uint32_t>(distinct.begin() - failures.begin());
+      auto last = std::unique(failures.begin(), failures.end());
+      auto count = static_cast<std::uint32_t>(last - failures.begin());
       end(attempt_result::failed, count < site.policy.max_attempts, a.worker,
           "failed on worker " + a.worker + ": " + t.refusal);
       return;
--- a/src/core/jobs/home_planner.cpp
+++ b/src/core/jobs/home_planner.cpp
@@ -65,8 +65,7 @@
     bool keep = it != homes.end() &&
                 (is_claimed(slot) || is_whole(it->second, shape, cells));
     if (keep) {
-      for (const auto& a : it->second)
-        cells.add_home(a, !is_claimed(slot));
+      for (const auto& a : it->second) cells.add_home(a, !is_claimed(slot));
     } else {
       homeless.emplace_back(slot, shape);
     }
@@ -75,8 +74,7 @@
     if (known.contains(slot)) continue;
     // A claim outlives its guarantee; its home goes when it ends.
     if (is_claimed(slot)) {
-      for (const auto& a : home)
-        cells.add_home(a, false);
+      for (const auto& a : home) cells.add_home(a, false);
     } else {
       plan.change.removed.push_back(slot);
     }
@@ -91,8 +89,7 @@
       continue;
     }
     auto home = cells.assignments(found.front().cells, need);
-    for (const auto& a : home)
-      cells.add_home(a, true);
+    for (const auto& a : home) cells.add_home(a, true);
     plan.change.homes.push_back({slot, std::move(home)});
   }
   return plan;
--- a/src/core/jobs/scheduler.cpp
+++ b/src/core/jobs/scheduler.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t reclaim_candidates = 8;
 constexpr std::size_t max_held_back = 4;  // gangs with a place held back
 constexpr std::size_t max_reservations = 8;
+constexpr seconds home_limit{300};    // of work at risk in an idle home
 constexpr int hold_back_divisor = 4;  // from this part of the wait bound
 constexpr seconds aging{3600};  // a wait of this length halves a job's score
 constexpr seconds shortest{1};  // floor of an estimate
@@ -82,8 +83,7 @@
  public:
   explicit pass(const schedule_view& view) : view_(view), cells_(view.workers) {
     for (const auto* job : view_.jobs) {
-      for (const auto& a : job->assignments)
-        cells_.occupy(a);
+      for (const auto& a : job->assignments) cells_.occupy(a);
       if (job->state == job_state::queued && job->assignments.empty()) {
         waiting_.push_back(job);
       }
@@ -115,8 +115,7 @@
       if (job != nullptr && try_claim(*job)) job = nullptr;
     }
     std::erase(waiting_, nullptr);
-    for (const auto* job : waiting_)
-      try_borrow(*job, failed);
+    for (const auto* job : waiting_) try_borrow(*job, failed);
     return std::move(result_);
   }
 
@@ -153,10 +152,8 @@
   void update_homes() {
     auto plan = plan_homes(view_.site, view_.homes, claimed_, cells_);
     homes_ = view_.homes;
-    for (const auto& slot : plan.change.removed)
-      homes_.erase(slot);
-    for (const auto& home : plan.change.homes)
-      homes_[home.slot] = home.cells;
+    for (const auto& slot : plan.change.removed) homes_.erase(slot);
+    for (const auto& home : plan.change.homes) homes_[home.slot] = home.cells;
     result_.unmet = std::move(plan.unmet);
     if (!plan.change.homes.empty() || !plan.change.removed.empty()) {
       result_.commands.emplace_back(std::move(plan.change));
@@ -192,8 +189,7 @@
     auto guaranteed = weights_.largest.accelerators;
     if (guaranteed > 1) return std::max<std::uint32_t>(guaranteed / 2, 2);
     std::uint32_t most = 2;
-    for (const auto& w : view_.workers)
-      most = std::max(most, w.accelerators);
+    for (const auto& w : view_.workers) most = std::max(most, w.accelerators);
     return most;
   }
 
@@ -243,8 +239,7 @@
       return std::tie(a.rank, a.score, a.job->id) <
              std::tie(b.rank, b.score, b.job->id);
     });
-    for (std::size_t i = 0; i < queue.size(); ++i)
-      waiting_[i] = queue[i].job;
+    for (std::size_t i = 0; i < queue.size(); ++i) waiting_[i] = queue[i].job;
   }
 
   // Large gangs that will soon have waited too long get a place each, where
@@ -266,11 +261,9 @@
     auto weights = weights_;
     for (const auto* job : due) {
       auto at = std::max(job->submitted_at + bound, view_.now);
-      held_until_ = held_until_ ? std::min(*held_until_, at) : at;
       auto need = need_of(job->spec);
       auto best = best_reclaim(*job, need, weights, at);
-      for (const auto& a : best.cells)
-        cells_.hold_back(a);
+      hold_back(best.cells, at);
     }
   }
 
@@ -293,8 +286,7 @@
       auto cells = cells_.assignments(candidate.cells, need);
       auto victims = victims_of(cells, &job);
       double loss = 0;
-      for (const auto* v : victims)
-        loss += loss_of(*v, at);
+      for (const auto* v : victims) loss += loss_of(*v, at);
       if (!best.cells.empty() && loss >= best.loss) continue;
       best = {std::move(cells), std::move(victims), loss};
     }
@@ -364,15 +356,37 @@
       place(job, job.reserved, claim, {});
       return true;
     }
-    reclaim(victims_of(job.reserved, claim ? nullptr : &job),
-            reclaim_reason(job, claim.has_value()));
+    auto victims = victims_of(job.reserved, claim ? nullptr : &job);
+    if (!claim && must_wait_for(job, victims)) {
+      hold_back(job.reserved, view_.now);
+      return true;
+    }
+    reclaim(victims, reclaim_reason(job, claim.has_value()));
     if (claim) claimed_.push_back(*claim);
-    for (const auto& a : job.reserved)
-      cells_.reserve(a);
+    for (const auto& a : job.reserved) cells_.reserve(a);
     ++reservations_;
     return true;
   }
 
+  // A large gang lets work end that would lose what it did, up to twice its
+  // wait bound; work that can be checkpointed goes on until then.
+  auto must_wait_for(const job_record& job,
+                     std::span<const job_record* const> victims) const -> bool {
+    auto waited = view_.now - job.submitted_at;
+    if (job.spec.how_urgent == urgency::urgent ||
+        waited >= 2 * view_.site.policy.large_job_wait) {
+      return false;
+    }
+    return std::ranges::any_of(victims, [](const job_record* v) {
+      return v->state == job_state::running && !v->spec.checkpoint;
+    });
+  }
+
+  void hold_back(std::span<const assignment> cells, time_point until) {
+    held_until_ = held_until_ ? std::min(*held_until_, until) : until;
+    for (const auto& a : cells) cells_.hold_back(a);
+  }
+
   static auto reclaim_reason(const job_record& job, bool claim) -> std::string {
     if (claim) return "reclaimed for a guarantee of " + job.spec.customer;
     return job.spec.how_urgent == urgency::urgent
@@ -384,10 +398,13 @@
   void reserve(const job_record& job, std::optional<guarantee_slot> claim,
                std::span<const assignment> cells,
                std::span<const job_record* const> victims) {
-    reclaim(victims, reclaim_reason(job, claim.has_value()));
-    if (claim) claimed_.push_back(*claim);
-    for (const auto& a : cells)
-      cells_.reserve(a);
+    if (!claim && must_wait_for(job, victims)) {
+      hold_back(cells, view_.now);
+    } else {
+      reclaim(victims, reclaim_reason(job, claim.has_value()));
+      if (claim) claimed_.push_back(*claim);
+      for (const auto& a : cells) cells_.reserve(a);
+    }
     ++reservations_;
     result_.commands.emplace_back(
         reserve_cells{job.id, std::move(claim), {cells.begin(), cells.end()}});
@@ -419,8 +436,7 @@
       }
       auto victims = victims_of(part);
       double loss = 0;
-      for (const auto* v : victims)
-        loss += loss_of(*v, view_.now);
+      for (const auto* v : victims) loss += loss_of(*v, view_.now);
       if (!best || loss < best->loss) {
         best = option{&slot, std::move(part), std::move(victims), loss};
       }
@@ -475,8 +491,7 @@
       }
       if (cells_.has_room(a)) continue;
       // Its processors or memory are taken by neighbours on the worker.
-      for (const auto* job : it->second)
-        add(job);
+      for (const auto* job : it->second) add(job);
     }
     return victims;
   }
@@ -530,6 +545,14 @@
                                             view_.now});
   }
 
+  // A guarantee's owner may come at any time: work that would lose much then
+  // stays out of idle homes.
+  auto borrow_scope(const job_record& job) const -> cell_scope {
+    bool risky = !job.spec.checkpoint && estimate(job) > home_limit &&
+                 job.spec.how_urgent == urgency::normal;
+    return risky ? cell_scope::outside_homes : cell_scope::free;
+  }
+
   auto may_use_held_back(const job_record& job) const -> bool {
     return job.spec.checkpoint || comes_first(job) ||
            job.spec.gang.accelerators >= large_size_ ||
@@ -545,7 +568,7 @@
     auto found = cells_.find(need, scope, weights);
     if (found.empty()) {
       // With fewer cells to choose from, no says nothing of the others.
-      if (weights.held_back) failed.add(need);
+      if (weights.held_back && scope == cell_scope::free) failed.add(need);
       return false;
     }
     place(job, cells_.assignments(found.front().cells, need), {}, {});
@@ -554,7 +577,7 @@
 
   void try_borrow(const job_record& job, failed_needs& failed) {
     if (!job.spec.borrow) return;
-    if (place_free(job, cell_scope::free, failed)) return;
+    if (place_free(job, borrow_scope(job), failed)) return;
     bool urgent = job.spec.how_urgent == urgency::urgent;
     if (!urgent && !is_starving(job)) return;
     if (!urgent && reservations_ >= max_reservations) return;
@@ -579,8 +602,7 @@
     cells_.forbid_reclaim();
     for (const auto* other : view_.jobs) {
       if (other->claim || !may_reclaim(job, *other)) continue;
-      for (const auto& a : other->assignments)
-        cells_.allow_reclaim(a);
+      for (const auto& a : other->assignments) cells_.allow_reclaim(a);
     }
   }
 
@@ -641,8 +663,7 @@
     -> std::optional<std::string> {
   if (workers.empty()) return {};
   std::vector<worker> whole(workers.begin(), workers.end());
-  for (auto& w : whole)
-    w.condition = worker_condition::ready;
+  for (auto& w : whole) w.condition = worker_condition::ready;
   cell_map cells(whole);
   auto plan = plan_homes(site, {}, {}, cells);
   if (plan.unmet.empty()) return {};
--- a/src/core/membership/slot_ledger.cpp
+++ b/src/core/membership/slot_ledger.cpp
@@ -109,8 +109,7 @@
     auto& mine = e.holders[std::string(entry)];
     mine = {d.held, d.busy, d.wanted};
     std::uint32_t all = 0;
-    for (const auto& [name, h] : e.holders)
-      all += h.held;
+    for (const auto& [name, h] : e.holders) all += h.held;
     auto free = e.slots > all ? e.slots - all : 0;
     auto target = fair_target(d.endpoint, e, entry);
     auto granted = std::min(target, d.held + free);
@@ -127,8 +126,7 @@
   auto it = endpoints_.find(name);
   if (it == endpoints_.end()) return 0;
   std::uint32_t total = 0;
-  for (const auto& [entry, h] : it->second.holders)
-    total += h.held;
+  for (const auto& [entry, h] : it->second.holders) total += h.held;
   return total;
 }
 
--- a/src/core/requests/router.h
+++ b/src/core/requests/router.h
@@ -63,10 +63,8 @@
   template <typename Limit>
   void update(const std::map<std::string, endpoint_record, std::less<>>& known,
               Limit limit) {
-    for (auto& [name, row] : rows_)
-      row.gone = !known.contains(name);
-    for (const auto& [name, record] : known)
-      put(record, limit(record));
+    for (auto& [name, row] : rows_) row.gone = !known.contains(name);
+    for (const auto& [name, record] : known) put(record, limit(record));
     drop_gone();
   }
 
--- a/src/core/state/replicated_state.cpp
+++ b/src/core/state/replicated_state.cpp
@@ -16,8 +16,8 @@
 constexpr hours ended_job_age{7 * 24};
 constexpr std::size_t max_ended_jobs = 100'000;
 constexpr hours key_age{24};
-constexpr std::uint64_t max_answer_bytes = 64 * 1024;
-constexpr std::uint64_t max_held_bytes = 32 * 1024 * 1024;
+constexpr std::uint64_t max_answer_bytes = 64U << 10;
+constexpr std::uint64_t max_held_bytes = 32U << 20;
 constexpr std::size_t max_failures = 16;  // kept a worker
 
 auto stale(std::string_view detail) -> problem {
@@ -132,8 +132,7 @@
   for (const auto& key : what.keys) {
     if (const auto* job = find_job(what.customer, key)) cancel(job->id);
   }
-  for (auto id : what.ids)
-    cancel(id);
+  for (auto id : what.ids) cancel(id);
   return result;
 }
 
@@ -153,8 +152,7 @@
   job.reserved.clear();
   job.reserved_claim.reset();
   job.ran_on.clear();
-  for (const auto& a : what.assignments)
-    job.ran_on.push_back(a.worker);
+  for (const auto& a : what.assignments) job.ran_on.push_back(a.worker);
   job.placed_at = what.at;
   if (what.claim && !what.new_home.empty()) {
     tables_.homes[*what.claim] = what.new_home;
@@ -253,10 +251,8 @@
 }
 
 auto replicated_state::apply_one(const move_homes& what) -> command_result {
-  for (const auto& slot : what.removed)
-    tables_.homes.erase(slot);
-  for (const auto& home : what.homes)
-    tables_.homes[home.slot] = home.cells;
+  for (const auto& slot : what.removed) tables_.homes.erase(slot);
+  for (const auto& home : what.homes) tables_.homes[home.slot] = home.cells;
   return command_done{};
 }
 
@@ -341,8 +337,7 @@
 }
 
 void replicated_state::record_success(const job_record& job, time_point at) {
-  for (const auto& a : job.assignments)
-    tables_.failures.erase(a.worker);
+  for (const auto& a : job.assignments) tables_.failures.erase(a.worker);
   auto ran = job.progress + (at - job.started_at);
   record_run_time(tables_.histories[job.spec.customer], job.spec.run_time, ran);
 }
--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -38,8 +38,7 @@
     for (std::uint32_t i = 1; i <= size; ++i) {
       peers_.push_back({{i}, {}, "r" + std::to_string(i), true});
     }
-    for (const auto& p : peers_)
-      start(p.id);
+    for (const auto& p : peers_) start(p.id);
   }
 
   void start(replica_id id) {
@@ -81,8 +80,7 @@
   }
 
   void run(milliseconds time) {
-    for (auto until = now + time; now < until; now += milliseconds(5))
-      step();
+    for (auto until = now + time; now < until; now += milliseconds(5)) step();
   }
 
   void step() {
@@ -144,8 +142,7 @@
     run(milliseconds(500));
     const auto& seen = history_;
     std::set<std::string> committed;
-    for (const auto& [index, entry] : seen)
-      committed.insert(entry.payload);
+    for (const auto& [index, entry] : seen) committed.insert(entry.payload);
     for (const auto& command : acknowledged) {
       CPPUNIT_ASSERT_MESSAGE(command + " was lost",
                              committed.contains(command));
@@ -224,8 +221,7 @@
           CPPUNIT_ASSERT(h->state.term >= d.hard.term);
           d.hard = h->state;
         } else if (const auto* n = std::get_if<persist_entries>(&e)) {
-          for (const auto& entry : n->entries)
-            store(d, entry);
+          for (const auto& entry : n->entries) store(d, entry);
         } else if (const auto* s = std::get_if<persist_snapshot>(&e)) {
           d.snapshot_last = s->last;
           d.members = s->members;
@@ -383,8 +379,7 @@
         }
         g.run(milliseconds(static_cast<int>(random() % 400)));
       }
-      for (auto id : down)
-        g.start({id});
+      for (auto id : down) g.start({id});
       CPPUNIT_ASSERT(!g.acknowledged.empty());
       g.check_nothing_lost();
     }
@@ -395,10 +390,8 @@
     for (int i = 0; i < 5; ++i) {
       CPPUNIT_ASSERT(g.commit("a" + std::to_string(i)));
     }
-    for (std::uint32_t id : {1, 2, 3})
-      g.crash({id});
-    for (std::uint32_t id : {1, 2, 3})
-      g.start({id});
+    for (std::uint32_t id : {1, 2, 3}) g.crash({id});
+    for (std::uint32_t id : {1, 2, 3}) g.start({id});
     g.check_nothing_lost();
     CPPUNIT_ASSERT(g.commit("after"));
   }
@@ -443,8 +436,7 @@
       g.check_nothing_lost();
       CPPUNIT_ASSERT(g.commit("after"));
       auto* leader = g.wait_for_leader();
-      for (const auto& m : leader->members())
-        CPPUNIT_ASSERT(m.voter);
+      for (const auto& m : leader->members()) CPPUNIT_ASSERT(m.voter);
     }
   }
 
--- a/test/fakes/endpoint.cpp
+++ b/test/fakes/endpoint.cpp
@@ -54,8 +54,7 @@
 };
 
 auto lower(std::string text) -> std::string {
-  for (auto& c : text)
-    c = static_cast<char>(std::tolower(c));
+  for (auto& c : text) c = static_cast<char>(std::tolower(c));
   return text;
 }
 
@@ -301,7 +300,7 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
+auto main(int argc, char** argv) -> int {
   constexpr std::string_view required[] = {"name", "listen_http"};
   read_settings(argc, argv, "standin-endpoint: an endpoint for tests",
                 required);
--- a/test/fakes/worker.cpp
+++ b/test/fakes/worker.cpp
@@ -270,7 +270,7 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
+auto main(int argc, char** argv) -> int {
   constexpr std::string_view required[] = {"name", "listen_http", "entry"};
   read_settings(argc, argv, "standin-worker: a worker for tests", required);
   start_log_from_flag(absl::GetFlag(FLAGS_log_level),
--- a/test/main.cpp
+++ b/test/main.cpp
@@ -10,7 +10,7 @@
 #include <iostream>
 
 // Runs all tests, or those below the path given: unit_tests [suite::case].
-int main(int argc, char** argv) {
+auto main(int argc, char** argv) -> int {
   // Property tests draw the same cases each run, unless told otherwise.
   setenv("RC_PARAMS", "seed=20261204 max_success=300", 0);
   CppUnit::TestResult result;
--- a/test/scheduler_test.cpp
+++ b/test/scheduler_test.cpp
@@ -55,8 +55,7 @@
 
   auto round() -> schedule {
     std::vector<const job_record*> jobs;
-    for (auto id : state.active_jobs())
-      jobs.push_back(state.find_job(id));
+    for (auto id : state.active_jobs()) jobs.push_back(state.find_job(id));
     auto plan = decide(cell_policy{}, {workers, jobs, state.tables().homes,
                                        state.tables().histories, site, now});
     for (const auto& c : plan.commands) {
@@ -81,8 +80,7 @@
                           "", now - job.started_at, "reclaimed", now});
       } else if (!is_placed(job.state)) {
         release_workers all{id, job.attempt, {}};
-        for (const auto& a : job.assignments)
-          all.workers.push_back(a.worker);
+        for (const auto& a : job.assignments) all.workers.push_back(a.worker);
         apply(all);
       }
     }
@@ -358,8 +356,7 @@
 
   void a_large_gang_does_not_starve() {
     small_site s(1, 3);
-    for (int i = 0; i < 24; ++i)
-      s.submit(job("a", 1));
+    for (int i = 0; i < 24; ++i) s.submit(job("a", 1));
     s.round();
     s.carry_out();
     auto large = s.submit(job("b", 24));
@@ -388,8 +385,7 @@
     CPPUNIT_ASSERT(s.round().unmet.empty());
     lose("r1");
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, s.round().unmet.size());
-    for (auto& w : s.workers)
-      w.condition = worker_condition::ready;
+    for (auto& w : s.workers) w.condition = worker_condition::ready;
     CPPUNIT_ASSERT(s.round().unmet.empty());
   }
 
@@ -422,8 +418,7 @@
     }
     CPPUNIT_ASSERT(!check_job(job("a", 24), s.workers, s.site).has_value());
     // A worker that is away may come back.
-    for (auto& w : s.workers)
-      w.condition = worker_condition::lost;
+    for (auto& w : s.workers) w.condition = worker_condition::lost;
     CPPUNIT_ASSERT(!check_job(job("a", 24), s.workers, s.site).has_value());
   }
 
@@ -443,8 +438,7 @@
     small_site s;
     cancel_jobs wave{"a", {}, {}, s.now};
     std::vector<job_id> ids;
-    for (int i = 0; i < 500; ++i)
-      ids.push_back(s.submit(job("a", 3)));
+    for (int i = 0; i < 500; ++i) ids.push_back(s.submit(job("a", 3)));
     s.round();
     wave.ids = ids;
     auto r = s.apply(wave);
