Prove the promises on real processes under failure

Found by the system tests and mended: a refusal of a large body reset the connection before the client could read it; a job that failed on the only worker was tried there again and again before any other job, so the worker was never quarantined; a job on a single broken worker was tried without end.

--- a/src/adapters/entry_node.cpp
+++ b/src/adapters/entry_node.cpp
@@ -26,7 +26,7 @@
 constexpr milliseconds poll_timeout{1000};
 constexpr milliseconds full_report{1000};
 constexpr milliseconds change_time{5000};
-constexpr std::size_t max_file = 256 * 1024;
+constexpr std::size_t max_file = 256U << 10;
 constexpr std::size_t max_name = 100;
 
 auto refuse(int status, std::string_view title, std::string detail)
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http_server.h"
 
+#include <array>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 #include <mutex>
@@ -17,6 +18,9 @@
 
 namespace {
 
+constexpr std::chrono::seconds refusal_linger{2};
+constexpr std::size_t max_discarded = 64U << 20;
+
 using request_parser = http::request_parser<http::string_body>;
 
 auto convert(http::request<http::string_body> from) -> http_request {
@@ -110,6 +114,19 @@
   co_return ec;
 }
 
+/// Reads on for a while after a refusal: closing at once would reset the
+/// connection before the client has read why.
+auto discard_rest(std::shared_ptr<beast::tcp_stream> stream)
+    -> asio::awaitable<void> {
+  std::array<char, 16384> rest{};
+  beast::error_code ec;
+  stream->expires_after(refusal_linger);
+  for (std::size_t bytes = 0; !ec && bytes < max_discarded;) {
+    bytes += co_await stream->async_read_some(
+        asio::buffer(rest), asio::redirect_error(asio::use_awaitable, ec));
+  }
+}
+
 template <typename Impl>
 auto serve(std::shared_ptr<Impl> self,
            std::shared_ptr<beast::tcp_stream> stream) -> asio::awaitable<void> {
@@ -147,9 +164,12 @@
     stream->expires_after(self->limits.request);
     co_await http::async_write(*stream, out, token);
     if (counted) --self->busy;
-    if (ec || !keep_alive) break;
+    if (ec || !keep_alive) {
+      stream->socket().shutdown(tcp::socket::shutdown_send, ec);
+      if (failed) co_await discard_rest(stream);
+      break;
+    }
   }
-  stream->socket().shutdown(tcp::socket::shutdown_send, ec);
   --self->open;
 }
 
--- a/src/adapters/json.cpp
+++ b/src/adapters/json.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint32_t max_gang = 4096;
 constexpr std::uint64_t max_number = std::uint64_t{1} << 40;
 constexpr std::size_t max_name = 200;
-constexpr std::size_t max_payload = 64 * 1024;
+constexpr std::size_t max_payload = 64U << 10;
 
 auto bad_request(std::string detail) -> problem {
   return {400, "Bad request", std::move(detail), run_outcome::not_run};
--- a/src/core/config/site_config.cpp
+++ b/src/core/config/site_config.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::int64_t max_gang = 4096;
 constexpr std::int64_t max_count = 4096;
-constexpr std::int64_t max_seconds = 7 * 24 * std::int64_t{3600};
+constexpr std::int64_t max_seconds = 604'800;  // a week
 constexpr std::int64_t max_deadline_ms = 3'600'000;
 
 /// Reads the keys of one table and refuses those that nobody asked for.
--- a/src/core/jobs/gang_tracker.cpp
+++ b/src/core/jobs/gang_tracker.cpp
@@ -11,7 +11,8 @@
 constexpr std::uint32_t throttle_reports = 3;
 constexpr std::uint32_t stop_borrowed_reports = 10;
 constexpr std::uint32_t stop_claimed_reports = 30;
-constexpr double overuse_allowed = 1.1;  // of the declared amount
+constexpr double overuse_allowed = 1.1;       // of the declared amount
+constexpr std::size_t failures_a_worker = 3;  // of one job, on average
 constexpr milliseconds proposal_retry{2000};
 
 }  // namespace
@@ -308,7 +309,10 @@
       std::ranges::sort(failures);
       auto last = std::unique(failures.begin(), failures.end());
       auto count = static_cast<std::uint32_t>(last - failures.begin());
-      end(attempt_result::failed, count < site.policy.max_attempts, a.worker,
+      bool may_retry = count < site.policy.max_attempts &&
+                       job.failed_on.size() + 1 <
+                           failures_a_worker * site.policy.max_attempts;
+      end(attempt_result::failed, may_retry, a.worker,
           "failed on worker " + a.worker + ": " + t.refusal);
       return;
     }
--- a/src/core/jobs/scheduler.cpp
+++ b/src/core/jobs/scheduler.cpp
@@ -20,6 +20,7 @@
 constexpr seconds home_limit{300};    // of work at risk in an idle home
 constexpr int hold_back_divisor = 4;  // from this part of the wait bound
 constexpr seconds aging{3600};  // a wait of this length halves a job's score
+constexpr double retry_weight = 10;
 constexpr seconds shortest{1};  // floor of an estimate
 
 auto need_of(const job_spec& spec) -> gang_need {
@@ -213,7 +214,9 @@
     double used = it == borrowed_.end() ? 0 : it->second / share(job);
     double total =
         std::max<double>(static_cast<double>(view_.workers.size()), 1);
-    return work * (1 + used / total) / (1 + waited);
+    // A job that failed lets others have the worker that it failed on.
+    auto failed = 1 + retry_weight * static_cast<double>(job.failed_on.size());
+    return work * failed * (1 + used / total) / (1 + waited);
   }
 
   void order_queue() {
--- /dev/null
+++ b/test/fakes/process_site.cpp
@@ -0,0 +1,264 @@
+#include "process_site.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+namespace parsleyledge::fakes {
+
+namespace {
+
+constexpr std::chrono::milliseconds check_interval{30};
+
+void pause() {
+  boost::asio::io_context context;
+  boost::asio::steady_timer timer(context, check_interval);
+  timer.wait();
+}
+
+auto program_path(std::string_view program) -> std::string {
+  const char* folder = std::getenv("PARSLEYLEDGE_BIN");
+  return std::string(folder == nullptr ? "build/bin" : folder) + "/" +
+         std::string(program);
+}
+
+}  // namespace
+
+auto eventually(const std::function<bool()>& condition,
+                std::chrono::seconds limit) -> bool {
+  auto until = std::chrono::steady_clock::now() + limit;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > until) return false;
+    pause();
+  }
+  return true;
+}
+
+process_site::process_site(int first_port) : first_(first_port), pool_(2) {
+  auto path = std::filesystem::temp_directory_path() /
+              ("parsleyledge-" + std::to_string(::getpid()) + "-" +
+               std::to_string(first_port));
+  std::filesystem::remove_all(path);
+  std::filesystem::create_directories(path);
+  folder_ = path.string();
+}
+
+process_site::~process_site() {
+  for (auto& [name, pid] : pids_) ::kill(pid, SIGKILL);
+  for (auto& [name, pid] : pids_) ::waitpid(pid, nullptr, 0);
+  pool_.stop();
+  pool_.join();
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+auto process_site::address(int port) const -> std::string {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+auto process_site::entries() const -> std::string {
+  return address(entry_port(1)) + "," + address(entry_port(2));
+}
+
+void process_site::start(std::string_view name, std::string_view program,
+                         std::vector<std::string> flags) {
+  auto path = program_path(program);
+  flags.insert(flags.begin(), {path, "--name", std::string(name)});
+  auto log = folder_ + "/" + std::string(name) + ".log";
+  std::vector<char*> argv;
+  for (auto& flag : flags) argv.push_back(flag.data());
+  argv.push_back(nullptr);
+  auto pid = ::fork();
+  if (pid == 0) {
+    int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0640);
+    ::dup2(fd, STDERR_FILENO);
+    ::dup2(fd, STDOUT_FILENO);
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // no process outlives the tests
+    ::execv(path.c_str(), argv.data());
+    ::_exit(127);
+  }
+  pids_[std::string(name)] = pid;
+}
+
+void process_site::start_control(int number, int of) {
+  std::string peers;
+  for (int i = 1; i <= of; ++i) {
+    if (i > 1) peers += ',';
+    peers += std::to_string(i) + "=" + address(first_ + i);
+  }
+  auto n = std::to_string(number);
+  start(
+      "control-" + n, "parsleyledge-control",
+      {"--data_centre", "dc" + n, "--replica", n, "--peers", peers,
+       "--listen_peer", address(first_ + number), "--listen_http",
+       address(control_port(number)), "--data_folder", folder_ + "/data-" + n});
+}
+
+void process_site::start_entry(int number) {
+  auto n = std::to_string(number);
+  std::string control;
+  for (int i = 1; i <= 3; ++i) {
+    if (i > 1) control += ',';
+    control += address(first_ + i);
+  }
+  start("entry-" + n, "parsleyledge-entry",
+        {"--data_centre", "dc" + n, "--control", control, "--entries",
+         address(first_ + 21) + "," + address(first_ + 22), "--listen_peer",
+         address(first_ + 20 + number), "--listen_http",
+         address(entry_port(number)), "--drain_grace", "500ms"});
+}
+
+void process_site::start_endpoint(int number, std::vector<std::string> flags) {
+  flags.insert(flags.end(), {"--entry", entries(), "--listen_http",
+                             address(endpoint_port(number)), "--journal",
+                             folder_ + "/executions"});
+  start("runner-" + std::to_string(number), "standin-endpoint", flags);
+}
+
+void process_site::start_worker(int number, std::vector<std::string> flags) {
+  flags.insert(flags.end(), {"--entry", entries(), "--listen_http",
+                             address(first_ + 70 + number)});
+  start("worker-" + std::to_string(number), "standin-worker", flags);
+}
+
+void process_site::start_all() {
+  for (int i = 1; i <= 3; ++i) start_control(i);
+  for (int i = 1; i <= 2; ++i) start_entry(i);
+  bool up = eventually([&] {
+    return get(1, "/healthz").status == 200 && get(2, "/healthz").status == 200;
+  });
+  if (!up) throw std::runtime_error("the site did not start");
+}
+
+void process_site::configure(std::string_view toml) {
+  auto before = version(1);
+  put_file(1, "10-site.toml", toml, before, "test-configuration");
+  bool done = eventually(
+      [&] { return version(1) == before + 1 && version(2) == before + 1; });
+  if (!done) throw std::runtime_error("the configuration did not get there");
+}
+
+void process_site::signal(std::string_view name, int which) {
+  ::kill(pids_.find(name)->second, which);
+}
+
+void process_site::kill(std::string_view name) {
+  signal(name, SIGKILL);
+  wait(name);
+}
+
+auto process_site::wait(std::string_view name) -> int {
+  auto it = pids_.find(name);
+  int status = 0;
+  ::waitpid(it->second, &status, 0);
+  pids_.erase(it);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+void process_site::lose_disk(int number) {
+  std::filesystem::remove_all(folder_ + "/data-" + std::to_string(number));
+}
+
+auto process_site::call(int entry, http_request request) -> http_response {
+  exchange_limits limits;
+  limits.timeout = std::chrono::seconds(15);
+  limits.idle_connections = 0;
+  auto result =
+      boost::asio::co_spawn(
+          pool_, client_.exchange(address(entry_port(entry)), request, limits),
+          boost::asio::use_future)
+          .get();
+  if (auto* answered = std::get_if<exchange_answered>(&result)) {
+    return std::move(answered->response);
+  }
+  http_response none;
+  none.status = 0;
+  return none;
+}
+
+auto process_site::get(int entry, std::string_view target) -> http_response {
+  http_request request;
+  request.target = target;
+  return call(entry, request);
+}
+
+auto process_site::post(int entry, std::string_view target,
+                        std::string_view body) -> http_response {
+  http_request request;
+  request.method = "POST";
+  request.target = target;
+  request.body = body;
+  return call(entry, request);
+}
+
+auto process_site::ask(int entry, std::string_view method,
+                       std::string_view path, std::vector<http_header> headers)
+    -> http_response {
+  http_request request;
+  request.method = method;
+  request.target = path;
+  request.headers = std::move(headers);
+  request.headers.emplace_back("Customer", "grocer");
+  return call(entry, request);
+}
+
+auto process_site::put_file(int entry, std::string_view name,
+                            std::string_view body, std::uint64_t version,
+                            std::string_view change) -> http_response {
+  http_request request;
+  request.method = "PUT";
+  request.target = "/v1/config/files/" + std::string(name);
+  request.body = body;
+  request.headers = {{"If-Match", std::to_string(version)},
+                     {"Change-Id", std::string(change)}};
+  return call(entry, request);
+}
+
+auto process_site::state(int port) -> boost::json::value {
+  http_request request;
+  request.target = "/state";
+  exchange_limits limits;
+  limits.timeout = std::chrono::seconds(2);
+  auto result = boost::asio::co_spawn(
+                    pool_, client_.exchange(address(port), request, limits),
+                    boost::asio::use_future)
+                    .get();
+  auto* answered = std::get_if<exchange_answered>(&result);
+  if (answered == nullptr) return boost::json::object();
+  return boost::json::parse(answered->response.body);
+}
+
+auto process_site::version(int entry) -> std::uint64_t {
+  auto dump = state(entry_port(entry));
+  const auto* value = dump.as_object().if_contains("config_version");
+  return value == nullptr ? 0 : value->to_number<std::uint64_t>();
+}
+
+auto process_site::leader() -> int {
+  for (int i = 1; i <= 3; ++i) {
+    if (!pids_.contains("control-" + std::to_string(i))) continue;
+    auto dump = state(control_port(i));
+    const auto* serving = dump.as_object().if_contains("serving");
+    if (serving != nullptr && serving->as_bool()) return i;
+  }
+  return 0;
+}
+
+auto process_site::executions(std::string_view key) -> int {
+  std::ifstream in(folder_ + "/executions");
+  std::string name;
+  std::string found;
+  int count = 0;
+  while (in >> name >> found) count += found == key ? 1 : 0;
+  return count;
+}
+
+}  // namespace parsleyledge::fakes
