--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -5,6 +5,7 @@
 #include "adapters/operator_client.h"
 #include "adapters/settings.h"
 #include "job_bench.h"
+#include "state_bench.h"
 
 using namespace parsleyledge;
 
@@ -15,12 +16,15 @@
 ABSL_FLAG(int, seeds, 5, "number of seeds");
 ABSL_FLAG(int, threads, 5, "replays at the same time");
 ABSL_FLAG(std::string, policy, "", "jobs: only this policy");
+ABSL_FLAG(std::string, folder, "/tmp", "state: folder on the disk to measure");
+ABSL_FLAG(int, records, 1000000, "state: most records to recover");
 ABSL_FLAG(bool, json, false, "print JSON lines in place of a table");
 
 namespace {
 
 constexpr std::string_view usage =
-    "parsleyledge-bench jobs: replays a seeded list against the decisions";
+    "parsleyledge-bench jobs: replays a seeded list against the decisions\n"
+    "parsleyledge-bench state: measures the journal and its recovery";
 
 void run_jobs() {
   bench::job_bench_settings settings;
@@ -45,5 +49,11 @@
     run_jobs();
     return 0;
   }
+  if (words.size() == 1 && words[0] == "state") {
+    bench::run_state_bench(
+        absl::GetFlag(FLAGS_folder),
+        static_cast<std::size_t>(absl::GetFlag(FLAGS_records)));
+    return 0;
+  }
   give_up(exit_code::bad_usage, usage);
 }
--- /dev/null
+++ b/bench/state_bench.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+namespace parsleyledge::bench {
+
+/// Measures the journal in a folder: one sync, batched appends, snapshots and
+/// recovery of up to `records` records. Prints a table.
+void run_state_bench(const std::string& folder, std::size_t records);
+
+}  // namespace parsleyledge::bench
