--- a/bench/job_bench.cpp
+++ b/bench/job_bench.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <cstdio>
 #include <iostream>
+#include <span>
 #include <thread>
 
 #include "adapters/table.h"
@@ -51,13 +52,13 @@
   return text;
 }
 
-auto mean_of(const std::vector<replay_result>& runs, column c) -> double {
+auto mean_of(std::span<const replay_result> runs, column c) -> double {
   double sum = 0;
   for (const auto& r : runs) sum += r.*c;
   return sum / static_cast<double>(runs.size());
 }
 
-auto spread_of(const std::vector<replay_result>& runs, column c) -> double {
+auto spread_of(std::span<const replay_result> runs, column c) -> double {
   auto mean = mean_of(runs, c);
   double sum = 0;
   for (const auto& r : runs) sum += (r.*c - mean) * (r.*c - mean);
--- a/bench/job_replay.cpp
+++ b/bench/job_replay.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <map>
 #include <queue>
+#include <span>
 #include <variant>
 
 #include "core/jobs/cell_map.h"
@@ -65,7 +66,7 @@
   return values[at];
 }
 
-auto mean(const std::vector<double>& values) -> double {
+auto mean(std::span<const double> values) -> double {
   double sum = 0;
   for (auto v : values) sum += v;
   return values.empty() ? 0 : sum / static_cast<double>(values.size());
--- a/bench/state_bench.cpp
+++ b/bench/state_bench.cpp
@@ -62,7 +62,7 @@
   return resident * 4096 / 1e6;
 }
 
-auto measure(const std::string& folder, std::size_t records)
+auto measure(std::string_view folder, std::size_t records)
     -> leaf::result<void> {
   text_table table{{"measure", "value"}, {}};
   auto add = [&](std::string name, double value) {
@@ -70,7 +70,7 @@
   };
   folder_owner owner{"bench", {1}};
   for (std::size_t n = 10'000; n <= records; n *= 10) {
-    auto path = folder + "/state-bench-" + std::to_string(n);
+    auto path = std::string(folder) + "/state-bench-" + std::to_string(n);
     std::filesystem::remove_all(path);
     {
       journal disk{disk_files(path)};
@@ -132,7 +132,7 @@
 
 }  // namespace
 
-void run_state_bench(const std::string& folder, std::size_t records) {
+void run_state_bench(std::string_view folder, std::size_t records) {
   leaf::try_handle_all(
       [&]() -> leaf::result<void> { return measure(folder, records); },
       [](const io_error& e) { give_up(exit_code::refused, e.text()); },
--- a/bench/state_bench.h
+++ b/bench/state_bench.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <cstddef>
-#include <string>
+#include <string_view>
 
 namespace parsleyledge::bench {
 
 /// Measures the journal in a folder: one sync, batched appends, snapshots and
 /// recovery of up to `records` records. Prints a table.
-void run_state_bench(const std::string& folder, std::size_t records);
+void run_state_bench(std::string_view folder, std::size_t records);
 
 }  // namespace parsleyledge::bench
--- a/src/adapters/http_message.cpp
+++ b/src/adapters/http_message.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <span>
 
 namespace parsleyledge {
 
@@ -11,7 +12,7 @@
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
-auto find_header(const std::vector<http_header>& headers, std::string_view name)
+auto find_header(std::span<const http_header> headers, std::string_view name)
     -> std::string_view {
   for (const auto& [key, value] : headers) {
     if (same_header(key, name)) return value;
--- a/test/fakes/process_site.cpp
+++ b/test/fakes/process_site.cpp
@@ -18,12 +18,6 @@
 
 constexpr std::chrono::milliseconds check_interval{30};
 
-void pause() {
-  boost::asio::io_context context;
-  boost::asio::steady_timer timer(context, check_interval);
-  timer.wait();
-}
-
 auto program_path(std::string_view program) -> std::string {
   const char* folder = std::getenv("PARSLEYLEDGE_BIN");
   return std::string(folder == nullptr ? "build/bin" : folder) + "/" +
@@ -32,12 +26,18 @@
 
 }  // namespace
 
+void pause_for(std::chrono::milliseconds time) {
+  boost::asio::io_context context;
+  boost::asio::steady_timer timer(context, time);
+  timer.wait();
+}
+
 auto eventually(const std::function<bool()>& condition,
                 std::chrono::seconds limit) -> bool {
   auto until = std::chrono::steady_clock::now() + limit;
   while (!condition()) {
     if (std::chrono::steady_clock::now() > until) return false;
-    pause();
+    pause_for(check_interval);
   }
   return true;
 }
--- a/test/fakes/process_site.h
+++ b/test/fakes/process_site.h
@@ -84,6 +84,9 @@
   http_client client_;
 };
 
+/// Lets time pass.
+void pause_for(std::chrono::milliseconds time);
+
 /// Waits until a condition holds; false after the limit.
 auto eventually(const std::function<bool()>& condition,
                 std::chrono::seconds limit = std::chrono::seconds(30)) -> bool;
--- a/test/system_test.cpp
+++ b/test/system_test.cpp
@@ -252,11 +252,7 @@
     for (int i = 0; i < 4; ++i) {
       auto key = "k" + std::to_string(i);
       auto held = std::async(std::launch::async, [&] { return order(1, key); });
-      auto until = std::chrono::steady_clock::now() +
-                   std::chrono::milliseconds(5 + i * 110);
-      while (std::chrono::steady_clock::now() < until) {
-        std::this_thread::yield();
-      }
+      fakes::pause_for(std::chrono::milliseconds(5 + i * 110));
       s.kill("entry-1");
       held.get();
       for (int j = 0; j < 3; ++j) order(2, key);
