Do not place a claim on cells that were taken in the same pass

Cause: since reservations are served first, urgent and large gangs may take cells of an idle home before its owner's claim is looked at; the claim then saw no borrower there and was placed on the same accelerators. Found by rules_hold_under_random_events. Ruled out: the reservations themselves, which check that their cells are free. Change: a claim takes only vacant cells.

--- a/src/core/jobs/scheduler.cpp
+++ b/src/core/jobs/scheduler.cpp
@@ -338,6 +338,12 @@
     return cells_.assignments(cells, need_of(job.spec));
   }
 
+  auto is_vacant(std::span<const assignment> cells) const -> bool {
+    return std::ranges::all_of(cells, [&](const assignment& a) {
+      return cells_.is_free(a) && cells_.has_room(a);
+    });
+  }
+
   /// Takes the cells kept for a job once they are free, and stops what is in
   /// the way. False if they are no longer to be had.
   auto use_reservation(const job_record& job) -> bool {
@@ -352,10 +358,7 @@
     } else if (!cells_.is_borrowable(job.reserved)) {
       return false;
     }
-    bool free = std::ranges::all_of(job.reserved, [&](const assignment& a) {
-      return cells_.is_free(a) && cells_.has_room(a);
-    });
-    if (free) {
+    if (is_vacant(job.reserved)) {
       place(job, job.reserved, claim, {});
       return true;
     }
@@ -438,6 +441,8 @@
         continue;
       }
       auto victims = victims_of(part);
+      // What took the cells in this pass can be reclaimed in the next.
+      if (victims.empty() && !is_vacant(part)) continue;
       double loss = 0;
       for (const auto* v : victims) loss += loss_of(*v, view_.now);
       if (!best || loss < best->loss) {
