--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -52,7 +52,7 @@
 }
 
 void latency_metric::print(std::string_view name, std::string& out) const {
-  auto line = [&](const std::string& suffix, double value) {
+  auto line = [&](std::string_view suffix, double value) {
     char text[64];
     std::snprintf(text, sizeof text, " %.9g\n", value);
     out.append(name).append(suffix).append(text);
--- a/src/adapters/table.cpp
+++ b/src/adapters/table.cpp
@@ -1,12 +1,13 @@
 #include "adapters/table.h"
 
 #include <algorithm>
+#include <span>
 
 namespace parsleyledge {
 
 auto text_table::print() const -> std::string {
   std::vector<std::size_t> widths;
-  auto measure = [&](const std::vector<std::string>& row) {
+  auto measure = [&](std::span<const std::string> row) {
     widths.resize(std::max(widths.size(), row.size()));
     for (std::size_t i = 0; i < row.size(); ++i) {
       widths[i] = std::max(widths[i], row[i].size());
@@ -15,7 +16,7 @@
   measure(header);
   for (const auto& row : rows) measure(row);
   std::string out;
-  auto add = [&](const std::vector<std::string>& row) {
+  auto add = [&](std::span<const std::string> row) {
     for (std::size_t i = 0; i < row.size(); ++i) {
       out += row[i];
       if (i + 1 < row.size()) out.append(widths[i] - row[i].size() + 2, ' ');
