--- a/src/adapters/app.cpp
+++ b/src/adapters/app.cpp
@@ -1,11 +1,12 @@
 #include "adapters/app.h"
 
+#include <boost/leaf/handle_errors.hpp>
 #include <condition_variable>
 #include <csignal>
 #include <cstdlib>
 #include <mutex>
 
-#include "adapters/log.h"
+#include "adapters/io_error.h"
 #include "adapters/settings.h"
 
 namespace parsleyledge {
@@ -20,6 +21,7 @@
   sigemptyset(&set);
   sigaddset(&set, SIGTERM);
   sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGHUP);
   return set;
 }
 
@@ -31,10 +33,13 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-void wait_for_signal() {
+void wait_for_signal(const std::function<void()>& reload) {
   auto set = signal_set();
-  int which = 0;
-  sigwait(&set, &which);
+  int which = SIGHUP;
+  while (which == SIGHUP) {
+    sigwait(&set, &which);
+    if (which == SIGHUP && reload) reload();
+  }
 }
 
 auto wait_until_idle(const http_server& server, std::chrono::milliseconds limit)
@@ -55,12 +60,32 @@
   std::_Exit(failure_status);
 }
 
-void start_log_from_flag(std::string_view level, std::string_view process) {
+auto open_journal(journal& disk, const folder_owner& owner)
+    -> agreement::recovered_state {
+  namespace leaf = boost::leaf;
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<agreement::recovered_state> {
+        BOOST_LEAF_AUTO(state, disk.open(owner));
+        return state;
+      },
+      [](const io_error& e) -> agreement::recovered_state {
+        stop_at_once("data_folder_refused", e.text());
+      },
+      [](const journal_error& e) -> agreement::recovered_state {
+        stop_at_once("data_folder_refused", e.file + ": " + e.detail);
+      },
+      []() -> agreement::recovered_state {
+        stop_at_once("data_folder_refused", "unknown error");
+      });
+}
+
+void start_log_from_flag(std::string_view level, std::string_view process,
+                         log_stream stream) {
   log_level parsed{};
   if (!parse_log_level(level, parsed)) {
     refuse_setting("log_level", "expected debug, info, warning or error");
   }
-  start_log(parsed, process);
+  start_log(parsed, process, stream);
 }
 
 }  // namespace parsleyledge
--- a/src/adapters/clock.h
+++ b/src/adapters/clock.h
@@ -1,13 +1,19 @@
 #pragma once
 
+#include <ctime>
+
 #include "core/time.h"
 
 namespace parsleyledge {
 
-/// The monotonic clock: for leases, timeouts and latencies.
+/// The monotonic clock: for leases, timeouts and latencies. It counts the
+/// time that the machine was suspended, which std::chrono::steady_clock does
+/// not, so that a lease runs out meanwhile.
 inline auto steady_now() -> time_point {
-  return time_point(std::chrono::duration_cast<milliseconds>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return time_point(milliseconds(std::int64_t{now.tv_sec} * 1000 +
+                                 now.tv_nsec / 1'000'000));
 }
 
 /// The wall clock: for times that are stored or shown.
--- a/src/adapters/control_client.cpp
+++ b/src/adapters/control_client.cpp
@@ -43,6 +43,13 @@
 
 control_client::~control_client() = default;
 
+void control_client::use(std::vector<std::string> addresses) {
+  ranked_lock lock(mutex_);
+  addresses_ = std::move(addresses);
+  turn_ = 0;
+  if (leader_.empty() && !addresses_.empty()) leader_ = addresses_.front();
+}
+
 auto control_client::leader() -> std::string {
   ranked_lock lock(mutex_);
   return leader_;
--- a/src/adapters/control_client.h
+++ b/src/adapters/control_client.h
@@ -32,6 +32,9 @@
   control_client(const control_client&) = delete;
   auto operator=(const control_client&) -> control_client& = delete;
 
+  /// Looks for the leader at these addresses from now on.
+  void use(std::vector<std::string> addresses);
+
   /// Sends a call until it is answered or the time is up. A problem without
   /// any answer is `not-run` only if no leader can have taken the call.
   auto call(wire::call request, time_point deadline)
--- a/src/adapters/control_node.cpp
+++ b/src/adapters/control_node.cpp
@@ -152,6 +152,7 @@
       schedule_round();
       return;
     }
+    case wire::call::kFleet:  // parsleyledge-fleet-control serves these
     case wire::call::WHAT_NOT_SET:
       return;
   }
--- /dev/null
+++ b/src/adapters/fleet_codec.cpp
@@ -0,0 +1,485 @@
+#include "adapters/fleet_codec.h"
+
+#include <utility>
+
+#include "core/overloaded.h"
+#include "fleet.pb.h"
+
+namespace parsleyledge::fleet {
+
+namespace {
+
+void write(const resources& from, wire::fleet_resources& to) {
+  to.set_cpu_milli(from.cpu_milli);
+  to.set_memory_mb(from.memory_mb);
+  to.set_accelerators(from.accelerators);
+}
+
+auto read(const wire::fleet_resources& from) -> resources {
+  return {from.cpu_milli(), from.memory_mb(), from.accelerators()};
+}
+
+void write(const worker_life& from, wire::fleet_life& to) {
+  to.set_name(from.name);
+  to.set_born_ms(from.born_ms);
+}
+
+auto read(const wire::fleet_life& from) -> worker_life {
+  return {from.name(), from.born_ms()};
+}
+
+void write(const task_ref& from, wire::fleet_task_ref& to) {
+  to.set_job(from.job.value);
+  to.set_occurrence(from.occurrence);
+  to.set_step(from.step);
+  to.set_index(from.index);
+}
+
+auto read(const wire::fleet_task_ref& from) -> task_ref {
+  return {{from.job()}, from.occurrence(), from.step(), from.index()};
+}
+
+void write(const step_spec& from, wire::fleet_step_spec& to) {
+  to.set_tasks(from.tasks);
+  write(from.each, *to.mutable_each());
+  to.set_estimate_ms(from.estimate.count());
+  for (auto before : from.after) to.add_after(before);
+  to.set_checkpoints(from.checkpoints);
+  to.set_gang(from.gang);
+  to.set_same_rack(from.same_rack);
+  to.set_speculative(from.speculative);
+  to.set_lasting(from.lasting);
+  to.set_fills(from.fills);
+  to.set_label(from.label);
+  to.set_data_rack(from.data_rack);
+  to.set_most_per_worker(from.most_per_worker);
+  to.set_image(from.image);
+  to.set_target_ms(from.target.count());
+  to.set_may_miss(from.may_miss);
+}
+
+auto read(const wire::fleet_step_spec& from) -> step_spec {
+  step_spec to;
+  to.tasks = from.tasks();
+  to.each = read(from.each());
+  to.estimate = milliseconds(from.estimate_ms());
+  to.after.assign(from.after().begin(), from.after().end());
+  to.checkpoints = from.checkpoints();
+  to.gang = from.gang();
+  to.same_rack = from.same_rack();
+  to.speculative = from.speculative();
+  to.lasting = from.lasting();
+  to.fills = from.fills();
+  to.label = from.label();
+  to.data_rack = from.data_rack();
+  to.most_per_worker = from.most_per_worker();
+  to.image = from.image();
+  to.target = milliseconds(from.target_ms());
+  to.may_miss = from.may_miss();
+  return to;
+}
+
+void write(const job_spec& from, wire::fleet_job_spec& to) {
+  to.set_id(from.id.value);
+  to.set_queue(from.queue);
+  to.set_customer(from.customer);
+  to.set_text(from.text);
+  for (const auto& step : from.steps) write(step, *to.add_steps());
+  to.set_times(from.times);
+  to.set_first_due(to_ms(from.first_due));
+  to.set_interval_ms(from.interval.count());
+}
+
+auto read(const wire::fleet_job_spec& from) -> job_spec {
+  job_spec to;
+  to.id = {from.id()};
+  to.queue = from.queue();
+  to.customer = from.customer();
+  to.text = from.text();
+  for (const auto& step : from.steps()) to.steps.push_back(read(step));
+  to.times = from.times();
+  to.first_due = at_ms(from.first_due());
+  to.interval = milliseconds(from.interval_ms());
+  return to;
+}
+
+// The record and the report of a worker share a message; the report has more.
+template <typename Worker>
+void write_worker(const Worker& from, wire::fleet_worker& to) {
+  write(from.life, *to.mutable_life());
+  to.set_address(from.address);
+  to.set_machine(from.machine);
+  to.set_service(from.service);
+  to.set_data_centre(from.data_centre);
+  to.set_rack(from.rack);
+  for (const auto& label : from.labels) to.add_labels(label);
+  write(from.capacity, *to.mutable_capacity());
+  to.set_draining(from.draining);
+}
+
+template <typename Worker>
+auto read_worker(const wire::fleet_worker& from) -> Worker {
+  Worker to;
+  to.life = read(from.life());
+  to.address = from.address();
+  to.machine = from.machine();
+  to.service = from.service();
+  to.data_centre = from.data_centre();
+  to.rack = from.rack();
+  to.labels.assign(from.labels().begin(), from.labels().end());
+  to.capacity = read(from.capacity());
+  to.draining = from.draining();
+  return to;
+}
+
+void write(const worker_report& from, wire::fleet_worker& to) {
+  write_worker(from, to);
+  to.set_remaining_ms(from.remaining.count());
+  if (from.clock_ms) to.set_clock_ms(*from.clock_ms);
+  to.set_sequence(from.sequence);
+}
+
+auto read_report(const wire::fleet_worker& from) -> worker_report {
+  auto to = read_worker<worker_report>(from);
+  to.remaining = milliseconds(from.remaining_ms());
+  if (from.has_clock_ms()) to.clock_ms = from.clock_ms();
+  to.sequence = from.sequence();
+  return to;
+}
+
+void write(std::uint64_t number, const wave_record& from,
+           wire::fleet_wave& to) {
+  to.set_number(number);
+  for (const auto& m : from.machines) to.add_machines(m);
+  to.set_duration_ms(from.duration.count());
+  to.set_at_once(from.at_once);
+  to.set_asked_at(to_ms(from.asked_at));
+  for (const auto& m : from.begun) to.add_begun(m);
+  for (const auto& m : from.ended) to.add_ended(m);
+}
+
+auto read(const wire::fleet_wave& from) -> wave_record {
+  return {{from.machines().begin(), from.machines().end()},
+          milliseconds(from.duration_ms()),
+          from.at_once(),
+          at_ms(from.asked_at()),
+          {from.begun().begin(), from.begun().end()},
+          {from.ended().begin(), from.ended().end()}};
+}
+
+void write_command(const command& from, wire::fleet_command& to) {
+  std::visit(
+      overloaded{
+          [&](const read_barrier&) { to.set_barrier(true); },
+          [&](const put_site& c) {
+            to.mutable_site()->set_version(c.version);
+            to.mutable_site()->set_document(c.document);
+          },
+          [&](const add_job& c) {
+            write(c.spec, *to.mutable_add()->mutable_spec());
+            to.mutable_add()->set_at(to_ms(c.at));
+          },
+          [&](const cancel_job& c) {
+            to.mutable_cancel()->set_job(c.job.value);
+            to.mutable_cancel()->set_at(to_ms(c.at));
+          },
+          [&](const fail_job& c) {
+            to.mutable_fail()->set_job(c.job.value);
+            to.mutable_fail()->set_at(to_ms(c.at));
+            to.mutable_fail()->set_reason(c.reason);
+          },
+          [&](const place_tasks& c) {
+            auto& placed = *to.mutable_placed();
+            placed.set_at(to_ms(c.at));
+            for (const auto& p : c.placements) {
+              auto& one = *placed.add_placements();
+              write(p.task, *one.mutable_task());
+              one.set_run(p.run);
+              write(p.worker, *one.mutable_worker());
+            }
+          },
+          [&](const end_runs& c) {
+            auto& ended = *to.mutable_ended();
+            ended.set_at(to_ms(c.at));
+            for (const auto& e : c.runs) {
+              auto& one = *ended.add_runs();
+              write(e.task, *one.mutable_task());
+              one.set_run(e.run);
+              write(e.worker, *one.mutable_worker());
+              one.set_how(static_cast<std::uint32_t>(e.how));
+              one.set_snapshot(e.snapshot);
+            }
+          },
+          [&](const note_worker& c) {
+            write_worker(c.worker, *to.mutable_worker());
+          },
+          [&](const drop_worker& c) { write(c.life, *to.mutable_dropped()); },
+          [&](const add_wave& c) {
+            write(c.number, c.wave, *to.mutable_wave());
+          },
+          [&](const note_upkeep& c) {
+            to.mutable_kept_up()->set_wave(c.wave);
+            to.mutable_kept_up()->set_machine(c.machine);
+            to.mutable_kept_up()->set_ended(c.ended);
+          }},
+      from);
+}
+
+auto read_placed(const wire::fleet_command::place& from) -> place_tasks {
+  place_tasks to;
+  to.at = at_ms(from.at());
+  for (const auto& p : from.placements()) {
+    to.placements.push_back({read(p.task()), p.run(), read(p.worker())});
+  }
+  return to;
+}
+
+auto read_ended(const wire::fleet_command::end& from) -> end_runs {
+  end_runs to;
+  to.at = at_ms(from.at());
+  for (const auto& e : from.runs()) {
+    to.runs.push_back({read(e.task()), e.run(), read(e.worker()),
+                       static_cast<run_end>(e.how()), e.snapshot()});
+  }
+  return to;
+}
+
+auto read_command(const wire::fleet_command& from) -> std::optional<command> {
+  using wire::fleet_command;
+  switch (from.what_case()) {
+    case fleet_command::kBarrier:
+      return read_barrier{};
+    case fleet_command::kSite:
+      return put_site{from.site().version(), from.site().document()};
+    case fleet_command::kAdd:
+      return add_job{read(from.add().spec()), at_ms(from.add().at())};
+    case fleet_command::kCancel:
+      return cancel_job{{from.cancel().job()}, at_ms(from.cancel().at())};
+    case fleet_command::kFail:
+      return fail_job{{from.fail().job()},
+                      from.fail().reason(),
+                      at_ms(from.fail().at())};
+    case fleet_command::kPlaced:
+      return read_placed(from.placed());
+    case fleet_command::kEnded:
+      return read_ended(from.ended());
+    case fleet_command::kWorker:
+      return note_worker{read_worker<worker_record>(from.worker())};
+    case fleet_command::kDropped:
+      return drop_worker{read(from.dropped())};
+    case fleet_command::kWave:
+      return add_wave{from.wave().number(), read(from.wave())};
+    case fleet_command::kKeptUp:
+      return note_upkeep{from.kept_up().wave(), from.kept_up().machine(),
+                         from.kept_up().ended()};
+    case fleet_command::WHAT_NOT_SET:
+      return {};
+  }
+  return {};
+}
+
+void write(const step_record& from, wire::fleet_step& to) {
+  for (const auto& task : from.tasks) {
+    auto& one = *to.add_tasks();
+    one.set_run(task.run);
+    one.set_failures(task.failures);
+    one.set_holding(task.holding);
+    one.set_done(task.done);
+    write(task.worker, *one.mutable_worker());
+    one.set_snapshot(task.snapshot);
+  }
+  to.set_done(from.done);
+  to.set_failures(from.failures);
+  to.set_failed_run(from.failed_run);
+  to.set_last_run(from.last_run);
+  to.set_snapshot(from.snapshot);
+}
+
+auto read(const wire::fleet_step& from) -> step_record {
+  step_record to;
+  for (const auto& task : from.tasks()) {
+    to.tasks.push_back({task.run(), task.failures(), task.holding(),
+                        task.done(), read(task.worker()), task.snapshot()});
+  }
+  to.done = from.done();
+  to.failures = from.failures();
+  to.failed_run = from.failed_run();
+  to.last_run = from.last_run();
+  to.snapshot = from.snapshot();
+  return to;
+}
+
+void write(const job_record& from, wire::fleet_job& to) {
+  write(from.spec, *to.mutable_spec());
+  to.set_state(static_cast<std::uint32_t>(from.state));
+  to.set_accepted_at(to_ms(from.accepted_at));
+  to.set_ended_at(to_ms(from.ended_at));
+  for (const auto& [number, occurrence] : from.open) {
+    auto& one = *to.add_open();
+    one.set_number(number);
+    one.set_done(occurrence.done);
+    for (const auto& step : occurrence.steps) write(step, *one.add_steps());
+  }
+  to.set_occurrences_done(from.occurrences_done);
+  to.set_first_open(from.first_open);
+  for (auto k : from.done_early) to.add_done_early(k);
+}
+
+auto read(const wire::fleet_job& from) -> job_record {
+  job_record to;
+  to.spec = read(from.spec());
+  to.state = static_cast<job_state>(from.state());
+  to.accepted_at = at_ms(from.accepted_at());
+  to.ended_at = at_ms(from.ended_at());
+  for (const auto& one : from.open()) {
+    auto& occurrence = to.open[one.number()];
+    occurrence.done = one.done();
+    for (const auto& step : one.steps()) {
+      occurrence.steps.push_back(read(step));
+    }
+  }
+  to.occurrences_done = from.occurrences_done();
+  to.first_open = from.first_open();
+  to.done_early.assign(from.done_early().begin(), from.done_early().end());
+  return to;
+}
+
+void write(const job_address& from, wire::fleet_request::job_call& to) {
+  to.set_host(from.host);
+  to.set_path(from.path);
+  to.set_key(from.key);
+}
+
+auto read(const wire::fleet_request::job_call& from) -> job_address {
+  return {from.host(), from.path(), from.key()};
+}
+
+}  // namespace
+
+auto encode(const command& what) -> std::string {
+  wire::fleet_command message;
+  write_command(what, message);
+  return message.SerializeAsString();
+}
+
+auto decode_command(std::string_view bytes) -> std::optional<command> {
+  wire::fleet_command message;
+  if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return {};
+  }
+  return read_command(message);
+}
+
+auto encode(const fleet_tables& tables) -> std::string {
+  wire::fleet_state message;
+  message.set_site_version(tables.site_version);
+  message.set_site_document(tables.site_document);
+  for (const auto& [id, job] : tables.jobs) write(job, *message.add_jobs());
+  for (auto id : tables.ended) message.add_ended(id.value);
+  for (const auto& [name, worker] : tables.workers) {
+    write_worker(worker, *message.add_workers());
+  }
+  for (const auto& [number, wave] : tables.waves) {
+    write(number, wave, *message.add_waves());
+  }
+  return message.SerializeAsString();
+}
+
+auto decode_tables(std::string_view bytes) -> std::optional<fleet_tables> {
+  wire::fleet_state message;
+  if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return {};
+  }
+  fleet_tables tables;
+  tables.site_version = message.site_version();
+  tables.site_document = message.site_document();
+  for (const auto& job : message.jobs()) {
+    tables.jobs[{job.spec().id()}] = read(job);
+  }
+  for (auto id : message.ended()) tables.ended.push_back({id});
+  for (const auto& worker : message.workers()) {
+    tables.workers[worker.life().name()] = read_worker<worker_record>(worker);
+  }
+  for (const auto& wave : message.waves()) {
+    tables.waves[wave.number()] = read(wave);
+  }
+  return tables;
+}
+
+void write(const request& from, wire::fleet_request& to) {
+  std::visit(overloaded{[&](const ping_request&) { to.set_ping(true); },
+                        [&](const submit_request& r) {
+                          write(r.where, *to.mutable_submit());
+                          write(r.spec, *to.mutable_submit()->mutable_spec());
+                        },
+                        [&](const read_request& r) {
+                          write(r.where, *to.mutable_read());
+                        },
+                        [&](const cancel_request& r) {
+                          write(r.where, *to.mutable_cancel());
+                        },
+                        [&](const report_request& r) {
+                          write(r.report, *to.mutable_report());
+                        },
+                        [&](const leave_request& r) {
+                          write(r.life, *to.mutable_leave());
+                        },
+                        [&](const put_site_request& r) {
+                          to.mutable_put()->set_version(r.version);
+                          to.mutable_put()->set_document(r.document);
+                        },
+                        [&](const read_site_request&) {
+                          to.set_read_site(true);
+                        },
+                        [&](const start_wave_request& r) {
+                          write(r.number, r.wave, *to.mutable_start_wave());
+                        },
+                        [&](const read_wave_request& r) {
+                          to.set_read_wave(r.number);
+                        }},
+             from);
+}
+
+auto read(const wire::fleet_request& from) -> std::optional<request> {
+  using wire::fleet_request;
+  switch (from.what_case()) {
+    case fleet_request::kPing:
+      return ping_request{};
+    case fleet_request::kSubmit:
+      return submit_request{read(from.submit()), read(from.submit().spec())};
+    case fleet_request::kRead:
+      return read_request{read(from.read())};
+    case fleet_request::kCancel:
+      return cancel_request{read(from.cancel())};
+    case fleet_request::kReport:
+      return report_request{read_report(from.report())};
+    case fleet_request::kLeave:
+      return leave_request{read(from.leave())};
+    case fleet_request::kPut:
+      return put_site_request{from.put().version(), from.put().document()};
+    case fleet_request::kReadSite:
+      return read_site_request{};
+    case fleet_request::kStartWave:
+      return start_wave_request{from.start_wave().number(),
+                                read(from.start_wave())};
+    case fleet_request::kReadWave:
+      return read_wave_request{from.read_wave()};
+    case fleet_request::WHAT_NOT_SET:
+      return {};
+  }
+  return {};
+}
+
+void write(const reply& from, wire::fleet_reply& to) {
+  to.set_status(static_cast<std::uint32_t>(from.status));
+  to.set_text(from.text);
+  to.set_number(from.number);
+  to.set_retry_ms(from.retry_after.count());
+}
+
+auto read(const wire::fleet_reply& from) -> reply {
+  return {static_cast<reply_status>(from.status()), from.text(), from.number(),
+          milliseconds(from.retry_ms())};
+}
+
+}  // namespace parsleyledge::fleet
--- /dev/null
+++ b/src/adapters/fleet_control_node.cpp
@@ -0,0 +1,510 @@
+#include "adapters/fleet_control_node.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <charconv>
+
+#include "adapters/clock.h"
+#include "adapters/codec.h"
+#include "adapters/log.h"
+#include "core/fleet/task_name.h"
+#include "core/overloaded.h"
+#include "wire.pb.h"
+
+namespace parsleyledge {
+
+namespace {
+
+namespace asio = boost::asio;
+using fleet::reply;
+using fleet::reply_status;
+
+constexpr milliseconds round_interval{100};
+constexpr milliseconds retry_hint{1000};  // while there is no leader
+constexpr std::size_t job_id_digits = 16;
+
+auto now_both() -> fleet::moment {
+  return {steady_now(), wall_now()};
+}
+
+auto refusal(reply_status status, std::string_view text) -> reply {
+  bool later = status == reply_status::unavailable ||
+               status == reply_status::busy;
+  return {status, std::string(text), 0, later ? retry_hint : milliseconds(0)};
+}
+
+auto parse_job_id(std::string_view text) -> std::optional<fleet::job_id> {
+  fleet::job_id id;
+  if (text.size() != job_id_digits) return {};
+  auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), id.value, 16);
+  if (error != std::errc() || end != text.data() + text.size()) return {};
+  return id;
+}
+
+}  // namespace
+
+/// A reply that a coroutine waits for.
+struct fleet_control_node::waiting_reply {
+  explicit waiting_reply(const asio::any_io_executor& executor)
+      : timer(executor) {}
+
+  asio::steady_timer timer;
+  std::optional<reply> result;
+};
+
+/// The queue that a caller means, and the rest of its path.
+struct fleet_control_node::found_job {
+  const fleet::queue* where = nullptr;
+  std::string customer;
+  std::string rest;
+  std::shared_ptr<const fleet::site> config;  // keeps `where` alive
+};
+
+fleet_control_node::fleet_control_node(
+    asio::thread_pool& pool, fleet_control_settings settings, journal disk,
+    agreement::recovered_state recovered, fleet::platform_port platform,
+    std::function<void(std::string_view)> fatal)
+    : pool_(pool),
+      settings_(std::move(settings)),
+      platform_(std::move(platform)),
+      peers_({settings_.group, settings_.name},
+             [this](std::string_view from, wire::envelope message) {
+               receive(from, std::move(message));
+             }),
+      client_(peers_, settings_.control),
+      replica_(pool, settings_.replica, std::move(disk), std::move(recovered),
+               metrics_,
+               {[this](std::string_view address, agreement::message m) {
+                  wire::envelope out;
+                  write(m, *out.mutable_agreement());
+                  peers_.send(address, std::move(out));
+                },
+                [this] {
+                  decide([this](const auto& tables) {
+                    return dispatcher_.changed(tables, now_both());
+                  });
+                },
+                std::move(fatal)}),
+      timer_(pool),
+      dispatcher_(settings_.limits) {}
+
+auto fleet_control_node::start() -> std::string {
+  auto error = peers_.start(settings_.listen_peer);
+  if (!error.empty()) return error;
+  replica_.start();
+  schedule_round();
+  return {};
+}
+
+void fleet_control_node::transfer() {
+  replica_.transfer();
+}
+
+auto fleet_control_node::leads() -> bool {
+  return replica_.status().role == agreement::role::leader;
+}
+
+void fleet_control_node::stop() {
+  stopped_ = true;
+  replica_.stop();
+  peers_.stop();
+  timer_.cancel();
+}
+
+template <typename Decide>
+void fleet_control_node::decide(Decide step) {
+  std::vector<fleet::effect> effects;
+  replica_.read_state([&](const fleet::fleet_state& state) {
+    ranked_lock lock(dispatch_mutex_);
+    adopt_site(state.tables());
+    effects = step(state.tables());
+  });
+  carry_out(std::move(effects));
+}
+
+void fleet_control_node::schedule_round() {
+  timer_.expires_after(round_interval);
+  timer_.async_wait([this](const boost::system::error_code& ec) {
+    if (ec || stopped_) return;
+    run_round();
+    schedule_round();
+  });
+}
+
+void fleet_control_node::run_round() {
+  auto status = replica_.status();
+  decide([&](const fleet::fleet_tables& tables) {
+    follow_leadership(tables, status);
+    return dispatcher_.tick(tables, now_both());
+  });
+}
+
+// Holds both locks. A refused proposal leaves decisions that nobody will
+// carry out, so the dispatcher begins anew.
+void fleet_control_node::follow_leadership(const fleet::fleet_tables& tables,
+                                           const replica_status& status) {
+  if (status.role != agreement::role::leader) {
+    if (dispatcher_.leads()) {
+      log_event(log_level::info, "lead_lost",
+                {{"term", static_cast<std::int64_t>(status.term)}});
+      dispatcher_.resign();
+    }
+    return;
+  }
+  bool again = refused_.exchange(false);
+  if (dispatcher_.fence() == status.term && !again) return;
+  if (!status.may_serve) return;
+  dispatcher_.lead(status.term, tables, now_both());
+}
+
+void fleet_control_node::adopt_site(const fleet::fleet_tables& tables) {
+  auto version = site_ == nullptr ? 0 : site_->version;
+  if (tables.site_version == version) return;
+  auto parsed = platform_.parse_site(tables.site_document);
+  if (!parsed) {
+    log_event(log_level::error, "site_unreadable",
+              {{"version", static_cast<std::int64_t>(tables.site_version)}});
+    return;
+  }
+  site_ = std::make_shared<const fleet::site>(std::move(*parsed));
+  dispatcher_.adopt(site_);
+  log_event(log_level::info, "site_in_force",
+            {{"version", static_cast<std::int64_t>(site_->version)},
+             {"queues", static_cast<std::int64_t>(site_->queues.size())}});
+}
+
+void fleet_control_node::carry_out(std::vector<fleet::effect> effects) {
+  for (auto& e : effects) {
+    std::visit([this](auto& one) { carry_out_one(one); }, e);
+  }
+}
+
+void fleet_control_node::carry_out_one(fleet::propose& what) {
+  replica_.propose(
+      what.what, [this, token = what.token](fleet::command_outcome outcome) {
+        if (outcome == fleet::command_outcome::not_committed ||
+            outcome == fleet::command_outcome::maybe) {
+          refused_ = true;
+          return;
+        }
+        ranked_lock lock(dispatch_mutex_);
+        dispatcher_.committed(token);
+      });
+}
+
+void fleet_control_node::carry_out_one(fleet::send_order& what) {
+  // A timeout closes the connection, so both need one strand.
+  asio::co_spawn(asio::make_strand(pool_), give_order(std::move(what)),
+                 asio::detached);
+}
+
+void fleet_control_node::carry_out_one(fleet::ask_advice&) {}
+
+void fleet_control_node::carry_out_one(fleet::decision& what) {
+  log_decision(what.event, what.fields);
+}
+
+auto fleet_control_node::give_order(fleet::send_order what)
+    -> asio::awaitable<void> {
+  auto id = what.id;
+  auto answer = co_await platform_.order(std::move(what));
+  if (stopped_) co_return;
+  decide([&](const fleet::fleet_tables& tables) {
+    return dispatcher_.answered(tables, id, answer, now_both());
+  });
+}
+
+void fleet_control_node::receive(std::string_view from,
+                                 wire::envelope message) {
+  if (message.has_agreement()) {
+    if (auto m = read(message.agreement())) replica_.receive(std::move(*m));
+    return;
+  }
+  if (message.has_reply()) {
+    client_.receive(std::move(*message.mutable_reply()));
+    return;
+  }
+  if (!message.has_request() || !message.request().has_fleet()) return;
+  asio::post(pool_, [this, to = std::string(from), m = std::move(message)] {
+    auto id = m.request().id();
+    auto answer = [this, to, id](const reply& r) {
+      wire::envelope out;
+      out.mutable_reply()->set_id(id);
+      write(r, *out.mutable_reply()->mutable_fleet());
+      peers_.reply(to, std::move(out));
+    };
+    if (!replica_.may_serve()) {
+      wire::envelope out;
+      out.mutable_reply()->set_id(id);
+      out.mutable_reply()->set_leader(replica_.status().leader_address);
+      peers_.reply(to, std::move(out));
+      return;
+    }
+    auto what = fleet::read(m.request().fleet());
+    if (!what) {
+      answer(refusal(reply_status::invalid, "unknown kind of request"));
+      return;
+    }
+    handle(std::move(*what), answer);
+  });
+}
+
+auto fleet_control_node::serve(fleet::request what, milliseconds limit)
+    -> asio::awaitable<reply> {
+  if (!replica_.may_serve()) {
+    auto answer = co_await ask_leader(client_, std::move(what),
+                                      steady_now() + limit);
+    co_return answer;
+  }
+  // The reply comes on any thread of the pool; the wait ends on this one.
+  auto executor = co_await asio::this_coro::executor;
+  auto waiting = std::make_shared<waiting_reply>(executor);
+  waiting->timer.expires_after(limit);
+  handle(std::move(what), [executor, waiting](reply r) {
+    asio::post(executor, [waiting, r = std::move(r)]() mutable {
+      waiting->result = std::move(r);
+      waiting->timer.cancel();
+    });
+  });
+  boost::system::error_code ec;
+  co_await waiting->timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ec));
+  if (waiting->result) co_return std::move(*waiting->result);
+  co_return refusal(reply_status::unknown, "not committed in time");
+}
+
+void fleet_control_node::handle(fleet::request what, replier done) {
+  std::visit([&](auto& one) { handle_one(std::move(one), std::move(done)); },
+             what);
+}
+
+void fleet_control_node::commit(const fleet::command& what, replier done) {
+  replica_.propose(what, [done = std::move(done)](
+                             fleet::command_outcome outcome) {
+    using fleet::command_outcome;
+    switch (outcome) {
+      case command_outcome::done:
+      case command_outcome::repeated:
+        done({reply_status::done, {}, 0, {}});
+        return;
+      case command_outcome::unknown:
+        done(refusal(reply_status::gone, "no such job"));
+        return;
+      case command_outcome::not_committed:
+        done(refusal(reply_status::unavailable, "the leader changed"));
+        return;
+      case command_outcome::maybe:
+        done(refusal(reply_status::unknown, "the leader changed"));
+        return;
+    }
+  });
+}
+
+// Finds the queue by host and path, and the customer by key. A null queue
+// comes with the refusal that says why.
+auto fleet_control_node::find_job(const fleet::job_address& where,
+                                  reply& refused) -> found_job {
+  found_job found;
+  {
+    ranked_lock lock(dispatch_mutex_);
+    found.config = site_;
+  }
+  if (found.config == nullptr) {
+    refused = refusal(reply_status::unavailable, "no configuration yet");
+    return found;
+  }
+  const auto* queue = find_queue(*found.config, where.host, where.path);
+  if (queue == nullptr) {
+    refused = refusal(reply_status::no_queue, "no such queue");
+    return found;
+  }
+  auto customer = found.config->customer_by_key.find(where.key);
+  bool known = customer != found.config->customer_by_key.end();
+  if (!known && !queue->open) {
+    refused = refusal(reply_status::unauthorized, "unknown key");
+    return found;
+  }
+  if (known) found.customer = customer->second;
+  found.rest = where.path.substr(queue->prefix.size());
+  found.where = queue;
+  return found;
+}
+
+auto fleet_control_node::leader_address() -> std::string {
+  return replica_.status().leader_address;
+}
+
+void fleet_control_node::handle_one(const fleet::ping_request&, replier done) {
+  done({reply_status::done, {}, 0, {}});
+}
+
+void fleet_control_node::handle_one(fleet::submit_request what, replier done) {
+  reply refused;
+  auto found = find_job(what.where, refused);
+  if (found.where == nullptr) return done(refused);
+  auto id = parse_job_id(found.rest);
+  if (!id) {
+    return done(refusal(reply_status::invalid,
+                        "a job's id is 16 hexadecimal digits"));
+  }
+  what.spec.id = *id;
+  what.spec.queue = found.where->name;
+  what.spec.customer = found.customer;
+  log_event(log_level::info, "job_submitted",
+            {{"job", fleet::to_string(*id)},
+             {"queue", found.where->name},
+             {"customer", found.customer},
+             {"site_version", static_cast<std::int64_t>(found.config->version)},
+             {"steps", static_cast<std::int64_t>(what.spec.steps.size())}});
+  commit(fleet::add_job{std::move(what.spec), wall_now()}, std::move(done));
+}
+
+void fleet_control_node::handle_one(const fleet::read_request& what,
+                                    replier done) {
+  reply refused;
+  auto found = find_job(what.where, refused);
+  if (found.where == nullptr) return done(refused);
+  if (found.rest.empty()) {
+    auto waiting = replica_.read_state([&](const fleet::fleet_state& state) {
+      return std::ranges::count_if(state.tables().jobs, [&](const auto& item) {
+        return item.second.spec.queue == found.where->name &&
+               item.second.state == fleet::job_state::queued;
+      });
+    });
+    return done({reply_status::done, {}, waiting, {}});
+  }
+  auto id = parse_job_id(found.rest);
+  auto state = replica_.read_state([&](const fleet::fleet_state& tables) {
+    std::optional<fleet::job_state> result;
+    if (!id) return result;
+    auto it = tables.tables().jobs.find(*id);
+    if (it != tables.tables().jobs.end()) result = it->second.state;
+    return result;
+  });
+  if (!state) return done(refusal(reply_status::gone, "no such job"));
+  done({reply_status::done, std::string(fleet::to_string(*state)), 0, {}});
+}
+
+void fleet_control_node::handle_one(const fleet::cancel_request& what,
+                                    replier done) {
+  reply refused;
+  auto found = find_job(what.where, refused);
+  if (found.where == nullptr) return done(refused);
+  auto id = parse_job_id(found.rest);
+  if (!id) return done(refusal(reply_status::gone, "no such job"));
+  log_event(log_level::info, "job_cancelled", {{"job", fleet::to_string(*id)}});
+  commit(fleet::cancel_job{*id, wall_now()}, std::move(done));
+}
+
+void fleet_control_node::handle_one(const fleet::report_request& what,
+                                    replier done) {
+  std::optional<fleet::command> news;
+  replica_.read_state([&](const fleet::fleet_state& state) {
+    ranked_lock lock(dispatch_mutex_);
+    news = dispatcher_.report(state.tables(), what.report, now_both());
+  });
+  if (!news) return done({reply_status::done, {}, 0, {}});
+  log_event(log_level::info, "worker_noted",
+            {{"worker", what.report.life.name},
+             {"born", what.report.life.born_ms},
+             {"draining", what.report.draining},
+             {"sequence", static_cast<std::int64_t>(what.report.sequence)}});
+  commit(*news, std::move(done));
+}
+
+void fleet_control_node::handle_one(const fleet::leave_request& what,
+                                    replier done) {
+  auto life = replica_.read_state([&](const fleet::fleet_state& state) {
+    if (what.life.born_ms != 0) return what.life;
+    auto it = state.tables().workers.find(what.life.name);
+    return it == state.tables().workers.end() ? what.life : it->second.life;
+  });
+  log_event(log_level::info, "worker_left",
+            {{"worker", life.name}, {"born", life.born_ms}});
+  commit(fleet::drop_worker{life}, std::move(done));
+}
+
+void fleet_control_node::handle_one(fleet::put_site_request what,
+                                    replier done) {
+  log_event(log_level::info, "site_offered",
+            {{"version", static_cast<std::int64_t>(what.version)}});
+  commit(fleet::put_site{what.version, std::move(what.document)},
+         std::move(done));
+}
+
+// A read goes through the log, so that it can never be older than what was
+// acknowledged before it came, whatever this process slept through.
+void fleet_control_node::handle_one(const fleet::read_site_request&,
+                                    replier done) {
+  commit(fleet::read_barrier{}, [this, done = std::move(done)](reply r) {
+    if (r.status != reply_status::done) return done(std::move(r));
+    r.text = replica_.read_state([](const fleet::fleet_state& state) {
+      return state.tables().site_document;
+    });
+    if (r.text.empty()) {
+      r = refusal(reply_status::unavailable, "no configuration yet");
+    }
+    done(std::move(r));
+  });
+}
+
+void fleet_control_node::handle_one(fleet::start_wave_request what,
+                                    replier done) {
+  what.wave.asked_at = wall_now();
+  commit(fleet::add_wave{what.number, std::move(what.wave)}, std::move(done));
+}
+
+void fleet_control_node::handle_one(const fleet::read_wave_request& what,
+                                    replier done) {
+  auto complete = replica_.read_state([&](const fleet::fleet_state& state) {
+    std::optional<bool> result;
+    auto it = state.tables().waves.find(what.number);
+    if (it == state.tables().waves.end()) return result;
+    result = it->second.ended.size() == it->second.machines.size();
+    return result;
+  });
+  if (!complete) return done(refusal(reply_status::gone, "no such wave"));
+  done({reply_status::done, *complete ? "complete" : "running", 0, {}});
+}
+
+auto fleet_control_node::state_text() -> std::string {
+  namespace json = boost::json;
+  auto status = replica_.status();
+  json::object out;
+  out["name"] = settings_.name;
+  out["role"] = to_string(status.role);
+  out["term"] = status.term;
+  out["commit"] = status.commit;
+  out["leader"] = status.leader_address;
+  out["peer_bytes_sent"] = peers_.bytes_sent();
+  replica_.read_state([&](const fleet::fleet_state& state) {
+    ranked_lock lock(dispatch_mutex_);
+    const auto& tables = state.tables();
+    out["site_version"] = tables.site_version;
+    out["jobs"] = tables.jobs.size();
+    out["runs"] = dispatcher_.runs().size();
+    json::array workers;
+    for (const auto& [name, record] : tables.workers) {
+      json::object one;
+      one["name"] = name;
+      one["born"] = record.life.born_ms;
+      one["service"] = record.service;
+      one["rack"] = record.rack;
+      one["draining"] = record.draining;
+      auto it = dispatcher_.workers().find(name);
+      if (it != dispatcher_.workers().end()) {
+        one["holding"] = it->second.holding;
+        one["failures"] = it->second.failures;
+        one["unanswered"] = it->second.unanswered;
+        one["speed"] = it->second.speed;
+      }
+      workers.push_back(std::move(one));
+    }
+    out["workers"] = std::move(workers);
+  });
+  return json::serialize(out);
+}
+
+}  // namespace parsleyledge
--- /dev/null
+++ b/src/adapters/fleet_entry_node.cpp
@@ -0,0 +1,91 @@
+#include "adapters/fleet_entry_node.h"
+
+#include <boost/asio.hpp>
+
+#include "adapters/clock.h"
+#include "adapters/fleet_client.h"
+#include "adapters/log.h"
+#include "wire.pb.h"
+
+namespace parsleyledge {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr milliseconds ping_interval{1000};
+constexpr milliseconds ping_limit{900};
+// An election and two pings; a shorter silence takes no caller elsewhere.
+constexpr milliseconds ready_silence{4000};
+
+}  // namespace
+
+fleet_entry_node::fleet_entry_node(asio::thread_pool& pool,
+                                   fleet_entry_settings settings)
+    : peers_({settings.group, settings.name},
+             [this](std::string_view, wire::envelope message) {
+               if (message.has_reply()) {
+                 client_.receive(std::move(*message.mutable_reply()));
+               }
+             }),
+      client_(peers_, std::move(settings.control)),
+      timer_(asio::make_strand(pool)) {}
+
+auto fleet_entry_node::start() -> std::string {
+  auto error = peers_.start({});
+  if (error.empty()) {
+    asio::co_spawn(timer_.get_executor(), ping(), asio::detached);
+  }
+  return error;
+}
+
+void fleet_entry_node::stop() {
+  stopped_ = true;
+  timer_.cancel();
+  peers_.stop();
+}
+
+void fleet_entry_node::note_answer() {
+  answered_ms_ = to_ms(steady_now());
+  if (!in_touch_.exchange(true)) {
+    log_event(log_level::info, "leader_back", {{"address", client_.leader()}});
+  }
+}
+
+auto fleet_entry_node::is_ready() const -> bool {
+  auto silence = steady_now() - at_ms(answered_ms_);
+  return !draining_ && answered_ms_ != 0 && silence < ready_silence;
+}
+
+auto fleet_entry_node::ping() -> asio::awaitable<void> {
+  while (!stopped_) {
+    fleet::request what = fleet::ping_request{};
+    auto reply = co_await ask_leader(client_, std::move(what),
+                                     steady_now() + ping_limit);
+    if (reply.status == fleet::reply_status::done) {
+      note_answer();
+    } else if (in_touch_.exchange(false)) {
+      log_event(log_level::warning, "leader_lost", {{"detail", reply.text}});
+    }
+    boost::system::error_code ec;
+    timer_.expires_after(ping_interval);
+    co_await timer_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+  }
+}
+
+auto fleet_entry_node::serve(fleet::request what, milliseconds limit)
+    -> asio::awaitable<fleet::reply> {
+  auto begun = std::chrono::steady_clock::now();
+  auto reply = co_await ask_leader(client_, std::move(what),
+                                   steady_now() + limit);
+  bool answered = reply.status != fleet::reply_status::unavailable &&
+                  reply.status != fleet::reply_status::unknown;
+  if (answered) note_answer();
+  ++metrics_.counter(answered ? "requests_total{outcome=\"answered\"}"
+                              : "requests_total{outcome=\"no_leader\"}");
+  metrics_.latency("request_seconds")
+      .record(std::chrono::steady_clock::now() - begun);
+  co_return reply;
+}
+
+}  // namespace parsleyledge
--- a/src/adapters/log.cpp
+++ b/src/adapters/log.cpp
@@ -50,14 +50,32 @@
   return text.data();
 }
 
+auto begin_line(log_level level, std::string_view event)
+    -> boost::json::object {
+  boost::json::object line;
+  line["time"] = timestamp();
+  line["level"] = level_names[static_cast<std::size_t>(level)];
+  line["process"] = process_name();
+  line["event"] = event;
+  return line;
+}
+
+void write_line(log_level level, const boost::json::object& line) {
+  thread_local logging::sources::severity_logger<int> logger;
+  BOOST_LOG_SEV(logger, static_cast<int>(level))
+      << boost::json::serialize(line);
+}
+
 }  // namespace
 
-void start_log(log_level lowest, std::string_view process) {
+void start_log(log_level lowest, std::string_view process,
+               log_stream stream) {
   process_name() = process;
   lowest_level() = lowest;
   using backend = logging::sinks::text_ostream_backend;
   auto out = boost::make_shared<backend>();
-  out->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, [](auto*) {}));
+  auto& to = stream == log_stream::standard_output ? std::cout : std::cerr;
+  out->add_stream(boost::shared_ptr<std::ostream>(&to, [](auto*) {}));
   out->auto_flush(true);
   auto sink =
       boost::make_shared<logging::sinks::synchronous_sink<backend>>(out);
@@ -69,17 +87,20 @@
 
 void log_event(log_level level, std::string_view event, log_fields fields) {
   if (level < lowest_level()) return;
-  boost::json::object line;
-  line["time"] = timestamp();
-  line["level"] = level_names[static_cast<std::size_t>(level)];
-  line["process"] = process_name();
-  line["event"] = event;
+  auto line = begin_line(level, event);
   for (const auto& [key, value] : fields) {
     std::visit([&, k = key](const auto& v) { line[k] = v; }, value);
   }
-  thread_local logging::sources::severity_logger<int> logger;
-  BOOST_LOG_SEV(logger, static_cast<int>(level))
-      << boost::json::serialize(line);
+  write_line(level, line);
+}
+
+void log_decision(
+    std::string_view event,
+    std::span<const std::pair<std::string_view, std::string>> fields) {
+  if (log_level::info < lowest_level()) return;
+  auto line = begin_line(log_level::info, event);
+  for (const auto& [key, value] : fields) line[key] = value;
+  write_line(log_level::info, line);
 }
 
 auto parse_log_level(std::string_view name, log_level& level) -> bool {
--- a/src/adapters/log.h
+++ b/src/adapters/log.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -17,13 +18,21 @@
 using log_fields =
     std::initializer_list<std::pair<std::string_view, log_value>>;
 
-/// Sends log lines of this level and above to stderr, as JSON, one an event.
+enum class log_stream { standard_error, standard_output };
+
+/// Sends log lines of this level and above to a stream, as JSON, one an event.
 /// `process` is this process's name.
-void start_log(log_level lowest, std::string_view process);
+void start_log(log_level lowest, std::string_view process,
+               log_stream stream = log_stream::standard_error);
 
 /// Writes one line. Fields must hold neither secrets nor request bodies.
 void log_event(log_level level, std::string_view event, log_fields fields = {});
 
+/// Writes one line on a decision: what was decided and by which inputs.
+void log_decision(
+    std::string_view event,
+    std::span<const std::pair<std::string_view, std::string>> fields);
+
 /// Reads a level's name: debug, info, warning or error.
 auto parse_log_level(std::string_view name, log_level& level) -> bool;
 
--- a/src/adapters/peer_socket.cpp
+++ b/src/adapters/peer_socket.cpp
@@ -19,8 +19,11 @@
 constexpr int high_water_mark = 4096;  // messages a connection
 constexpr std::size_t max_queued = 65536;
 constexpr std::int64_t max_message = 64 << 20;
-constexpr int heartbeat_ms = 2000;
-constexpr int heartbeat_timeout_ms = 6000;
+constexpr int heartbeat_ms = 1000;
+// A connection that has gone silent is replaced after this.
+constexpr int heartbeat_timeout_ms = 2000;
+// An address that does not answer is tried anew, not by ever rarer packets.
+constexpr int connect_timeout_ms = 500;
 constexpr int reconnect_ms = 100;
 constexpr int reconnect_max_ms = 1000;
 constexpr std::chrono::minutes idle_peer{5};
@@ -46,6 +49,7 @@
   socket.set(zmq::sockopt::maxmsgsize, max_message);
   socket.set(zmq::sockopt::heartbeat_ivl, heartbeat_ms);
   socket.set(zmq::sockopt::heartbeat_timeout, heartbeat_timeout_ms);
+  socket.set(zmq::sockopt::connect_timeout, connect_timeout_ms);
 }
 
 }  // namespace
--- a/src/adapters/replica_node.cpp
+++ b/src/adapters/replica_node.cpp
@@ -4,9 +4,10 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include "adapters/clock.h"
-#include "adapters/codec.h"
+#include "adapters/fleet_machine.h"
 #include "adapters/io_error.h"
 #include "adapters/log.h"
+#include "adapters/site_machine.h"
 #include "core/overloaded.h"
 
 namespace parsleyledge {
@@ -16,22 +17,18 @@
 namespace ag = agreement;
 namespace leaf = boost::leaf;
 
-constexpr milliseconds tick_interval{20};
 constexpr std::uint64_t snapshot_bytes = 16u << 20;  // of log since the last
 
-auto not_leader() -> problem {
-  return {503, "No leader", "this replica does not lead the group",
-          run_outcome::not_run};
-}
-
 }  // namespace
 
-replica_node::replica_node(boost::asio::thread_pool& pool,
+template <typename Machine>
+basic_replica_node<Machine>::basic_replica_node(boost::asio::thread_pool& pool,
                            ag::replica_settings settings, journal disk,
                            ag::recovered_state recovered, metrics& counters,
                            hooks hooks)
     : pool_(pool),
       timer_(pool),
+      tick_(settings.delays.tick),
       disk_(std::move(disk)),
       metrics_(counters),
       hooks_(std::move(hooks)),
@@ -39,20 +36,22 @@
       applied_members_(recovered.members),
       replica_(std::move(settings), recovered, steady_now()) {
   if (recovered.snapshot != nullptr) {
-    if (auto tables = decode_state(*recovered.snapshot)) {
-      state_ = replicated_state(std::move(*tables));
+    if (auto state = Machine::decode_state(*recovered.snapshot)) {
+      state_ = std::move(*state);
     } else {
       fail("the snapshot holds no valid state");
     }
   }
 }
 
-void replica_node::start() {
+template <typename Machine>
+void basic_replica_node<Machine>::start() {
   schedule_tick();
 }
 
-void replica_node::schedule_tick() {
-  timer_.expires_after(tick_interval);
+template <typename Machine>
+void basic_replica_node<Machine>::schedule_tick() {
+  timer_.expires_after(tick_);
   timer_.async_wait([this](const boost::system::error_code& ec) {
     if (ec) return;
     {
@@ -64,31 +63,38 @@
   });
 }
 
-void replica_node::stop() {
+template <typename Machine>
+void basic_replica_node<Machine>::stop() {
   ranked_lock lock(inbox_mutex_);
   stopped_ = true;
   inbox_.clear();
 }
 
-void replica_node::receive(ag::message message) {
+template <typename Machine>
+void basic_replica_node<Machine>::receive(ag::message message) {
   put(std::move(message));
 }
 
-void replica_node::propose(const command& what, result_handler done) {
-  put(proposal{encode(what), std::move(done)});
+template <typename Machine>
+void basic_replica_node<Machine>::propose(const command_type& what,
+ result_handler done) {
+  put(proposal{Machine::encode(what), std::move(done)});
 }
 
-void replica_node::change_members(
+template <typename Machine>
+void basic_replica_node<Machine>::change_members(
     std::function<std::vector<ag::member>(std::span<const ag::member>)> change,
     std::function<void(bool)> done) {
   put(member_proposal{std::move(change), std::move(done)});
 }
 
-void replica_node::transfer() {
+template <typename Machine>
+void basic_replica_node<Machine>::transfer() {
   put(transfer_request{});
 }
 
-void replica_node::put(input item) {
+template <typename Machine>
+void basic_replica_node<Machine>::put(input item) {
   ranked_lock lock(inbox_mutex_);
   if (stopped_) return;
   inbox_.push_back(std::move(item));
@@ -97,7 +103,8 @@
   boost::asio::post(pool_, [this] { pump(); });
 }
 
-void replica_node::pump() {
+template <typename Machine>
+void basic_replica_node<Machine>::pump() {
   while (true) {
     std::deque<input> inputs;
     {
@@ -113,7 +120,8 @@
   }
 }
 
-auto replica_node::step(std::deque<input>& inputs) -> std::vector<ag::effect> {
+template <typename Machine>
+auto basic_replica_node<Machine>::step(std::deque<input>& inputs) -> std::vector<ag::effect> {
   std::vector<ag::effect> effects;
   std::vector<std::function<void()>> answers;
   std::vector<encoded_snapshot> snapshots;
@@ -152,7 +160,7 @@
                                               std::move(handlers[i])};
       } else if (handlers[i]) {
         answers.push_back(
-            [tell = std::move(handlers[i])] { tell(not_leader()); });
+            [tell = std::move(handlers[i])] { tell(Machine::not_committed()); });
       }
     }
     add(replica_.flush(now));
@@ -162,7 +170,8 @@
   return effects;
 }
 
-void replica_node::carry_out(std::vector<ag::effect> effects) {
+template <typename Machine>
+void basic_replica_node<Machine>::carry_out(std::vector<ag::effect> effects) {
   while (!effects.empty()) {
     auto send = [&](bool before_sync) {
       for (auto& e : effects) {
@@ -198,7 +207,8 @@
   }
 }
 
-auto replica_node::write(std::span<const ag::effect> effects) -> bool {
+template <typename Machine>
+auto basic_replica_node<Machine>::write(std::span<const ag::effect> effects) -> bool {
   auto begun = std::chrono::steady_clock::now();
   auto syncs = disk_.syncs();
   std::string error = leaf::try_handle_all(
@@ -232,35 +242,36 @@
   return false;
 }
 
-void replica_node::apply(const ag::log_entry& entry,
+template <typename Machine>
+void basic_replica_node<Machine>::apply(const ag::log_entry& entry,
                          std::vector<finished>& done) {
-  command_result result = command_done{};
+  auto result = Machine::no_result();
   if (entry.kind == ag::entry_kind::membership) {
     applied_members_ = entry.members;
   } else if (entry.kind == ag::entry_kind::command) {
-    auto what = decode_command(entry.payload);
+    auto what = Machine::decode_command(entry.payload);
     if (!what) {
       fail("a committed command cannot be read; is this program too old?");
       return;
     }
     ranked_lock lock(state_mutex_);
-    result = state_.apply(*what, entry.position.index);
+    result = Machine::apply(state_, *what, entry.position.index);
   }
   applied_ = entry.position;
   auto it = pending_.find(entry.position.index);
   if (it == pending_.end()) return;
   if (it->second.term != entry.position.term) {
     // Another leader's entry took the place: this one can never commit.
-    result = problem{503, "Leader changed", "the change was not committed",
-                     run_outcome::not_run};
+    result = Machine::not_committed();
   }
   done.push_back({std::move(it->second.done), std::move(result)});
   pending_.erase(it);
 }
 
-void replica_node::restore(const ag::persist_snapshot& snapshot) {
-  auto tables = decode_state(*snapshot.bytes);
-  if (!tables) {
+template <typename Machine>
+void basic_replica_node<Machine>::restore(const ag::persist_snapshot& snapshot) {
+  auto state = Machine::decode_state(*snapshot.bytes);
+  if (!state) {
     fail("a received snapshot holds no valid state");
     return;
   }
@@ -268,37 +279,39 @@
   applied_members_ = snapshot.members;
   {
     ranked_lock lock(state_mutex_);
-    state_ = replicated_state(std::move(*tables));
+    state_ = std::move(*state);
   }
   // Whether these proposals are part of the snapshot cannot be told.
   while (!pending_.empty() && pending_.begin()->first <= applied_.index) {
     auto done = std::move(pending_.begin()->second.done);
     pending_.erase(pending_.begin());
     if (!done) continue;
-    done(problem{503, "Leader changed", "the change may have been committed",
-                 run_outcome::unknown});
+    done(Machine::maybe_committed());
   }
 }
 
 // The tables are copied under the lock; they are encoded without it, by
 // another worker of the pool.
-void replica_node::maybe_snapshot() {
+template <typename Machine>
+void basic_replica_node<Machine>::maybe_snapshot() {
   if (snapshot_running_ || disk_.bytes_since_snapshot() < snapshot_bytes) {
     return;
   }
   snapshot_running_ = true;
-  auto tables = std::make_shared<state_tables>();
+  auto tables = std::make_shared<typename Machine::tables_type>();
   {
     ranked_lock lock(state_mutex_);
     *tables = state_.tables();
   }
   boost::asio::post(pool_, [this, tables, last = applied_] {
     put(encoded_snapshot{last,
-                         std::make_shared<const std::string>(encode(*tables))});
+                         std::make_shared<const std::string>(
+                             Machine::encode(*tables))});
   });
 }
 
-void replica_node::install(const encoded_snapshot& snapshot) {
+template <typename Machine>
+void basic_replica_node<Machine>::install(const encoded_snapshot& snapshot) {
   snapshot_running_ = false;
   std::vector<ag::log_entry> tail;
   std::vector<ag::member> members;
@@ -326,7 +339,8 @@
              {"bytes", static_cast<std::int64_t>(snapshot.bytes->size())}});
 }
 
-void replica_node::fail(std::string_view detail) {
+template <typename Machine>
+void basic_replica_node<Machine>::fail(std::string_view detail) {
   {
     ranked_lock lock(inbox_mutex_);
     stopped_ = true;
@@ -334,12 +348,14 @@
   hooks_.fatal(detail);
 }
 
-auto replica_node::may_serve() -> bool {
+template <typename Machine>
+auto basic_replica_node<Machine>::may_serve() -> bool {
   ranked_lock lock(replica_mutex_);
   return replica_.may_serve(steady_now());
 }
 
-auto replica_node::status() -> replica_status {
+template <typename Machine>
+auto basic_replica_node<Machine>::status() -> replica_status {
   ranked_lock lock(replica_mutex_);
   replica_status s;
   s.role = replica_.current_role();
@@ -355,4 +371,7 @@
   return s;
 }
 
+template class basic_replica_node<site_machine>;
+template class basic_replica_node<fleet_machine>;
+
 }  // namespace parsleyledge
--- a/src/adapters/replica_node.h
+++ b/src/adapters/replica_node.h
@@ -16,7 +16,6 @@
 #include "adapters/metrics.h"
 #include "core/agreement/replica.h"
 #include "core/ranked_lock.h"
-#include "core/state/replicated_state.h"
 
 namespace parsleyledge {
 
@@ -32,12 +31,17 @@
   std::vector<agreement::member> members;
 };
 
-/// Runs one replica: turns its effects into disk writes, messages and changes
+/// Runs one replica of a state machine: turns its effects into disk writes, messages and changes
 /// of the state. Whoever of the pool finds work in the inbox carries it out,
 /// one batch at a time, so that all proposals that waited share one sync.
-class replica_node {
+/// `Machine` names the commands, their results and the state, and how they
+/// are written.
+template <typename Machine>
+class basic_replica_node {
  public:
-  using result_handler = std::function<void(command_result)>;
+  using command_type = typename Machine::command_type;
+  using result_type = typename Machine::result_type;
+  using result_handler = std::function<void(result_type)>;
 
   /// What the node asks of its surroundings. All are called without locks.
   struct hooks {
@@ -46,7 +50,7 @@
     std::function<void(std::string_view detail)> fatal;
   };
 
-  replica_node(boost::asio::thread_pool& pool,
+  basic_replica_node(boost::asio::thread_pool& pool,
                agreement::replica_settings settings, journal disk,
                agreement::recovered_state recovered, metrics& counters,
                hooks hooks);
@@ -59,7 +63,7 @@
 
   /// Proposes a command. The handler gets its result once it is applied; or
   /// a refusal, if it is certain that it never will be.
-  void propose(const command& what, result_handler done);
+  void propose(const command_type& what, result_handler done);
 
   /// Proposes another set of members, and tells whether it was accepted.
   void change_members(std::function<std::vector<agreement::member>(
@@ -110,7 +114,7 @@
   };
   struct finished {
     result_handler done;
-    command_result result;
+    result_type result;
   };
 
   void put(input item);
@@ -128,6 +132,7 @@
 
   boost::asio::thread_pool& pool_;
   boost::asio::steady_timer timer_;
+  milliseconds tick_;
   journal disk_;  // used by the one that pumps
   metrics& metrics_;
   hooks hooks_;
@@ -145,7 +150,13 @@
   agreement::replica replica_;
 
   ranked_mutex state_mutex_{lock_rank::state};
-  replicated_state state_;
+  typename Machine::state_type state_;
 };
 
+struct site_machine;
+struct fleet_machine;
+
+/// A replica of the product's own state: folder, gangs and keys.
+using replica_node = basic_replica_node<site_machine>;
+
 }  // namespace parsleyledge
--- a/src/apps/control.cpp
+++ b/src/apps/control.cpp
@@ -2,13 +2,11 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/thread_pool.hpp>
-#include <boost/leaf/handle_errors.hpp>
 
 #include "adapters/app.h"
 #include "adapters/clock.h"
 #include "adapters/control_node.h"
 #include "adapters/http_server.h"
-#include "adapters/io_error.h"
 #include "adapters/journal.h"
 #include "adapters/log.h"
 #include "adapters/settings.h"
@@ -41,25 +39,6 @@
   refuse_setting("placement", "expected cells, first_fit or best_fit");
 }
 
-auto open_journal(journal& disk, const folder_owner& owner)
-    -> agreement::recovered_state {
-  namespace leaf = boost::leaf;
-  return leaf::try_handle_all(
-      [&]() -> leaf::result<agreement::recovered_state> {
-        BOOST_LEAF_AUTO(state, disk.open(owner));
-        return state;
-      },
-      [](const io_error& e) -> agreement::recovered_state {
-        stop_at_once("data_folder_refused", e.text());
-      },
-      [](const journal_error& e) -> agreement::recovered_state {
-        stop_at_once("data_folder_refused", e.file + ": " + e.detail);
-      },
-      []() -> agreement::recovered_state {
-        stop_at_once("data_folder_refused", "unknown error");
-      });
-}
-
 auto read_replica_settings() -> agreement::replica_settings {
   agreement::replica_settings settings;
   auto number = absl::GetFlag(FLAGS_replica);
--- /dev/null
+++ b/src/apps/fleet_control.cpp
@@ -0,0 +1,171 @@
+#include <absl/flags/flag.h>
+
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/thread_pool.hpp>
+
+#include "adapters/app.h"
+#include "adapters/clock.h"
+#include "adapters/fleet_control_node.h"
+#include "adapters/http_server.h"
+#include "adapters/settings.h"
+#include "platform/bodies.h"
+#include "platform/front.h"
+#include "platform/node_settings.h"
+#include "platform/worker_client.h"
+
+using namespace parsleyledge;
+
+ABSL_FLAG(std::string, node_file, "/etc/parsleyledge/boot.conf",
+          "the platform's settings of this process");
+ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error");
+ABSL_FLAG(int, metrics_port, 9464, "port of /metrics and /state");
+
+namespace {
+
+constexpr std::chrono::milliseconds transfer_limit{2000};
+constexpr std::chrono::milliseconds transfer_check{20};
+constexpr std::chrono::milliseconds last_answers{1500};
+constexpr std::uint32_t extra_threads = 1;  // one may wait for the disk
+
+auto load_or_stop(std::string_view path) -> platform::node_settings {
+  auto loaded = platform::load_settings(path);
+  if (const auto* error = std::get_if<platform::settings_error>(&loaded)) {
+    refuse_setting("node_file", to_string(*error));
+  }
+  return std::get<platform::node_settings>(std::move(loaded));
+}
+
+// The number of a replica is its machine's IP number, which no other has.
+auto replica_number(std::string_view address) -> agreement::replica_id {
+  auto ip = boost::asio::ip::make_address_v4(split_address(address).first);
+  return {ip.to_uint()};
+}
+
+auto control_addresses(const platform::node_settings& node)
+    -> std::vector<std::string> {
+  std::vector<std::string> addresses;
+  for (const auto& seed : node.seeds) {
+    addresses.push_back(platform::peer_address(node, seed));
+  }
+  return addresses;
+}
+
+auto make_settings(const platform::node_settings& node)
+    -> fleet_control_settings {
+  fleet_control_settings settings;
+  settings.name = node.node;
+  settings.group = "fleet";
+  settings.listen_peer = node.ip + ":" + std::to_string(node.first_port);
+  settings.control = control_addresses(node);
+  settings.replica.id = replica_number(settings.listen_peer);
+  settings.replica.delays.tick = milliseconds(50);
+  for (const auto& address : settings.control) {
+    settings.replica.peers.push_back(
+        {replica_number(address), {}, address, true});
+  }
+  settings.limits.longest_lease = node.longest_lease;
+  settings.limits.lease = node.longest_lease * 9 / 10;
+  settings.limits.gang_wait = node.gang_wait;
+  settings.limits.report_silence = node.heartbeat * 3;
+  return settings;
+}
+
+}  // namespace
+
+auto main(int argc, char** argv) -> int {
+  read_settings(argc, argv,
+                "parsleyledge-fleet-control: a replica of the fleet's state");
+  auto path = absl::GetFlag(FLAGS_node_file);
+  auto node_file = load_or_stop(path);
+  start_log_from_flag(absl::GetFlag(FLAGS_log_level), node_file.node,
+                      log_stream::standard_output);
+  block_signals();
+
+  auto settings = make_settings(node_file);
+  journal disk(node_file.data_folder.empty()
+                   ? file_store(memory_files())
+                   : file_store(disk_files(node_file.data_folder)));
+  auto recovered =
+      open_journal(disk, {settings.group, settings.replica.id});
+  settings.replica.life = disk.life();
+  settings.replica.seed = disk.life().value;
+  log_event(log_level::info, "recovered",
+            {{"entries", static_cast<std::int64_t>(recovered.entries.size())}});
+
+  boost::asio::thread_pool pool(node_file.cores + extra_threads);
+  platform::worker_client workers;
+  fleet::platform_port port{
+      [&workers](fleet::send_order what) {
+        return workers.give(std::move(what));
+      },
+      [](std::string_view document) -> std::optional<fleet::site> {
+        auto parsed = platform::parse_site(document);
+        if (auto* site = std::get_if<fleet::site>(&parsed)) return *site;
+        return {};
+      }};
+  fleet_control_node node(
+      pool, settings, std::move(disk), std::move(recovered), std::move(port),
+      [](std::string_view detail) { stop_at_once("replica_stopped", detail); });
+  auto serve = [&node](fleet::request what, milliseconds limit) {
+    return node.serve(std::move(what), limit);
+  };
+  auto control_port = split_address(node_file.control_address).second;
+  auto leader_control = [&node, control_port]() -> std::string {
+    auto address = node.leader_address();
+    if (address.empty()) return {};
+    return split_address(address).first + ":" + std::to_string(control_port);
+  };
+  http_server server(pool, http_limits{});
+  http_server admin(pool, http_limits{});
+  auto error = node.start();
+  if (error.empty()) {
+    error = server.listen(node_file.control_address,
+                          [&](http_request request) {
+                            return platform::serve_control(
+                                std::move(request), serve, leader_control());
+                          });
+  }
+  if (error.empty()) {
+    error = admin.listen(
+        node_file.ip + ":" + std::to_string(absl::GetFlag(FLAGS_metrics_port)),
+        [&node](http_request request)
+            -> boost::asio::awaitable<http_response> {
+          if (request.target == "/state") {
+            co_return make_response(200, "application/json",
+                                    node.state_text());
+          }
+          co_return make_response(200, "text/plain", node.counters().print());
+        });
+  }
+  if (!error.empty()) stop_at_once("start_failed", error);
+  log_event(log_level::info, "started",
+            {{"first_start", node_file.first_start}});
+
+  wait_for_signal([&] {
+    auto loaded = platform::load_settings(path);
+    if (const auto* wrong = std::get_if<platform::settings_error>(&loaded)) {
+      log_event(log_level::error, "reload_refused",
+                {{"detail", to_string(*wrong)}});
+      return;
+    }
+    node.use_control(
+        control_addresses(std::get<platform::node_settings>(loaded)));
+    log_event(log_level::info, "reloaded");
+  });
+  log_event(log_level::info, "handing_over");
+  auto until = steady_now() + transfer_limit;
+  node.transfer();
+  while (node.leads() && steady_now() < until) {
+    boost::asio::steady_timer timer(pool, transfer_check);
+    timer.wait();
+  }
+  server.drain();
+  server.close_idle();
+  wait_until_idle(server, last_answers);
+  node.stop();
+  pool.stop();
+  pool.join();
+  log_event(log_level::info, "stopped");
+  return 0;
+}
--- /dev/null
+++ b/src/apps/fleet_entry.cpp
@@ -0,0 +1,111 @@
+#include <absl/flags/flag.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/thread_pool.hpp>
+
+#include "adapters/app.h"
+#include "adapters/fleet_entry_node.h"
+#include "adapters/http_server.h"
+#include "adapters/settings.h"
+#include "platform/front.h"
+#include "platform/node_settings.h"
+
+using namespace parsleyledge;
+
+ABSL_FLAG(std::string, node_file, "/etc/parsleyledge/boot.conf",
+          "the platform's settings of this process");
+ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error");
+ABSL_FLAG(int, metrics_port, 9465, "port of /metrics");
+
+namespace {
+
+// Left of the time to shut down for the last answers and the end itself.
+constexpr milliseconds last_answers{1500};
+
+auto load_or_stop(std::string_view path) -> platform::node_settings {
+  auto loaded = platform::load_settings(path);
+  if (const auto* error = std::get_if<platform::settings_error>(&loaded)) {
+    refuse_setting("node_file", to_string(*error));
+  }
+  return std::get<platform::node_settings>(std::move(loaded));
+}
+
+auto control_addresses(const platform::node_settings& node)
+    -> std::vector<std::string> {
+  std::vector<std::string> addresses;
+  for (const auto& seed : node.seeds) {
+    addresses.push_back(platform::peer_address(node, seed));
+  }
+  return addresses;
+}
+
+}  // namespace
+
+auto main(int argc, char** argv) -> int {
+  read_settings(argc, argv, "parsleyledge-fleet-entry: callers' way in");
+  auto path = absl::GetFlag(FLAGS_node_file);
+  auto node_file = load_or_stop(path);
+  start_log_from_flag(absl::GetFlag(FLAGS_log_level), node_file.node,
+                      log_stream::standard_output);
+  block_signals();
+
+  boost::asio::thread_pool pool(node_file.cores);
+  fleet_entry_node node(pool,
+                        {"fleet", node_file.node, control_addresses(node_file)});
+  auto serve = [&node](fleet::request what, milliseconds limit) {
+    return node.serve(std::move(what), limit);
+  };
+  http_server front(pool, http_limits{});
+  http_server ready(pool, http_limits{});
+  http_server admin(pool, http_limits{});
+  auto error = node.start();
+  if (error.empty()) {
+    error = front.listen(node_file.front_address, [&](http_request request) {
+      return platform::serve_caller(std::move(request), serve);
+    });
+  }
+  if (error.empty()) {
+    error = ready.listen(
+        node_file.ready_address,
+        [&node](http_request request)
+            -> boost::asio::awaitable<http_response> {
+          bool is_ready =
+              platform::is_ready_request(request) && node.is_ready();
+          co_return make_response(is_ready ? 200 : 503, "application/json",
+                                  "{}");
+        });
+  }
+  if (error.empty()) {
+    error = admin.listen(
+        node_file.ip + ":" + std::to_string(absl::GetFlag(FLAGS_metrics_port)),
+        [&node](http_request) -> boost::asio::awaitable<http_response> {
+          co_return make_response(200, "text/plain", node.counters().print());
+        });
+  }
+  if (!error.empty()) stop_at_once("start_failed", error);
+  log_event(log_level::info, "started");
+
+  wait_for_signal([&] {
+    auto loaded = platform::load_settings(path);
+    if (const auto* wrong = std::get_if<platform::settings_error>(&loaded)) {
+      log_event(log_level::error, "reload_refused",
+                {{"detail", to_string(*wrong)}});
+      return;
+    }
+    node.use_control(
+        control_addresses(std::get<platform::node_settings>(loaded)));
+    log_event(log_level::info, "reloaded");
+  });
+  log_event(log_level::info, "draining");
+  node.begin_drain();
+  front.drain();
+  boost::asio::steady_timer timer(pool, node_file.grace - last_answers);
+  timer.wait();
+  front.close_idle();
+  bool clean = wait_until_idle(front, last_answers / 2);
+  node.stop();
+  pool.stop();
+  pool.join();
+  log_event(log_level::info, "stopped", {{"clean", clean}});
+  return clean ? 0 : 1;
+}
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -21,6 +21,7 @@
   milliseconds election_max{1200};
   milliseconds lease{500};  // below election_min by the clock drift allowed
   milliseconds transfer{1000};
+  milliseconds tick{20};
 };
 
 /// What a replica found on its disk at start.
--- /dev/null
+++ b/src/core/fleet/backlog.cpp
@@ -0,0 +1,113 @@
+#include "core/fleet/backlog.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace parsleyledge::fleet {
+
+namespace {
+
+// A job earns nothing later than this multiple of its objective.
+constexpr int late_factor = 3;
+
+auto may_start(const job_spec& spec, const step_spec& step,
+               const occurrence_record* occurrence) -> bool {
+  return std::ranges::all_of(step.after, [&](std::uint32_t before) {
+    if (occurrence == nullptr) return false;
+    return is_done(spec.steps[before], occurrence->steps[before]);
+  });
+}
+
+auto waiting_tasks(const step_spec& spec, const step_record* step)
+    -> std::vector<std::uint32_t> {
+  std::vector<std::uint32_t> waiting;
+  for (std::uint32_t i = 0; i < spec.tasks; ++i) {
+    if (step != nullptr && step->tasks[i].done) continue;
+    bool holding = step != nullptr && step->tasks[i].holding;
+    if (holding && spec.gang) return {};
+    if (!holding) waiting.push_back(i);
+  }
+  return waiting;
+}
+
+void collect_occurrence(const job_record& job, const queue& where,
+                        std::uint32_t number, time_point wall,
+                        std::vector<backlog_item>& out) {
+  auto it = job.open.find(number);
+  const auto* occurrence = it == job.open.end() ? nullptr : &it->second;
+  auto due = job.spec.times == 0 ? job.accepted_at : due_at(job.spec, number);
+  auto chain = longest_chain(job.spec);
+  auto allowed = milliseconds(static_cast<milliseconds::rep>(
+                     where.stretch * static_cast<double>(chain.count()))) +
+                 where.objective;
+  for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
+    const auto& spec = job.spec.steps[s];
+    const auto* step = occurrence == nullptr ? nullptr : &occurrence->steps[s];
+    if (step != nullptr && is_done(spec, *step)) continue;
+    if (!may_start(job.spec, spec, occurrence)) continue;
+    if (step != nullptr && out_of_attempts(spec, *step, where.attempts)) {
+      continue;
+    }
+    auto tasks = waiting_tasks(spec, step);
+    if (tasks.empty()) continue;
+    out.push_back({{job.spec.id, number, s},
+                   &job,
+                   &spec,
+                   &where,
+                   std::move(tasks),
+                   due,
+                   due + allowed,
+                   !spec.lasting && wall > due + late_factor * allowed});
+  }
+}
+
+}  // namespace
+
+auto longest_chain(const job_spec& spec) -> milliseconds {
+  std::vector<milliseconds> until(spec.steps.size());
+  milliseconds longest{0};
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    for (auto before : spec.steps[i].after) {
+      until[i] = std::max(until[i], until[before]);
+    }
+    until[i] += spec.steps[i].estimate;
+    longest = std::max(longest, until[i]);
+  }
+  return longest;
+}
+
+auto out_of_attempts(const step_spec& spec, const step_record& step,
+                     std::uint32_t attempts) -> bool {
+  if (spec.lasting) return false;
+  if (spec.gang) return step.failures >= attempts;
+  return std::ranges::any_of(step.tasks, [&](const task_record& task) {
+    return task.failures >= attempts;
+  });
+}
+
+auto collect_backlog(const fleet_tables& tables, const site& config,
+                     time_point wall) -> std::vector<backlog_item> {
+  std::vector<backlog_item> out;
+  for (const auto& [id, job] : tables.jobs) {
+    if (job.state != job_state::queued && job.state != job_state::running) {
+      continue;
+    }
+    const auto* where = find_queue(config, job.spec.queue);
+    if (where == nullptr) continue;
+    auto total = occurrences_of(job.spec);
+    for (auto k = job.first_open; k < total; ++k) {
+      if (due_at(job.spec, k) > wall) break;
+      if (std::ranges::find(job.done_early, k) != job.done_early.end()) {
+        continue;
+      }
+      collect_occurrence(job, *where, k, wall, out);
+    }
+  }
+  std::ranges::sort(out, [](const backlog_item& a, const backlog_item& b) {
+    return std::tie(a.where->priority, a.hopeless, a.wanted_by, a.step) <
+           std::tie(b.where->priority, b.hopeless, b.wanted_by, b.step);
+  });
+  return out;
+}
+
+}  // namespace parsleyledge::fleet
--- /dev/null
+++ b/src/core/fleet/backlog.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <span>
+#include <vector>
+
+#include "core/fleet/records.h"
+#include "core/fleet/site.h"
+
+namespace parsleyledge::fleet {
+
+/// A step whose tasks may start now.
+struct backlog_item {
+  step_ref step;
+  const job_record* job = nullptr;
+  const step_spec* spec = nullptr;
+  const queue* where = nullptr;
+  std::vector<std::uint32_t> tasks;  // that wait
+  time_point due;                    // wall clock: since when it is owed
+  time_point wanted_by;              // wall clock: objective of the job
+  bool hopeless = false;             // its worth is gone
+};
+
+/// The steps that may start at this time, most urgent first: by the queue's
+/// priority, then by the objective, those whose worth is gone last.
+auto collect_backlog(const fleet_tables& tables, const site& config,
+                     time_point wall) -> std::vector<backlog_item>;
+
+/// The longest chain of steps by the caller's estimates.
+auto longest_chain(const job_spec& spec) -> milliseconds;
+
+/// Whether a step has failed as often as its queue allows.
+auto out_of_attempts(const step_spec& spec, const step_record& step,
+                     std::uint32_t attempts) -> bool;
+
+}  // namespace parsleyledge::fleet
--- /dev/null
+++ b/src/core/fleet/command.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/fleet/records.h"
+
+namespace parsleyledge::fleet {
+
+/// Puts a configuration in force, if its version is the highest yet.
+struct put_site {
+  std::uint64_t version = 0;
+  std::string document;
+};
+
+/// Adds a job, unless one of this number exists.
+struct add_job {
+  job_spec spec;
+  time_point at;
+};
+
+struct cancel_job {
+  job_id job;
+  time_point at;
+};
+
+/// Ends a job that failed too often.
+struct fail_job {
+  job_id job;
+  std::string reason;
+  time_point at;
+};
+
+/// One task given to a worker.
+struct placement {
+  task_ref task;
+  std::uint32_t run = 0;
+  worker_life worker;
+};
+
+/// Gives tasks to workers, in one step for all tasks of a gang.
+struct place_tasks {
+  std::vector<placement> placements;
+  time_point at;
+};
+
+/// How a run ended, as its worker tells it.
+enum class run_end {
+  done,
+  failed,   // by its own fault or the worker's
+  stopped,  // as it was told
+  lapsed,   // its lease ran out
+  broken,   // another member of the gang ended
+  alone,    // the other members did not come
+  lost      // nobody will tell: the worker is gone, or never started it
+};
+
+struct ended_run {
+  task_ref task;
+  std::uint32_t run = 0;
+  worker_life worker;
+  run_end how = run_end::lost;
+  std::string snapshot;
+};
+
+/// Takes note of the ends of runs.
+struct end_runs {
+  std::vector<ended_run> runs;
+  time_point at;
+};
+
+/// Notes a new life of a worker, or that it drains.
+struct note_worker {
+  worker_record worker;
+};
+
+/// Notes that a life of a worker is over.
+struct drop_worker {
+  worker_life life;
+};
+
+struct add_wave {
+  std::uint64_t number = 0;
+  wave_record wave;
+};
+
+/// Notes that a machine's upkeep has begun or ended.
+struct note_upkeep {
+  std::uint64_t wave = 0;
+  std::string machine;
+  bool ended = false;
+};
+
+/// Changes nothing. Once it is committed, the tables hold all that was
+/// acknowledged before it was proposed.
+struct read_barrier {};
+
+using command =
+    std::variant<read_barrier, put_site, add_job, cancel_job, fail_job, place_tasks, end_runs,
+                 note_worker, drop_worker, add_wave, note_upkeep>;
+
+/// What a command did.
+enum class command_outcome {
+  done,
+  repeated,       // it had been done before; nothing changed
+  unknown,        // there is no such job
+  not_committed,  // another leader's command took its place
+  maybe           // whether it was committed cannot be told
+};
+
+}  // namespace parsleyledge::fleet
--- /dev/null
+++ b/src/core/fleet/dispatch_limits.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/time.h"
+
+namespace parsleyledge::fleet {
+
+/// Delays of the dispatcher. Those that the site's settings bound are set
+/// from them at start.
+struct dispatch_limits {
+  // Of a renewal. The longer, the more work outlives a cut; the sooner it
+  // ends, the sooner work that is lost starts elsewhere.
+  milliseconds lease{9000};
+  // The longest that a worker grants, by the site's settings.
+  milliseconds longest_lease{10'000};
+  // A worker answers an order within a round trip; the rest is for queues.
+  milliseconds order_timeout{500};
+  // A look waits so long for an end, so that an idle look costs little.
+  milliseconds look_wait{1800};
+  // Three heartbeats, by the site's settings.
+  milliseconds report_silence{4500};
+  // The members of a gang wait so long for each other.
+  milliseconds gang_wait{3000};
+  // Until a reclaimed place that did not become free is given up.
+  milliseconds reservation{2000};
+  // Without progress for so long, a run counts as standing still.
+  milliseconds standstill{2500};
+  // First quarantine of a worker that fails; doubled while it goes on.
+  milliseconds quarantine{4000};
+};
+
+}  // namespace parsleyledge::fleet
--- /dev/null
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -0,0 +1,352 @@
+#include <algorithm>
+
+#include "core/fleet/dispatcher.h"
+#include "core/fleet/task_name.h"
+
+namespace parsleyledge::fleet {
+
+namespace {
+
+using room_map = std::map<std::string, resources, std::less<>>;
+
+// A place that needs nothing stopped goes before any that does.
+constexpr double free_place_bonus = 1000;
+
+auto reserved_by(const step_spec& spec) -> resources {
+  auto need = spec.each;
+  if (spec.fills) need.cpu_milli = 0;
+  return need;
+}
+
+auto has_label(const worker_record& worker, std::string_view label) -> bool {
+  return label.empty() || std::ranges::find(worker.labels, label) !=
+                              worker.labels.end();
+}
+
+/// Tasks of this step that each worker has.
+auto tasks_by_worker(const backlog_item& item)
+    -> std::map<std::string_view, std::uint32_t> {
+  std::map<std::string_view, std::uint32_t> counts;
+  auto open = item.job->open.find(item.step.occurrence);
+  if (open == item.job->open.end()) return counts;
+  for (const auto& task : open->second.steps[item.step.step].tasks) {
+    if (task.holding) ++counts[task.worker.name];
+  }
+  return counts;
+}
+
+auto fits_one_rack(std::span<const candidate> workers,
+                   const placement_need& need, std::string_view only) -> bool {
+  std::map<std::string_view, std::vector<candidate>> racks;
+  for (const auto& w : workers) {
+    if (only.empty() || w.rack == only) racks[w.rack].push_back(w);
+  }
+  return std::ranges::any_of(racks, [&](const auto& rack) {
+    return can_ever_fit(rack.second, need);
+  });
+}
+
+}  // namespace
+
+auto dispatcher::is_usable(const worker_record& record, moment now) const
+    -> bool {
+  if (record.draining) return false;
+  auto it = workers_.find(record.life.name);
+  if (it == workers_.end() || it->second.life != record.life) return false;
+  const auto& worker = it->second;
+  if (worker.quarantined_until > now.steady || worker.unanswered > 0) {
+    return false;
+  }
+  auto heard = std::max(worker.reported_at, worker.answered_at);
+  return now.steady - heard <= limits_.report_silence;
+}
+
+auto dispatcher::is_planned(const step_ref& step) const -> bool {
+  if (reservations_.contains(step)) return true;
+  return std::ranges::any_of(planned_, [&](const auto& item) {
+    return std::ranges::any_of(item.second, [&](const placement& p) {
+      return step_ref{p.task.job, p.task.occurrence, p.task.step} == step;
+    });
+  });
+}
+
+// Room that is neither held nor promised. It may be negative on a worker
+// where something is still to be stopped.
+auto dispatcher::free_room(const fleet_tables& tables) -> room_map {
+  room_map room;
+  for (const auto& [name, record] : tables.workers) {
+    auto it = workers_.find(name);
+    if (it == workers_.end()) continue;
+    room[name] = record.capacity - it->second.used;
+  }
+  auto subtract = [&](std::span<const placement> placements) {
+    for (const auto& p : placements) {
+      auto job = tables.jobs.find(p.task.job);
+      if (job == tables.jobs.end()) continue;
+      auto it = room.find(p.worker.name);
+      if (it != room.end()) {
+        it->second -= reserved_by(job->second.spec.steps[p.task.step]);
+      }
+    }
+  };
+  for (const auto& [token, placements] : planned_) subtract(placements);
+  for (const auto& [step, kept] : reservations_) subtract(kept.placements);
+  return room;
+}
+
+void dispatcher::plan(const fleet_tables& tables, moment now) {
+  settle_reservations(tables, now);
+  auto backlog = collect_backlog(tables, *site_, now.wall);
+  if (backlog.empty()) return;
+  auto room = free_room(tables);
+  for (const auto& item : backlog) {
+    if (is_planned(item.step)) continue;
+    place(item, tables, room, now);
+  }
+}
+
+// A reservation becomes a placement once every worker has the room.
+void dispatcher::settle_reservations(const fleet_tables& tables, moment now) {
+  for (auto it = reservations_.begin(); it != reservations_.end();) {
+    const auto& [step, kept] = *it;
+    auto job = tables.jobs.find(step.job);
+    bool wanted = job != tables.jobs.end() &&
+                  (job->second.state == job_state::queued ||
+                   job->second.state == job_state::running);
+    bool ready = wanted;
+    for (const auto& p : kept.placements) {
+      auto worker = tables.workers.find(p.worker.name);
+      bool usable = worker != tables.workers.end() &&
+                    worker->second.life == p.worker &&
+                    is_usable(worker->second, now);
+      wanted = wanted && usable;
+    }
+    if (wanted) {
+      auto room = free_room(tables);
+      for (const auto& p : kept.placements) {
+        auto left = room.at(p.worker.name);  // after this reservation
+        ready = ready && left.cpu_milli >= 0 && left.memory_mb >= 0 &&
+                left.accelerators >= 0;
+      }
+    }
+    if (wanted && ready) {
+      auto placements = kept.placements;
+      auto token = propose_command(place_tasks{placements, now.wall});
+      planned_[token] = std::move(placements);
+    }
+    bool over = !wanted || ready || kept.until < now.steady;
+    it = over ? reservations_.erase(it) : std::next(it);
+  }
+}
+
+auto dispatcher::make_placements(const backlog_item& item,
+                                 std::span<const choice> chosen,
+                                 std::span<const worker_record* const> workers)
+    -> std::vector<placement> {
+  std::vector<placement> made;
+  const step_record* step = nullptr;
+  auto open = item.job->open.find(item.step.occurrence);
+  if (open != item.job->open.end()) {
+    step = &open->second.steps[item.step.step];
+  }
+  std::size_t next = 0;
+  for (const auto& c : chosen) {
+    for (std::uint32_t n = 0; n < c.tasks; ++n, ++next) {
+      auto index = item.tasks[next];
+      auto last = step == nullptr      ? 0
+                  : item.spec->gang    ? step->last_run
+                                       : step->tasks[index].run;
+      made.push_back({{item.step.job, item.step.occurrence, item.step.step,
+                       index},
+                      last + 1,
+                      workers[c.candidate]->life});
+    }
+  }
+  return made;
+}
+
+void dispatcher::place(const backlog_item& item, const fleet_tables& tables,
+                       room_map& room, moment now) {
+  std::vector<candidate> candidates;
+  std::vector<const worker_record*> records;
+  auto counts = tasks_by_worker(item);
+  for (const auto& [name, record] : tables.workers) {
+    if (record.service != item.where->service) continue;
+    if (!has_label(record, item.spec->label) || !is_usable(record, now)) {
+      continue;
+    }
+    auto taken = counts.find(name);
+    candidates.push_back({record.rack, room[name], record.capacity,
+                          workers_.at(name).speed,
+                          taken == counts.end() ? 0 : taken->second});
+    records.push_back(&record);
+  }
+  placement_need need{reserved_by(*item.spec),
+                      static_cast<std::uint32_t>(item.tasks.size()),
+                      item.spec->most_per_worker,
+                      item.spec->gang,
+                      item.spec->same_rack,
+                      item.spec->data_rack,
+                      false};
+  // A wrong rack triples the work, so waiting as long as the work takes is
+  // the better part of the time.
+  bool patient = now.wall - item.due > item.spec->estimate;
+  bool rack_matters = need.same_rack || !need.data_rack.empty();
+  need.any_rack = patient || (rack_matters && !fits_one_rack(candidates, need,
+                                                             need.data_rack));
+  auto chosen = choose_workers(candidates, need);
+  if (chosen.empty()) {
+    if (may_reclaim(item, tables)) reclaim(item, tables, room, need, now);
+    return;
+  }
+  auto placements = make_placements(item, chosen, records);
+  for (const auto& c : chosen) {
+    room[records[c.candidate]->life.name] -= need.each * c.tasks;
+  }
+  note("placed",
+       {{"step", fleet::to_string(item.step)},
+        {"tasks", std::to_string(placements.size())},
+        {"run", std::to_string(placements.front().run)},
+        {"worker", placements.front().worker.name},
+        {"waited_ms", std::to_string((now.wall - item.due).count())}});
+  auto token = propose_command(place_tasks{placements, now.wall});
+  planned_[token] = std::move(placements);
+}
+
+// Work of priority 0 may reclaim what its customer is guaranteed.
+auto dispatcher::may_reclaim(const backlog_item& item,
+                             const fleet_tables& tables) const -> bool {
+  if (item.where->priority != 0) return false;
+  auto customer = site_->customers.find(item.job->spec.customer);
+  if (customer == site_->customers.end()) return false;
+  auto held = item.spec->each.accelerators *
+              static_cast<std::int64_t>(item.tasks.size());
+  for (const auto& [id, job] : tables.jobs) {
+    if (job.spec.customer != item.job->spec.customer || !is_active(job)) {
+      continue;
+    }
+    const auto* where = find_queue(*site_, job.spec.queue);
+    if (where == nullptr || where->priority != 0) continue;
+    for (const auto& [number, occurrence] : job.open) {
+      for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+        auto n = std::ranges::count(occurrence.steps[s].tasks, true,
+                                    &task_record::holding);
+        held += job.spec.steps[s].each.accelerators * n;
+      }
+    }
+  }
+  return held <= customer->second.guaranteed_accelerators;
+}
+
+namespace {
+
+/// Work of a lower priority that could be stopped, as one: a whole gang, or
+/// one task.
+struct victim {
+  std::vector<task_ref> tasks;
+  std::map<std::string_view, resources> frees;
+  std::int64_t loss = 0;  // core-milliseconds since the last snapshot
+};
+
+auto loss_of(const step_spec& spec, milliseconds ran) -> std::int64_t {
+  // The platform counts an accelerator as eight cores.
+  auto cores = spec.each.cpu_milli / 1000 + spec.each.accelerators * 8;
+  auto lost = spec.checkpoints ? std::min(ran, milliseconds(500)) : ran;
+  return cores * lost.count();
+}
+
+}  // namespace
+
+// Finds room that includes what lower priorities hold, stops the least work
+// that makes it free, and keeps the place meanwhile.
+void dispatcher::reclaim(const backlog_item& item, const fleet_tables& tables,
+                         room_map& room, const placement_need& need,
+                         moment now) {
+  std::vector<victim> victims;
+  std::map<std::string, resources, std::less<>> reclaimable;
+  std::map<std::string_view, std::int64_t> loss_at;
+  for (const auto& [id, job] : tables.jobs) {
+    const auto* where = find_queue(*site_, job.spec.queue);
+    if (where == nullptr || where->priority == 0) continue;
+    for (const auto& [number, occurrence] : job.open) {
+      for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+        const auto& spec = job.spec.steps[s];
+        if (spec.lasting) continue;
+        victim whole;
+        for (std::uint32_t t = 0; t < occurrence.steps[s].tasks.size(); ++t) {
+          const auto& task = occurrence.steps[s].tasks[t];
+          task_ref ref{id, number, s, t};
+          auto run = runs_.find(ref);
+          bool runs = task.holding && run != runs_.end() &&
+                      (run->second.phase == run_phase::started ||
+                       run->second.phase == run_phase::starting);
+          if (!runs) continue;
+          if (!spec.gang) whole = {};
+          whole.tasks.push_back(ref);
+          whole.frees[task.worker.name] += reserved_by(spec);
+          whole.loss += loss_of(spec, now.steady - run->second.placed_at);
+          if (!spec.gang) victims.push_back(whole);
+        }
+        if (spec.gang && !whole.tasks.empty()) victims.push_back(whole);
+      }
+    }
+  }
+  for (const auto& v : victims) {
+    for (const auto& [name, freed] : v.frees) {
+      reclaimable[std::string(name)] += freed;
+      loss_at[name] += v.loss;
+    }
+  }
+  std::vector<candidate> candidates;
+  std::vector<const worker_record*> records;
+  auto counts = tasks_by_worker(item);
+  for (const auto& [name, record] : tables.workers) {
+    if (record.service != item.where->service) continue;
+    if (!has_label(record, item.spec->label) || !is_usable(record, now)) {
+      continue;
+    }
+    auto free = room[name];
+    bool enough = count_fitting(free, need.each) > 0;
+    auto extra = reclaimable.find(name);
+    if (extra != reclaimable.end()) free += extra->second;
+    auto taken = counts.find(name);
+    double rank = enough ? free_place_bonus
+                         : 1.0 / (1.0 + static_cast<double>(loss_at[name]) /
+                                            1'000'000.0);
+    candidates.push_back({record.rack, free, record.capacity, rank,
+                          taken == counts.end() ? 0 : taken->second});
+    records.push_back(&record);
+  }
+  auto relaxed = need;
+  relaxed.any_rack = true;
+  auto chosen = choose_workers(candidates, relaxed);
+  if (chosen.empty()) return;
+  auto placements = make_placements(item, chosen, records);
+  std::ranges::sort(victims, {}, &victim::loss);
+  // What is stopped still holds its room, so only this step may count on it.
+  auto expected = room;
+  for (const auto& c : chosen) {
+    const auto& name = records[c.candidate]->life.name;
+    auto wanted = need.each * c.tasks;
+    for (auto& v : victims) {
+      if (fits(expected[name], wanted)) break;
+      if (!v.frees.contains(name)) continue;
+      for (const auto& ref : v.tasks) {
+        stop_run(ref, "reclaimed for " + fleet::to_string(item.step));
+      }
+      for (const auto& [where, freed] : v.frees) {
+        expected[std::string(where)] += freed;
+      }
+      v.frees.clear();
+    }
+    expected[name] -= wanted;
+    room[name] -= wanted;
+  }
+  note("reclaim", {{"step", fleet::to_string(item.step)},
+                   {"customer", item.job->spec.customer},
+                   {"tasks", std::to_string(placements.size())}});
+  reservations_[item.step] = {std::move(placements),
+                              now.steady + limits_.reservation};
+}
+
+}  // namespace parsleyledge::fleet
--- /dev/null
+++ b/src/core/fleet/dispatcher.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <vector>
+
+#include "core/fleet/backlog.h"
+#include "core/fleet/dispatch_limits.h"
+#include "core/fleet/effect.h"
+#include "core/fleet/placer.h"
+#include "core/fleet/run_watch.h"
+#include "core/fleet/worker_state.h"
+
+namespace parsleyledge::fleet {
+
+/// Both clocks at one moment.
+struct moment {
+  time_point steady;
+  time_point wall;
+};
+
+/// The leader's decisions: which tasks go to which workers, when work is
+/// stopped, and what is made of the workers' words. A pure state machine over
+/// the replicated tables: input in, effects out, the time as an argument.
+class dispatcher {
+ public:
+  explicit dispatcher(dispatch_limits limits) : limits_(limits) {}
+
+  /// Begins to lead, with this number as the fence of all orders.
+  void lead(std::uint64_t fence, const fleet_tables& tables, moment now);
+
+  /// Forgets everything that only a leader may act on.
+  void resign();
+
+  auto leads() const -> bool { return fence_ != 0; }
+  auto fence() const -> std::uint64_t { return fence_; }
+
+  /// Decides by another configuration from now on.
+  void adopt(std::shared_ptr<const site> config) {
+    site_ = std::move(config);
+  }
+
+  /// Takes in what a worker says of itself. Returns the command that has to
+  /// be committed before the report may be acknowledged, if there is one.
+  auto report(const fleet_tables& tables, const worker_report& said, moment now)
+      -> std::optional<command>;
+
+  /// Takes in the answer to an order.
+  auto answered(const fleet_tables& tables, std::uint64_t id,
+                const order_answer& answer, moment now) -> std::vector<effect>;
+
+  /// A proposal is committed; changed() follows.
+  void committed(std::uint64_t token) { planned_.erase(token); }
+
+  /// Acts on tables that have changed.
+  auto changed(const fleet_tables& tables, moment now) -> std::vector<effect>;
+
+  /// Lets time pass. To be called several times a second.
+  auto tick(const fleet_tables& tables, moment now) -> std::vector<effect>;
+
+  auto workers() const
+      -> const std::map<std::string, worker_state, std::less<>>& {
+    return workers_;
+  }
+  auto runs() const -> const std::map<task_ref, run_watch>& { return runs_; }
+
+ private:
+  struct pending_order {
+    std::string worker;
+    order what;
+    time_point sent_at;
+  };
+  struct reservation {
+    std::vector<placement> placements;
+    time_point until;
+  };
+
+  // Events, in dispatcher.cpp.
+  void sweep(const fleet_tables& tables, moment now);
+  void watch_step(const job_record& job, const step_ref& ref, moment now);
+  void act(const fleet_tables& tables, moment now);
+  void act_on_run(const fleet_tables& tables, const task_ref& ref,
+                  run_watch& run, moment now);
+  void act_on_worker(const worker_record& record, worker_state& worker,
+                     moment now);
+  void send(const worker_record& to, order what, milliseconds timeout,
+            time_point now);
+  void handle(const fleet_tables& tables, const pending_order& asked,
+              const order_accepted& answer, moment now);
+  void handle(const fleet_tables& tables, const pending_order& asked,
+              const order_looked& answer, moment now);
+  void handle(const fleet_tables& tables, const pending_order& asked,
+              const order_rejected& answer, moment now);
+  void handle(const fleet_tables& tables, const pending_order& asked,
+              const order_misdirected& answer, moment now);
+  void handle(const fleet_tables& tables, const pending_order& asked,
+              const order_refused& answer, moment now);
+  void handle(const fleet_tables& tables, const pending_order& asked,
+              const order_unanswered& answer, moment now);
+  auto ordered_run(const order& what) -> run_watch*;
+  void note_running(worker_state& worker, const order_looked& answer,
+                    time_point sent_at, moment now);
+  void note_ends(const fleet_tables& tables, worker_state& worker,
+                 const order_looked& answer, moment now);
+  void confirm_ends(const fleet_tables& tables, worker_state& worker);
+  void judge(worker_state& worker, run_end how, moment now);
+  void give_up_runs(const fleet_tables& tables, const worker_life& life,
+                    std::string_view reason, moment now);
+  void end_as_lost(const task_ref& ref, run_watch& run,
+                   std::string_view reason, moment now);
+  void fail_hopeless_jobs(const fleet_tables& tables, moment now);
+  auto propose_command(command what) -> std::uint64_t;
+  void note(std::string_view event,
+            std::vector<std::pair<std::string_view, std::string>> fields);
+  auto take_effects() -> std::vector<effect>;
+
+  // Placement, in dispatch_plan.cpp.
+  void plan(const fleet_tables& tables, moment now);
+  void settle_reservations(const fleet_tables& tables, moment now);
+  auto is_planned(const step_ref& step) const -> bool;
+  auto free_room(const fleet_tables& tables)
+      -> std::map<std::string, resources, std::less<>>;
+  void place(const backlog_item& item, const fleet_tables& tables,
+             std::map<std::string, resources, std::less<>>& room, moment now);
+  void reclaim(const backlog_item& item, const fleet_tables& tables,
+               std::map<std::string, resources, std::less<>>& room,
+               const placement_need& need, moment now);
+  auto may_reclaim(const backlog_item& item, const fleet_tables& tables) const
+      -> bool;
+  auto is_usable(const worker_record& record, moment now) const -> bool;
+  auto make_placements(const backlog_item& item,
+                       std::span<const choice> chosen,
+                       std::span<const worker_record* const> workers)
+      -> std::vector<placement>;
+  void stop_run(const task_ref& ref, std::string_view reason);
+
+  dispatch_limits limits_;
+  std::shared_ptr<const site> site_ = std::make_shared<site>();
+  std::uint64_t fence_ = 0;  // 0 while it does not lead
+  std::uint64_t next_id_ = 1;
+  std::map<std::string, worker_state, std::less<>> workers_;
+  std::map<task_ref, run_watch> runs_;
+  std::map<std::uint64_t, pending_order> orders_;
+  std::map<std::uint64_t, std::vector<placement>> planned_;  // by token
+  std::map<step_ref, reservation> reservations_;
+  std::set<job_id> failing_;  // jobs whose end as failed is proposed
+  std::set<task_ref> ending_;  // runs whose end as lost is proposed
+  std::vector<effect> effects_;
+};
+
+}  // namespace parsleyledge::fleet
--- /dev/null
+++ b/src/core/fleet/fleet_state.cpp
@@ -0,0 +1,294 @@
+#include "core/fleet/fleet_state.h"
+
+#include <algorithm>
+
+namespace parsleyledge::fleet {
+
+namespace {
+
+// How long the state of an ended job can be asked for. Callers may ask for
+// two minutes after the end; the rest is slack for clocks that differ.
+constexpr std::chrono::minutes ended_job_retention{4};
+
+auto make_occurrence(const job_spec& spec) -> occurrence_record {
+  occurrence_record made;
+  made.steps.resize(spec.steps.size());
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    made.steps[i].tasks.resize(spec.steps[i].tasks);
+  }
+  return made;
+}
+
+auto find_task(job_record& job, const task_ref& ref) -> task_record* {
+  auto it = job.open.find(ref.occurrence);
+  if (it == job.open.end() || ref.step >= it->second.steps.size()) {
+    return nullptr;
+  }
+  auto& tasks = it->second.steps[ref.step].tasks;
+  return ref.index < tasks.size() ? &tasks[ref.index] : nullptr;
+}
+
+auto is_ended(job_state state) -> bool {
+  return state == job_state::complete || state == job_state::failed ||
+         state == job_state::cancelled;
+}
+
+auto holds_anything(const job_record& job) -> bool {
+  for (const auto& [number, occurrence] : job.open) {
+    for (const auto& step : occurrence.steps) {
+      if (std::ranges::any_of(step.tasks, &task_record::holding)) return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+auto is_active(const job_record& job) -> bool {
+  return !is_ended(job.state) || holds_anything(job);
+}
+
+auto is_done(const step_spec& spec, const step_record& step) -> bool {
+  if (spec.lasting) return false;
+  return spec.gang ? step.done > 0 : step.done == step.tasks.size();
+}
+
+auto to_string(job_state state) -> std::string_view {
+  switch (state) {
+    case job_state::queued:
+      return "queued";
+    case job_state::running:
+      return "running";
+    case job_state::complete:
+      return "complete";
+    case job_state::failed:
+      return "failed";
+    case job_state::cancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+auto fleet_state::apply(const command& what) -> command_outcome {
+  return std::visit([this](const auto& one) { return apply_one(one); }, what);
+}
+
+auto fleet_state::apply_one(const read_barrier&) -> command_outcome {
+  return command_outcome::done;
+}
+
+auto fleet_state::apply_one(const put_site& what) -> command_outcome {
+  if (what.version <= tables_.site_version) return command_outcome::repeated;
+  tables_.site_version = what.version;
+  tables_.site_document = what.document;
+  return command_outcome::done;
+}
+
+auto fleet_state::apply_one(const add_job& what) -> command_outcome {
+  auto [it, added] = tables_.jobs.try_emplace(what.spec.id);
+  if (!added) return command_outcome::repeated;
+  it->second.spec = what.spec;
+  it->second.accepted_at = what.at;
+  forget_ended_jobs(what.at);
+  return command_outcome::done;
+}
+
+void fleet_state::forget_ended_jobs(time_point now) {
+  while (!tables_.ended.empty()) {
+    auto it = tables_.jobs.find(tables_.ended.front());
+    if (it != tables_.jobs.end()) {
+      if (now - it->second.ended_at < ended_job_retention) return;
+      if (holds_anything(it->second)) return;
+      tables_.jobs.erase(it);
+    }
+    tables_.ended.pop_front();
+  }
+}
+
+void fleet_state::end_job(job_record& job, job_state state, time_point at) {
+  if (is_ended(job.state)) return;
+  job.state = state;
+  job.ended_at = at;
+  tables_.ended.push_back(job.spec.id);
+}
+
+auto fleet_state::apply_one(const cancel_job& what) -> command_outcome {
+  auto it = tables_.jobs.find(what.job);
+  if (it == tables_.jobs.end()) return command_outcome::unknown;
+  if (is_ended(it->second.state)) return command_outcome::repeated;
+  end_job(it->second, job_state::cancelled, what.at);
+  return command_outcome::done;
+}
+
+auto fleet_state::apply_one(const fail_job& what) -> command_outcome {
+  auto it = tables_.jobs.find(what.job);
+  if (it == tables_.jobs.end()) return command_outcome::unknown;
+  if (is_ended(it->second.state)) return command_outcome::repeated;
+  end_job(it->second, job_state::failed, what.at);
+  return command_outcome::done;
+}
+
+auto fleet_state::apply_one(const place_tasks& what) -> command_outcome {
+  for (const auto& one : what.placements) place(one);
+  return command_outcome::done;
+}
+
+// A placement that no longer fits the tables is left out: the job may have
+// been cancelled, or the worker gone, while the command was on its way.
+void fleet_state::place(const placement& one) {
+  auto it = tables_.jobs.find(one.task.job);
+  if (it == tables_.jobs.end() || is_ended(it->second.state)) return;
+  auto worker = tables_.workers.find(one.worker.name);
+  if (worker == tables_.workers.end() || worker->second.life != one.worker) {
+    return;
+  }
+  auto& job = it->second;
+  bool finished = one.task.occurrence < job.first_open ||
+                  std::ranges::find(job.done_early, one.task.occurrence) !=
+                      job.done_early.end();
+  if (finished) return;
+  if (!job.open.contains(one.task.occurrence)) {
+    job.open.emplace(one.task.occurrence, make_occurrence(job.spec));
+  }
+  auto* task = find_task(job, one.task);
+  if (task == nullptr || task->holding || task->done) return;
+  task->holding = true;
+  task->run = one.run;
+  task->worker = one.worker;
+  auto& step = job.open.at(one.task.occurrence).steps[one.task.step];
+  step.last_run = std::max(step.last_run, one.run);
+  job.state = job_state::running;
+}
+
+auto fleet_state::apply_one(const end_runs& what) -> command_outcome {
+  for (const auto& end : what.runs) end_run(end, what.at);
+  return command_outcome::done;
+}
+
+void fleet_state::end_run(const ended_run& end, time_point at) {
+  auto it = tables_.jobs.find(end.task.job);
+  if (it == tables_.jobs.end()) return;
+  auto& job = it->second;
+  auto* task = find_task(job, end.task);
+  if (task == nullptr || !task->holding || task->run != end.run ||
+      task->worker != end.worker) {
+    return;
+  }
+  task->holding = false;
+  const auto& spec = job.spec.steps[end.task.step];
+  auto& step = job.open.at(end.task.occurrence).steps[end.task.step];
+  if (spec.gang) {
+    end_task_of_gang(job, end);
+  } else {
+    if (!end.snapshot.empty()) task->snapshot = end.snapshot;
+    if (end.how == run_end::failed) ++task->failures;
+    if (end.how == run_end::done && !spec.lasting && !task->done) {
+      task->done = true;
+      ++step.done;
+    }
+  }
+  if (!is_ended(job.state)) finish_step(job, end.task.occurrence, at);
+}
+
+// The members of a gang share their ends: one done is all done, and a failed
+// run counts once.
+void fleet_state::end_task_of_gang(job_record& job, const ended_run& end) {
+  const auto& spec = job.spec.steps[end.task.step];
+  auto& step = job.open.at(end.task.occurrence).steps[end.task.step];
+  if (!end.snapshot.empty()) step.snapshot = end.snapshot;
+  if (end.how == run_end::failed && step.failed_run < end.run) {
+    step.failed_run = end.run;
+    ++step.failures;
+  }
+  if (end.how != run_end::done || spec.lasting || step.done > 0) return;
+  step.done = static_cast<std::uint32_t>(step.tasks.size());
+  for (auto& member : step.tasks) member.done = true;
+}
+
+// Closes the occurrence and the job when their last step has ended. An
+// occurrence stays open while a member of a gang still holds its worker.
+void fleet_state::finish_step(job_record& job, std::uint32_t occurrence,
+                              time_point at) {
+  auto it = job.open.find(occurrence);
+  auto& steps = it->second.steps;
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    if (!is_done(job.spec.steps[i], steps[i])) return;
+  }
+  bool counted = it->second.done == steps.size();
+  if (!counted) {
+    it->second.done = static_cast<std::uint32_t>(steps.size());
+    ++job.occurrences_done;
+  }
+  if (job.occurrences_done == occurrences_of(job.spec)) {
+    end_job(job, job_state::complete, at);
+  }
+  for (const auto& step : steps) {
+    if (std::ranges::any_of(step.tasks, &task_record::holding)) return;
+  }
+  job.open.erase(it);
+  job.done_early.push_back(occurrence);
+  auto is_next = [&] {
+    return std::ranges::find(job.done_early, job.first_open);
+  };
+  for (auto next = is_next(); next != job.done_early.end(); next = is_next()) {
+    job.done_early.erase(next);
+    ++job.first_open;
+  }
+}
+
+void fleet_state::drop_runs_of(const worker_life& life) {
+  std::vector<ended_run> lost;
+  for (auto& [id, job] : tables_.jobs) {
+    for (auto& [number, occurrence] : job.open) {
+      for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+        const auto& tasks = occurrence.steps[s].tasks;
+        for (std::uint32_t t = 0; t < tasks.size(); ++t) {
+          if (!tasks[t].holding || tasks[t].worker != life) continue;
+          lost.push_back(
+              {{id, number, s, t}, tasks[t].run, life, run_end::lost, {}});
+        }
+      }
+    }
+  }
+  for (const auto& end : lost) end_run(end, {});
+}
+
+auto fleet_state::apply_one(const note_worker& what) -> command_outcome {
+  auto& known = tables_.workers[what.worker.life.name];
+  if (known.life.born_ms > what.worker.life.born_ms) {
+    return command_outcome::repeated;
+  }
+  if (known.life.born_ms != 0 && known.life != what.worker.life) {
+    drop_runs_of(known.life);
+  }
+  known = what.worker;
+  return command_outcome::done;
+}
+
+auto fleet_state::apply_one(const drop_worker& what) -> command_outcome {
+  auto it = tables_.workers.find(what.life.name);
+  if (it == tables_.workers.end() || it->second.life != what.life) {
+    return command_outcome::repeated;
+  }
+  drop_runs_of(what.life);
+  tables_.workers.erase(it);
+  return command_outcome::done;
+}
+
+auto fleet_state::apply_one(const add_wave& what) -> command_outcome {
+  auto [it, added] = tables_.waves.try_emplace(what.number, what.wave);
+  return added ? command_outcome::done : command_outcome::repeated;
+}
+
+auto fleet_state::apply_one(const note_upkeep& what) -> command_outcome {
+  auto it = tables_.waves.find(what.wave);
+  if (it == tables_.waves.end()) return command_outcome::unknown;
+  auto& list = what.ended ? it->second.ended : it->second.begun;
+  if (std::ranges::find(list, what.machine) != list.end()) {
+    return command_outcome::repeated;
+  }
+  list.push_back(what.machine);
+  return command_outcome::done;
+}
+
+}  // namespace parsleyledge::fleet
--- /dev/null
+++ b/src/core/fleet/fleet_state.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "core/fleet/command.h"
+
+namespace parsleyledge::fleet {
+
+/// Applies committed commands to the tables. Deterministic: all it needs is
+/// in the command and the tables.
+class fleet_state {
+ public:
+  fleet_state() = default;
+  explicit fleet_state(fleet_tables tables) : tables_(std::move(tables)) {}
+
+  auto apply(const command& what) -> command_outcome;
+  auto tables() const -> const fleet_tables& { return tables_; }
+
+ private:
+  auto apply_one(const read_barrier& what) -> command_outcome;
+  auto apply_one(const put_site& what) -> command_outcome;
+  auto apply_one(const add_job& what) -> command_outcome;
+  auto apply_one(const cancel_job& what) -> command_outcome;
+  auto apply_one(const fail_job& what) -> command_outcome;
+  auto apply_one(const place_tasks& what) -> command_outcome;
+  auto apply_one(const end_runs& what) -> command_outcome;
+  auto apply_one(const note_worker& what) -> command_outcome;
+  auto apply_one(const drop_worker& what) -> command_outcome;
+  auto apply_one(const add_wave& what) -> command_outcome;
+  auto apply_one(const note_upkeep& what) -> command_outcome;
+
+  void place(const placement& one);
+  void end_run(const ended_run& end, time_point at);
+  void end_task_of_gang(job_record& job, const ended_run& end);
+  void finish_step(job_record& job, std::uint32_t occurrence, time_point at);
+  void end_job(job_record& job, job_state state, time_point at);
+  void drop_runs_of(const worker_life& life);
+  void forget_ended_jobs(time_point now);
+
+  fleet_tables tables_;
+};
+
+}  // namespace parsleyledge::fleet
--- /dev/null
+++ b/src/core/fleet/placer.cpp
@@ -0,0 +1,143 @@
+#include "core/fleet/placer.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace parsleyledge::fleet {
+
+namespace {
+
+// Speeds within this ratio count as equal, so that noise in what was learned
+// does not scatter tasks.
+constexpr double speed_grain = 0.15;
+
+auto room_for(const candidate& worker, const placement_need& need)
+    -> std::uint32_t {
+  auto n = count_fitting(worker.free, need.each);
+  if (need.most_per_worker > 0) {
+    auto left = std::int64_t{need.most_per_worker} - worker.taken;
+    n = std::min(n, std::max<std::int64_t>(left, 0));
+  }
+  return static_cast<std::uint32_t>(std::min<std::int64_t>(n, need.tasks));
+}
+
+struct ranked {
+  std::size_t index;
+  std::uint32_t room;
+  int speed_class;
+  std::int64_t spare;  // accelerators, then processors, that stay free
+};
+
+auto rank_workers(std::span<const candidate> workers,
+                  std::span<const std::size_t> among,
+                  const placement_need& need) -> std::vector<ranked> {
+  std::vector<ranked> order;
+  order.reserve(among.size());
+  for (auto i : among) {
+    auto room = room_for(workers[i], need);
+    if (room == 0) continue;
+    auto left = workers[i].free - need.each * room;
+    auto spare = left.accelerators * 1'000'000 + left.cpu_milli;
+    auto speed_class = static_cast<int>(workers[i].speed / speed_grain);
+    order.push_back({i, room, -speed_class, spare});
+  }
+  std::ranges::sort(order, [](const ranked& a, const ranked& b) {
+    return std::tie(a.speed_class, a.spare, a.index) <
+           std::tie(b.speed_class, b.spare, b.index);
+  });
+  return order;
+}
+
+/// Fills the best workers first. Empty if together and it does not fit.
+auto fill(std::span<const candidate> workers,
+          std::span<const std::size_t> among, const placement_need& need)
+    -> std::vector<choice> {
+  std::vector<choice> chosen;
+  auto left = need.tasks;
+  for (const auto& r : rank_workers(workers, among, need)) {
+    if (left == 0) break;
+    auto n = std::min(r.room, left);
+    chosen.push_back({r.index, n});
+    left -= n;
+  }
+  if (need.together && left > 0) chosen.clear();
+  return chosen;
+}
+
+/// The speed of the slowest worker chosen: a gang goes at its pace.
+auto slowest(std::span<const candidate> workers,
+             std::span<const choice> chosen) -> double {
+  double speed = 0;
+  for (const auto& c : chosen) {
+    auto s = workers[c.candidate].speed;
+    if (speed == 0 || s < speed) speed = s;
+  }
+  return speed;
+}
+
+auto by_rack(std::span<const candidate> workers)
+    -> std::map<std::string_view, std::vector<std::size_t>> {
+  std::map<std::string_view, std::vector<std::size_t>> racks;
+  for (std::size_t i = 0; i < workers.size(); ++i) {
+    racks[workers[i].rack].push_back(i);
+  }
+  return racks;
+}
+
+auto all_of(std::span<const candidate> workers) -> std::vector<std::size_t> {
+  std::vector<std::size_t> all(workers.size());
+  for (std::size_t i = 0; i < all.size(); ++i) all[i] = i;
+  return all;
+}
+
+/// The rack where the gang goes fastest; the fewest workers among equals.
+auto choose_rack(std::span<const candidate> workers, const placement_need& need)
+    -> std::vector<choice> {
+  std::vector<choice> best;
+  double best_speed = 0;
+  for (const auto& [rack, members] : by_rack(workers)) {
+    auto chosen = fill(workers, members, need);
+    if (chosen.empty()) continue;
+    auto speed = slowest(workers, chosen);
+    bool faster = speed > best_speed + speed_grain;
+    bool tighter =
+        speed > best_speed - speed_grain && chosen.size() < best.size();
+    if (!best.empty() && !faster && !tighter) continue;
+    best = std::move(chosen);
+    best_speed = speed;
+  }
+  return best;
+}
+
+}  // namespace
+
+auto choose_workers(std::span<const candidate> workers,
+                    const placement_need& need) -> std::vector<choice> {
+  if (!need.data_rack.empty()) {
+    std::vector<std::size_t> near;
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+      if (workers[i].rack == need.data_rack) near.push_back(i);
+    }
+    auto chosen = fill(workers, near, need);
+    if (!chosen.empty() || !need.any_rack) return chosen;
+  }
+  if (need.same_rack) {
+    auto chosen = choose_rack(workers, need);
+    if (!chosen.empty() || !need.any_rack) return chosen;
+  }
+  return fill(workers, all_of(workers), need);
+}
+
+auto can_ever_fit(std::span<const candidate> workers,
+                  const placement_need& need) -> bool {
+  std::int64_t total = 0;
+  for (auto worker : workers) {
+    worker.free = worker.capacity;
+    worker.taken = 0;
+    total += room_for(worker, need);
+  }
+  return total >= (need.together ? need.tasks : 1);
+}
+
+}  // namespace parsleyledge::fleet
--- /dev/null
+++ b/src/core/fleet/records.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/fleet/job_spec.h"
+#include "core/fleet/worker_report.h"
+
+namespace parsleyledge::fleet {
+
+/// Where a task stands. A task holds its worker from the placement until its
+/// end is listed by the worker, or the worker's lease has run out.
+struct task_record {
+  std::uint32_t run = 0;  // of its last start
+  std::uint32_t failures = 0;
+  bool holding = false;
+  bool done = false;
+  worker_life worker;
+  std::string snapshot;  // newest saved progress
+};
+
+struct step_record {
+  std::vector<task_record> tasks;
+  std::uint32_t done = 0;        // tasks
+  std::uint32_t failures = 0;    // of the whole gang
+  std::uint32_t failed_run = 0;  // last gang run counted as failed
+  std::uint32_t last_run = 0;    // of a gang
+  std::string snapshot;          // of a gang
+};
+
+struct occurrence_record {
+  std::vector<step_record> steps;
+  std::uint32_t done = 0;  // steps
+};
+
+enum class job_state { queued, running, complete, failed, cancelled };
+
+struct job_record {
+  job_spec spec;
+  job_state state = job_state::queued;
+  time_point accepted_at;  // wall clock
+  time_point ended_at;     // wall clock
+  std::map<std::uint32_t, occurrence_record> open;
+  std::uint32_t occurrences_done = 0;
+  std::uint32_t first_open = 0;  // all occurrences before it are done
+  std::vector<std::uint32_t> done_early;
+};
+
+struct worker_record {
+  worker_life life;
+  std::string address;
+  std::string machine;
+  std::string service;
+  std::string data_centre;
+  std::string rack;
+  std::vector<std::string> labels;
+  resources capacity;
+  bool draining = false;
+};
+
+/// Machines whose upkeep an operator asked for.
+struct wave_record {
+  std::vector<std::string> machines;
+  milliseconds duration{0};
+  std::uint32_t at_once = 1;
+  time_point asked_at;  // wall clock
+  std::vector<std::string> begun;
+  std::vector<std::string> ended;
+};
+
+/// The replicated tables: the same on every replica after the same commands.
+struct fleet_tables {
+  std::uint64_t site_version = 0;
+  std::string site_document;  // as the operator sent it
+  std::map<job_id, job_record> jobs;
+  std::deque<job_id> ended;  // oldest first
+  std::map<std::string, worker_record, std::less<>> workers;
+  std::map<std::uint64_t, wave_record> waves;
+};
+
+/// Whether a job still has work or holds workers.
+auto is_active(const job_record& job) -> bool;
+
+/// Whether a step has ended.
+auto is_done(const step_spec& spec, const step_record& step) -> bool;
+
+/// The state's name in dumps and logs.
+auto to_string(job_state state) -> std::string_view;
+
+}  // namespace parsleyledge::fleet
--- /dev/null
+++ b/src/core/fleet/resources.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+
+namespace parsleyledge::fleet {
+
+/// What a task needs, or a worker has.
+struct resources {
+  std::int64_t cpu_milli = 0;  // thousandths of a core
+  std::int64_t memory_mb = 0;
+  std::int64_t accelerators = 0;
+
+  auto operator==(const resources&) const -> bool = default;
+
+  constexpr auto operator+=(const resources& o) -> resources& {
+    cpu_milli += o.cpu_milli;
+    memory_mb += o.memory_mb;
+    accelerators += o.accelerators;
+    return *this;
+  }
+  constexpr auto operator-=(const resources& o) -> resources& {
+    cpu_milli -= o.cpu_milli;
+    memory_mb -= o.memory_mb;
+    accelerators -= o.accelerators;
+    return *this;
+  }
+};
+
+constexpr auto operator-(resources a, const resources& b) -> resources {
+  return a -= b;
+}
+
+constexpr auto operator*(const resources& a, std::int64_t n) -> resources {
+  return {a.cpu_milli * n, a.memory_mb * n, a.accelerators * n};
+}
+
+/// How many tasks of this need fit into the room.
+constexpr auto count_fitting(const resources& room, const resources& need)
+    -> std::int64_t {
+  auto most = std::numeric_limits<std::int32_t>::max() + std::int64_t{0};
+  auto limit = [&](std::int64_t have, std::int64_t each) {
+    if (each > 0) most = std::min(most, std::max<std::int64_t>(have, 0) / each);
+  };
+  limit(room.cpu_milli, need.cpu_milli);
+  limit(room.memory_mb, need.memory_mb);
+  limit(room.accelerators, need.accelerators);
+  return most;
+}
+
+constexpr auto fits(const resources& room, const resources& need) -> bool {
+  return count_fitting(room, need) >= 1;
+}
+
+}  // namespace parsleyledge::fleet
--- /dev/null
+++ b/src/core/fleet/run_watch.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <string>
+
+#include "core/fleet/command.h"
+
+namespace parsleyledge::fleet {
+
+/// How far the orders for a run have come.
+enum class run_phase {
+  inherited,  // placed by an earlier leader: nobody knows if it was started
+  to_start,
+  starting,  // the order is out
+  started,
+  to_stop,
+  stopping,  // the order is out
+  stopped,   // the worker confirmed it; its end is to be listed
+  doubtful   // the worker refused it as old: its end may be listed
+};
+
+/// The leader's view of one run that holds a worker.
+struct run_watch {
+  std::uint32_t run = 0;
+  worker_life worker;
+  run_phase phase = run_phase::to_start;
+  time_point next_try;
+  time_point settled_at;  // when the last order was answered
+  time_point placed_at;
+  std::uint32_t percent = 0;
+  time_point moved_at;   // when the percentage last changed
+  std::string snapshot;  // newest seen
+  bool seen = false;     // in the sweep under way
+};
+
+}  // namespace parsleyledge::fleet
--- /dev/null
+++ b/src/core/fleet/site.cpp
@@ -0,0 +1,22 @@
+#include "core/fleet/site.h"
+
+#include <algorithm>
+
+namespace parsleyledge::fleet {
+
+auto find_queue(const site& where, std::string_view host, std::string_view path)
+    -> const queue* {
+  const queue* best = nullptr;
+  for (const auto& q : where.queues) {
+    if (q.host != host || !path.starts_with(q.prefix)) continue;
+    if (best == nullptr || q.prefix.size() > best->prefix.size()) best = &q;
+  }
+  return best;
+}
+
+auto find_queue(const site& where, std::string_view name) -> const queue* {
+  auto it = std::ranges::find(where.queues, name, &queue::name);
+  return it == where.queues.end() ? nullptr : &*it;
+}
+
+}  // namespace parsleyledge::fleet
--- /dev/null
+++ b/src/core/fleet/worker_state.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <vector>
+
+#include "core/fleet/command.h"
+#include "core/fleet/lease_clock.h"
+
+namespace parsleyledge::fleet {
+
+/// What the leader knows of a worker beside the tables. It is lost with the
+/// leadership and learned again.
+struct worker_state {
+  worker_life life;
+  lease_clock clock;
+  time_point reported_at;
+  time_point answered_at;
+  std::uint64_t report_sequence = 0;
+  time_point leaves_at;  // of one that drains
+
+  bool look_out = false;  // a look is on its way
+  time_point next_look;
+  std::uint32_t unanswered = 0;        // orders in a row
+  std::uint64_t acknowledged = 0;      // highest end that is committed
+  std::uint64_t told = 0;              // highest end that the worker was told
+  std::uint64_t noted = 0;             // highest end of `uncommitted`
+  std::vector<ended_run> uncommitted;  // ends proposed, not yet committed
+
+  std::uint32_t failures = 0;  // runs in a row
+  time_point quarantined_until;
+  double speed = 1;  // relative to the others of its service
+
+  // Derived from the tables by each sweep.
+  std::uint32_t holding = 0;  // tasks
+  resources used;
+};
+
+}  // namespace parsleyledge::fleet
