Learn the speeds of machines; let patient work leave the fast ones

Cause: two thirds of the workers take 1.4 times as long, one third 0.6 times; list-sync may take 1.5 times its work and was placed on either.

--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -498,7 +498,7 @@
         one["holding"] = it->second.holding;
         one["failures"] = it->second.failures;
         one["unanswered"] = it->second.unanswered;
-        one["speed"] = it->second.speed;
+        one["speed"] = dispatcher_.speeds().speed(machine_of(record));
       }
       workers.push_back(std::move(one));
     }
--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -9,6 +9,9 @@
 
 using room_map = std::map<std::string, resources, std::less<>>;
 
+// Work that may take so many times its length leaves fast machines to work
+// that may not; the slowest seen take two and a half times as long as others.
+constexpr double patient_stretch = 2.5;
 // A place that needs nothing stopped goes before any that does.
 constexpr double free_place_bonus = 1000;
 
@@ -177,7 +180,7 @@
     }
     auto taken = counts.find(name);
     candidates.push_back({record.rack, room[name], record.capacity,
-                          workers_.at(name).speed,
+                          speeds_.speed(machine_of(record)),
                           taken == counts.end() ? 0 : taken->second});
     records.push_back(&record);
   }
@@ -187,7 +190,9 @@
                       item.spec->gang,
                       item.spec->same_rack,
                       item.spec->data_rack,
-                      false};
+                      false,
+                      item.where->stretch >= patient_stretch &&
+                          now.wall < item.wanted_by - item.spec->estimate};
   // A wrong rack triples the work, so waiting as long as the work takes is
   // the better part of the time.
   bool patient = now.wall - item.due > item.spec->estimate;
--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds settle_wait{250};    // for the end of a stopped run
 constexpr milliseconds unwell_pause{300};   // of a worker that did nothing
 constexpr milliseconds stale_look{1000};    // renew though ends wait
+constexpr std::uint32_t least_progress = 10;  // per cent, to judge a speed by
+constexpr std::uint32_t whole_percent = 100;
 constexpr std::uint32_t failures_to_quarantine = 2;
 constexpr std::uint32_t longest_doubling = 3;
 
@@ -125,10 +127,8 @@
   if (is_known && known->second.life.born_ms > said.life.born_ms) return {};
   auto& worker = workers_[said.life.name];
   if (worker.life != said.life) {
-    auto speed = worker.speed;
     worker = {};
     worker.life = said.life;
-    worker.speed = speed;
   }
   bool late = said.sequence < worker.report_sequence;
   if (!late) {
@@ -377,6 +377,8 @@
       run->phase == run_phase::starting) {
     run->phase = run_phase::started;
     run->settled_at = run->moved_at = now.steady;
+    const auto& start = std::get<start_order>(asked.what);
+    if (start.snapshot.empty()) run->base_at = now.steady;
   }
   if (std::holds_alternative<stop_order>(asked.what) &&
       run->phase == run_phase::stopping) {
@@ -394,14 +396,15 @@
   worker.next_look = now.steady;
   const auto& look = std::get<look_order>(asked.what);
   worker.told = std::max(worker.told, look.acknowledged);
-  note_running(worker, answer, asked.sent_at, now);
+  note_running(tables, worker, answer, asked.sent_at, now);
   note_ends(tables, worker, answer, now);
 }
 
 // Compares what a worker has with what it should have. Only a look that was
 // sent after the last order was answered tells that a run is missing.
-void dispatcher::note_running(worker_state& worker, const order_looked& answer,
-                              time_point sent_at, moment now) {
+void dispatcher::note_running(const fleet_tables& tables, worker_state& worker,
+                              const order_looked& answer, time_point sent_at,
+                              moment now) {
   std::map<task_ref, const running_task*> running;
   for (const auto& r : answer.running) running[r.task] = &r;
   std::set<task_ref> ended;
@@ -410,6 +413,10 @@
     if (run.worker != worker.life) continue;
     auto it = running.find(ref);
     if (it != running.end() && it->second->run == run.run) {
+      if (run.base_at == time_point{}) {
+        run.base_at = now.steady;
+        run.base_percent = it->second->percent;
+      }
       bool is_new = run.phase == run_phase::inherited ||
                     run.phase == run_phase::starting ||
                     run.phase == run_phase::to_start;
@@ -419,6 +426,10 @@
       }
       run.percent = it->second->percent;
       run.snapshot = it->second->snapshot;
+      if (!run.measured && run.percent >= run.base_percent + least_progress) {
+        run.measured = true;
+        measure(tables, ref, run, run.percent, now);
+      }
       continue;
     }
     if (ended.contains(ref) || sent_at <= run.settled_at) continue;
@@ -432,6 +443,25 @@
   }
 }
 
+// Takes the progress of a run since it began here as a sign of the speed of
+// its machine. The members of a gang go at the pace of the slowest, and a
+// wrong rack slows a task, so those tell nothing.
+void dispatcher::measure(const fleet_tables& tables, const task_ref& ref,
+                         const run_watch& run, std::uint32_t percent,
+                         moment now) {
+  const auto* record = record_of(tables, run.worker);
+  auto job = tables.jobs.find(ref.job);
+  if (record == nullptr || job == tables.jobs.end()) return;
+  const auto& spec = job->second.spec.steps[ref.step];
+  bool far = !spec.data_rack.empty() && spec.data_rack != record->rack;
+  auto took = (now.steady - run.base_at).count();
+  if (spec.gang || spec.lasting || far || took <= 0) return;
+  if (run.base_at == time_point{}) return;
+  speeds_.observe({ref.job, ref.occurrence, ref.step}, machine_of(*record),
+                  static_cast<double>(percent - run.base_percent) /
+                      static_cast<double>(took));
+}
+
 void dispatcher::note_ends(const fleet_tables& tables, worker_state& worker,
                            const order_looked& answer, moment now) {
   end_runs fresh;
@@ -455,6 +485,10 @@
     noted = end.sequence;
     if (!matches) continue;
     judge(worker, end.how, now);
+    auto run = runs_.find(end.task);
+    if (end.how == run_end::done && run != runs_.end()) {
+      measure(tables, end.task, run->second, whole_percent, now);
+    }
     note("ended", {{"task", fleet::to_string(end.task)},
                    {"run", std::to_string(end.run)},
                    {"worker", worker.life.name},
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -12,6 +12,7 @@
 #include "core/fleet/effect.h"
 #include "core/fleet/placer.h"
 #include "core/fleet/run_watch.h"
+#include "core/fleet/speed_table.h"
 #include "core/fleet/worker_state.h"
 
 namespace parsleyledge::fleet {
@@ -65,6 +66,7 @@
       -> const std::map<std::string, worker_state, std::less<>>& {
     return workers_;
   }
+  auto speeds() const -> const speed_table& { return speeds_; }
   auto runs() const -> const std::map<task_ref, run_watch>& { return runs_; }
 
  private:
@@ -101,8 +103,11 @@
   void handle(const fleet_tables& tables, const pending_order& asked,
               const order_unanswered& answer, moment now);
   auto ordered_run(const order& what) -> run_watch*;
-  void note_running(worker_state& worker, const order_looked& answer,
-                    time_point sent_at, moment now);
+  void note_running(const fleet_tables& tables, worker_state& worker,
+                    const order_looked& answer, time_point sent_at,
+                    moment now);
+  void measure(const fleet_tables& tables, const task_ref& ref,
+               const run_watch& run, std::uint32_t percent, moment now);
   void note_ends(const fleet_tables& tables, worker_state& worker,
                  const order_looked& answer, moment now);
   void confirm_ends(const fleet_tables& tables, worker_state& worker);
@@ -146,6 +151,7 @@
   std::map<std::uint64_t, pending_order> orders_;
   std::map<std::uint64_t, std::vector<placement>> planned_;  // by token
   std::map<step_ref, reservation> reservations_;
+  speed_table speeds_;
   std::set<job_id> failing_;  // jobs whose end as failed is proposed
   std::set<task_ref> ending_;  // runs whose end as lost is proposed
   std::vector<effect> effects_;
--- a/src/core/fleet/fleet_state.cpp
+++ b/src/core/fleet/fleet_state.cpp
@@ -44,6 +44,10 @@
 
 }  // namespace
 
+auto machine_of(const worker_record& worker) -> std::string_view {
+  return worker.machine.empty() ? worker.life.name : worker.machine;
+}
+
 auto is_active(const job_record& job) -> bool {
   return !is_ended(job.state) || holds_anything(job);
 }
--- a/src/core/fleet/placer.cpp
+++ b/src/core/fleet/placer.cpp
@@ -10,7 +10,7 @@
 
 // Speeds within this ratio count as equal, so that noise in what was learned
 // does not scatter tasks.
-constexpr double speed_grain = 0.15;
+constexpr double speed_grain = 0.25;
 
 auto room_for(const candidate& worker, const placement_need& need)
     -> std::uint32_t {
@@ -25,7 +25,7 @@
 struct ranked {
   std::size_t index;
   std::uint32_t room;
-  int speed_class;
+  int speed_rank;  // lowest first
   std::int64_t spare;  // accelerators, then processors, that stay free
 };
 
@@ -40,11 +40,12 @@
     auto left = workers[i].free - need.each * room;
     auto spare = left.accelerators * 1'000'000 + left.cpu_milli;
     auto speed_class = static_cast<int>(workers[i].speed / speed_grain);
-    order.push_back({i, room, -speed_class, spare});
+    auto rank = need.slow_first ? speed_class : -speed_class;
+    order.push_back({i, room, rank, spare});
   }
   std::ranges::sort(order, [](const ranked& a, const ranked& b) {
-    return std::tie(a.speed_class, a.spare, a.index) <
-           std::tie(b.speed_class, b.spare, b.index);
+    return std::tie(a.speed_rank, a.spare, a.index) <
+           std::tie(b.speed_rank, b.spare, b.index);
   });
   return order;
 }
--- a/src/core/fleet/placer.h
+++ b/src/core/fleet/placer.h
@@ -27,6 +27,7 @@
   bool same_rack = false;
   std::string_view data_rack;
   bool any_rack = false;  // waited long enough to run on a slower rack
+  bool slow_first = false;  // leave fast workers to others
 };
 
 /// So many tasks on one of the candidates.
@@ -35,7 +36,7 @@
   std::uint32_t tasks = 0;
 };
 
-/// Chooses workers: fast ones first, and among equals the one with the least
+/// Chooses workers: fast ones first unless the need is patient, and among equals the one with the least
 /// room to spare, so that wide tasks still find whole workers. Returns nothing
 /// if tasks that belong together do not fit.
 auto choose_workers(std::span<const candidate> workers,
--- a/src/core/fleet/records.h
+++ b/src/core/fleet/records.h
@@ -61,6 +61,9 @@
   bool draining = false;
 };
 
+/// The machine that a worker is a life of; the worker itself if it did not say.
+auto machine_of(const worker_record& worker) -> std::string_view;
+
 /// Machines whose upkeep an operator asked for.
 struct wave_record {
   std::vector<std::string> machines;
--- a/src/core/fleet/run_watch.h
+++ b/src/core/fleet/run_watch.h
@@ -29,6 +29,9 @@
   std::uint32_t percent = 0;
   time_point moved_at;   // when the percentage last changed
   std::string snapshot;  // newest seen
+  time_point base_at;    // since when its progress is measured here
+  std::uint32_t base_percent = 0;
+  bool measured = false;
   bool seen = false;     // in the sweep under way
 };
 
--- a/src/core/fleet/worker_state.h
+++ b/src/core/fleet/worker_state.h
@@ -27,7 +27,6 @@
 
   std::uint32_t failures = 0;  // runs in a row
   time_point quarantined_until;
-  double speed = 1;  // relative to the others of its service
 
   // Derived from the tables by each sweep.
   std::uint32_t holding = 0;  // tasks
