Reclaim where least is lost and places are fast; explore unknown machines

Cause: most machines' speeds stayed unknown (they had run gangs only), and a reclaim took wrong racks, which triple the work, and slow machines.

--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 
 #include "core/fleet/dispatcher.h"
 #include "core/fleet/task_name.h"
@@ -7,13 +8,20 @@
 
 namespace {
 
-using room_map = std::map<std::string, resources, std::less<>>;
-
 // Work that may take so many times its length leaves fast machines to work
 // that may not; the slowest seen take two and a half times as long as others.
 constexpr double patient_stretch = 2.5;
-// A place that needs nothing stopped goes before any that does.
-constexpr double free_place_bonus = 1000;
+// So many tasks of a step tell the speeds of machines that nothing is known of.
+constexpr std::uint32_t tasks_to_compare = 3;
+// How much work of lower priorities may be lost, against the work of the step
+// that takes its place. On both sites an urgent job is worth ten times as much
+// a core-second as any other, and work that is stopped costs half its worth.
+constexpr double urgent_worth = 1;
+constexpr double ordinary_worth = 0;
+// The platform counts an accelerator as so many cores.
+constexpr std::int64_t cores_an_accelerator = 8;
+// A task that saves its progress loses what came after the last snapshot.
+constexpr milliseconds unsaved{500};
 
 auto reserved_by(const step_spec& spec) -> resources {
   auto need = spec.each;
@@ -26,6 +34,17 @@
                               worker.labels.end();
 }
 
+auto cores_of(const step_spec& spec) -> std::int64_t {
+  return spec.each.cpu_milli / 1000 +
+         spec.each.accelerators * cores_an_accelerator;
+}
+
+/// Core-milliseconds to be done again if a run is stopped.
+auto loss_of(const step_spec& spec, milliseconds ran) -> std::int64_t {
+  auto lost = spec.checkpoints ? std::min(ran, unsaved) : ran;
+  return cores_of(spec) * lost.count();
+}
+
 /// Tasks of this step that each worker has.
 auto tasks_by_worker(const backlog_item& item)
     -> std::map<std::string_view, std::uint32_t> {
@@ -181,7 +200,8 @@
     auto taken = counts.find(name);
     candidates.push_back({record.rack, room[name], record.capacity,
                           speeds_.speed(machine_of(record)),
-                          taken == counts.end() ? 0 : taken->second});
+                          taken == counts.end() ? 0 : taken->second,
+                          speeds_.knows(machine_of(record))});
     records.push_back(&record);
   }
   placement_need need{reserved_by(*item.spec),
@@ -191,8 +211,13 @@
                       item.spec->same_rack,
                       item.spec->data_rack,
                       false,
-                      item.where->stretch >= patient_stretch &&
-                          now.wall < item.wanted_by - item.spec->estimate};
+                      false,
+                      false,
+                      cores_of(*item.spec) * item.spec->estimate.count()};
+  need.slow_first = item.where->stretch >= patient_stretch &&
+                    now.wall < item.wanted_by - item.spec->estimate;
+  need.explore = need.slow_first && !need.together &&
+                 need.tasks >= tasks_to_compare;
   // A wrong rack triples the work, so waiting as long as the work takes is
   // the better part of the time.
   bool patient = now.wall - item.due > item.spec->estimate;
@@ -201,15 +226,25 @@
                                                              need.data_rack));
   auto chosen = choose_workers(candidates, need);
   if (chosen.empty()) {
-    if (may_reclaim(item, tables)) reclaim(item, tables, room, need, now);
+    reclaim(item, tables, candidates, records, need, room, now);
     return;
   }
   auto placements = make_placements(item, chosen, records);
   for (const auto& c : chosen) {
     room[records[c.candidate]->life.name] -= need.each * c.tasks;
   }
+  double slowest = 0;
+  std::set<std::string_view> racks;
+  for (const auto& c : chosen) {
+    auto speed = candidates[c.candidate].speed;
+    if (slowest == 0 || speed < slowest) slowest = speed;
+    racks.insert(candidates[c.candidate].rack);
+  }
   note("placed",
        {{"step", fleet::to_string(item.step)},
+        {"slowest", std::to_string(slowest)},
+        {"racks", std::to_string(racks.size())},
+        {"estimate_ms", std::to_string(item.spec->estimate.count())},
         {"tasks", std::to_string(placements.size())},
         {"run", std::to_string(placements.front().run)},
         {"worker", placements.front().worker.name},
@@ -218,9 +253,10 @@
   planned_[token] = std::move(placements);
 }
 
-// Work of priority 0 may reclaim what its customer is guaranteed.
-auto dispatcher::may_reclaim(const backlog_item& item,
-                             const fleet_tables& tables) const -> bool {
+// Whether this would keep the customer's work of priority 0 within what it is
+// guaranteed. Such a claim is met whatever it costs others.
+auto dispatcher::is_guaranteed(const backlog_item& item,
+                               const fleet_tables& tables) const -> bool {
   if (item.where->priority != 0) return false;
   auto customer = site_->customers.find(item.job->spec.customer);
   if (customer == site_->customers.end()) return false;
@@ -243,113 +279,88 @@
   return held <= customer->second.guaranteed_accelerators;
 }
 
-namespace {
-
-/// Work of a lower priority that could be stopped, as one: a whole gang, or
-/// one task.
-struct victim {
-  std::vector<task_ref> tasks;
-  std::map<std::string_view, resources> frees;
-  std::int64_t loss = 0;  // core-milliseconds since the last snapshot
-};
-
-auto loss_of(const step_spec& spec, milliseconds ran) -> std::int64_t {
-  // The platform counts an accelerator as eight cores.
-  auto cores = spec.each.cpu_milli / 1000 + spec.each.accelerators * 8;
-  auto lost = spec.checkpoints ? std::min(ran, milliseconds(500)) : ran;
-  return cores * lost.count();
-}
-
-}  // namespace
-
-// Finds room that includes what lower priorities hold, stops the least work
-// that makes it free, and keeps the place meanwhile.
-void dispatcher::reclaim(const backlog_item& item, const fleet_tables& tables,
-                         room_map& room, const placement_need& need,
-                         moment now) {
-  std::vector<victim> victims;
-  std::map<std::string, resources, std::less<>> reclaimable;
-  std::map<std::string_view, std::int64_t> loss_at;
+// The runs of lower priorities on these workers that could be stopped, and
+// which tasks each of them is.
+auto dispatcher::find_victims(
+    const fleet_tables& tables, std::uint32_t priority,
+    const std::map<std::string_view, std::size_t>& index, moment now) const
+    -> std::vector<stoppable> {
+  std::vector<stoppable> found;
   for (const auto& [id, job] : tables.jobs) {
     const auto* where = find_queue(*site_, job.spec.queue);
-    if (where == nullptr || where->priority == 0) continue;
+    if (where == nullptr || where->priority <= priority) continue;
     for (const auto& [number, occurrence] : job.open) {
       for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
         const auto& spec = job.spec.steps[s];
         if (spec.lasting) continue;
-        victim whole;
-        for (std::uint32_t t = 0; t < occurrence.steps[s].tasks.size(); ++t) {
-          const auto& task = occurrence.steps[s].tasks[t];
+        stoppable one;
+        const auto& tasks = occurrence.steps[s].tasks;
+        for (std::uint32_t t = 0; t < tasks.size(); ++t) {
           task_ref ref{id, number, s, t};
           auto run = runs_.find(ref);
-          bool runs = task.holding && run != runs_.end() &&
-                      (run->second.phase == run_phase::started ||
-                       run->second.phase == run_phase::starting);
-          if (!runs) continue;
-          if (!spec.gang) whole = {};
-          whole.tasks.push_back(ref);
-          whole.frees[task.worker.name] += reserved_by(spec);
-          whole.loss += loss_of(spec, now.steady - run->second.placed_at);
-          if (!spec.gang) victims.push_back(whole);
+          bool stops = tasks[t].holding && run != runs_.end() &&
+                       (run->second.phase == run_phase::started ||
+                        run->second.phase == run_phase::starting);
+          if (!stops) continue;
+          if (!spec.gang) one = {};
+          one.tasks.push_back(ref);
+          auto at = index.find(tasks[t].worker.name);
+          if (at != index.end()) {
+            one.what.frees.push_back({at->second, reserved_by(spec)});
+          }
+          one.what.loss += loss_of(spec, now.steady - run->second.placed_at);
+          if (!spec.gang && !one.what.frees.empty()) found.push_back(one);
         }
-        if (spec.gang && !whole.tasks.empty()) victims.push_back(whole);
+        if (spec.gang && !one.what.frees.empty()) found.push_back(one);
       }
     }
   }
-  for (const auto& v : victims) {
-    for (const auto& [name, freed] : v.frees) {
-      reclaimable[std::string(name)] += freed;
-      loss_at[name] += v.loss;
-    }
+  return found;
+}
+
+// Stops the least work that makes room for the step, if that is worth it, and
+// keeps the place meanwhile.
+void dispatcher::reclaim(const backlog_item& item, const fleet_tables& tables,
+                         std::span<const candidate> candidates,
+                         std::span<const worker_record* const> records,
+                         placement_need need, room_map& room, moment now) {
+  if (!need.together) return;
+  std::map<std::string_view, std::size_t> index;
+  for (std::size_t i = 0; i < records.size(); ++i) {
+    index[records[i]->life.name] = i;
   }
-  std::vector<candidate> candidates;
-  std::vector<const worker_record*> records;
-  auto counts = tasks_by_worker(item);
-  for (const auto& [name, record] : tables.workers) {
-    if (record.service != item.where->service) continue;
-    if (!has_label(record, item.spec->label) || !is_usable(record, now)) {
-      continue;
+  auto found = find_victims(tables, item.where->priority, index, now);
+  if (found.empty()) return;
+  std::vector<victim> victims;
+  victims.reserve(found.size());
+  for (const auto& one : found) victims.push_back(one.what);
+  bool guaranteed = is_guaranteed(item, tables);
+  need.any_rack = need.any_rack || guaranteed;
+  auto plan = plan_reclaim(candidates, victims, need);
+  if (!plan || plan->stopped.empty()) return;
+  auto own = cores_of(*item.spec) * item.spec->estimate.count() *
+             static_cast<std::int64_t>(item.tasks.size());
+  auto worth = item.where->priority == 0 ? urgent_worth : ordinary_worth;
+  if (!guaranteed &&
+      static_cast<double>(plan->loss) > worth * static_cast<double>(own)) {
+    return;
+  }
+  auto placements = make_placements(item, plan->chosen, records);
+  for (auto v : plan->stopped) {
+    for (const auto& ref : found[v].tasks) {
+      stop_run(ref, "reclaimed for " + fleet::to_string(item.step));
     }
-    auto free = room[name];
-    bool enough = count_fitting(free, need.each) > 0;
-    auto extra = reclaimable.find(name);
-    if (extra != reclaimable.end()) free += extra->second;
-    auto taken = counts.find(name);
-    double rank = enough ? free_place_bonus
-                         : 1.0 / (1.0 + static_cast<double>(loss_at[name]) /
-                                            1'000'000.0);
-    candidates.push_back({record.rack, free, record.capacity, rank,
-                          taken == counts.end() ? 0 : taken->second});
-    records.push_back(&record);
   }
-  auto relaxed = need;
-  relaxed.any_rack = true;
-  auto chosen = choose_workers(candidates, relaxed);
-  if (chosen.empty()) return;
-  auto placements = make_placements(item, chosen, records);
-  std::ranges::sort(victims, {}, &victim::loss);
   // What is stopped still holds its room, so only this step may count on it.
-  auto expected = room;
-  for (const auto& c : chosen) {
-    const auto& name = records[c.candidate]->life.name;
-    auto wanted = need.each * c.tasks;
-    for (auto& v : victims) {
-      if (fits(expected[name], wanted)) break;
-      if (!v.frees.contains(name)) continue;
-      for (const auto& ref : v.tasks) {
-        stop_run(ref, "reclaimed for " + fleet::to_string(item.step));
-      }
-      for (const auto& [where, freed] : v.frees) {
-        expected[std::string(where)] += freed;
-      }
-      v.frees.clear();
-    }
-    expected[name] -= wanted;
-    room[name] -= wanted;
+  for (const auto& c : plan->chosen) {
+    room[records[c.candidate]->life.name] -= need.each * c.tasks;
   }
   note("reclaim", {{"step", fleet::to_string(item.step)},
                    {"customer", item.job->spec.customer},
-                   {"tasks", std::to_string(placements.size())}});
+                   {"guaranteed", guaranteed ? "yes" : "no"},
+                   {"tasks", std::to_string(placements.size())},
+                   {"stopped", std::to_string(plan->stopped.size())},
+                   {"lost_core_ms", std::to_string(plan->loss)}});
   reservations_[item.step] = {std::move(placements),
                               now.steady + limits_.reservation};
 }
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -11,6 +11,7 @@
 #include "core/fleet/dispatch_limits.h"
 #include "core/fleet/effect.h"
 #include "core/fleet/placer.h"
+#include "core/fleet/reclaim.h"
 #include "core/fleet/run_watch.h"
 #include "core/fleet/speed_table.h"
 #include "core/fleet/worker_state.h"
@@ -80,6 +81,12 @@
     time_point until;
   };
 
+  struct stoppable {
+    std::vector<task_ref> tasks;
+    victim what;
+  };
+  using room_map = std::map<std::string, resources, std::less<>>;
+
   // Events, in dispatcher.cpp.
   void sweep(const fleet_tables& tables, moment now);
   void watch_step(const job_record& job, const step_ref& ref, moment now);
@@ -126,15 +133,18 @@
   void plan(const fleet_tables& tables, moment now);
   void settle_reservations(const fleet_tables& tables, moment now);
   auto is_planned(const step_ref& step) const -> bool;
-  auto free_room(const fleet_tables& tables)
-      -> std::map<std::string, resources, std::less<>>;
+  auto free_room(const fleet_tables& tables) -> room_map;
   void place(const backlog_item& item, const fleet_tables& tables,
-             std::map<std::string, resources, std::less<>>& room, moment now);
-  void reclaim(const backlog_item& item, const fleet_tables& tables,
-               std::map<std::string, resources, std::less<>>& room,
-               const placement_need& need, moment now);
-  auto may_reclaim(const backlog_item& item, const fleet_tables& tables) const
+             room_map& room, moment now);
+  auto is_guaranteed(const backlog_item& item, const fleet_tables& tables) const
       -> bool;
+  auto find_victims(const fleet_tables& tables, std::uint32_t priority,
+                    const std::map<std::string_view, std::size_t>& index,
+                    moment now) const -> std::vector<stoppable>;
+  void reclaim(const backlog_item& item, const fleet_tables& tables,
+               std::span<const candidate> candidates,
+               std::span<const worker_record* const> records,
+               placement_need need, room_map& room, moment now);
   auto is_usable(const worker_record& record, moment now) const -> bool;
   auto make_placements(const backlog_item& item,
                        std::span<const choice> chosen,
--- a/src/core/fleet/placer.cpp
+++ b/src/core/fleet/placer.cpp
@@ -56,9 +56,19 @@
     -> std::vector<choice> {
   std::vector<choice> chosen;
   auto left = need.tasks;
-  for (const auto& r : rank_workers(workers, among, need)) {
+  auto order = rank_workers(workers, among, need);
+  if (need.explore) {
+    for (auto& r : order) {
+      if (left == 0 || workers[r.index].known) continue;
+      chosen.push_back({r.index, 1});
+      r.room = 0;
+      --left;
+    }
+  }
+  for (const auto& r : order) {
     if (left == 0) break;
     auto n = std::min(r.room, left);
+    if (n == 0) continue;
     chosen.push_back({r.index, n});
     left -= n;
   }
--- a/src/core/fleet/placer.h
+++ b/src/core/fleet/placer.h
@@ -16,6 +16,7 @@
   resources capacity;
   double speed = 1;            // relative to the others of its service
   std::uint32_t taken = 0;     // tasks of this step that it has already
+  bool known = true;           // whether its speed was ever seen
 };
 
 /// What is to be placed.
@@ -28,6 +29,8 @@
   std::string_view data_rack;
   bool any_rack = false;  // waited long enough to run on a slower rack
   bool slow_first = false;  // leave fast workers to others
+  bool explore = false;     // first one task to each worker of unknown speed
+  std::int64_t task_work = 0;  // core-milliseconds of a task at speed 1
 };
 
 /// So many tasks on one of the candidates.
--- a/src/core/fleet/speed_table.cpp
+++ b/src/core/fleet/speed_table.cpp
@@ -57,4 +57,9 @@
   return it == machines_.end() ? 1 : std::exp(it->second.log_speed);
 }
 
+auto speed_table::knows(std::string_view machine) const -> bool {
+  auto it = machines_.find(machine);
+  return it != machines_.end() && it->second.weight > 0;
+}
+
 }  // namespace parsleyledge::fleet
--- a/src/core/fleet/speed_table.h
+++ b/src/core/fleet/speed_table.h
@@ -20,6 +20,9 @@
   /// The speed of a machine; 1 until something is known.
   auto speed(std::string_view machine) const -> double;
 
+  /// Whether a machine has been compared with others.
+  auto knows(std::string_view machine) const -> bool;
+
  private:
   struct learned {
     double log_speed = 0;
