--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -13,11 +13,10 @@
 constexpr double patient_stretch = 2.5;
 // So many tasks of a step tell the speeds of machines that nothing is known of.
 constexpr std::uint32_t tasks_to_compare = 3;
-// How much work of lower priorities may be lost, against the work of the step
-// that takes its place. On both sites an urgent job is worth ten times as much
-// a core-second as any other, and work that is stopped costs half its worth.
+// Beyond the guarantee an urgent step may cost others as much work as it has
+// itself: more work lost was worth less on days of both sites, and so was any
+// work that other priorities stopped.
 constexpr double urgent_worth = 1;
-constexpr double ordinary_worth = 0;
 // The platform counts an accelerator as so many cores.
 constexpr std::int64_t cores_an_accelerator = 8;
 // A task that saves its progress loses what came after the last snapshot.
@@ -324,7 +323,7 @@
                          std::span<const candidate> candidates,
                          std::span<const worker_record* const> records,
                          placement_need need, room_map& room, moment now) {
-  if (!need.together) return;
+  if (!need.together || item.where->priority != 0) return;
   std::map<std::string_view, std::size_t> index;
   for (std::size_t i = 0; i < records.size(); ++i) {
     index[records[i]->life.name] = i;
@@ -340,11 +339,9 @@
   if (!plan || plan->stopped.empty()) return;
   auto own = cores_of(*item.spec) * item.spec->estimate.count() *
              static_cast<std::int64_t>(item.tasks.size());
-  auto worth = item.where->priority == 0 ? urgent_worth : ordinary_worth;
-  if (!guaranteed &&
-      static_cast<double>(plan->loss) > worth * static_cast<double>(own)) {
-    return;
-  }
+  bool worth_it = static_cast<double>(plan->loss) <=
+                  urgent_worth * static_cast<double>(own);
+  if (!guaranteed && !worth_it) return;
   auto placements = make_placements(item, plan->chosen, records);
   for (auto v : plan->stopped) {
     for (const auto& ref : found[v].tasks) {
