--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -252,68 +252,104 @@
   planned_[token] = std::move(placements);
 }
 
-// Whether this would keep the customer's work of priority 0 within what it is
-// guaranteed. Such a claim is met whatever it costs others.
-auto dispatcher::is_guaranteed(const backlog_item& item,
-                               const fleet_tables& tables) const -> bool {
-  if (item.where->priority != 0) return false;
-  auto customer = site_->customers.find(item.job->spec.customer);
-  if (customer == site_->customers.end()) return false;
-  auto held = item.spec->each.accelerators *
-              static_cast<std::int64_t>(item.tasks.size());
+// Accelerators that each customer's work of priority 0 holds.
+auto dispatcher::urgent_use(const fleet_tables& tables) const
+    -> std::map<std::string_view, std::int64_t> {
+  std::map<std::string_view, std::int64_t> use;
   for (const auto& [id, job] : tables.jobs) {
-    if (job.spec.customer != item.job->spec.customer || !is_active(job)) {
-      continue;
-    }
     const auto* where = find_queue(*site_, job.spec.queue);
     if (where == nullptr || where->priority != 0) continue;
     for (const auto& [number, occurrence] : job.open) {
       for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
         auto n = std::ranges::count(occurrence.steps[s].tasks, true,
                                     &task_record::holding);
-        held += job.spec.steps[s].each.accelerators * n;
+        use[job.spec.customer] += job.spec.steps[s].each.accelerators * n;
       }
     }
   }
-  return held <= customer->second.guaranteed_accelerators;
+  return use;
+}
+
+auto dispatcher::guarantee_of(std::string_view customer) const -> std::int64_t {
+  auto it = site_->customers.find(customer);
+  return it == site_->customers.end() ? 0 : it->second.guaranteed_accelerators;
+}
+
+// Whether this would keep the customer's work of priority 0 within what it is
+// guaranteed. Such a claim is met whatever it costs others.
+auto dispatcher::is_guaranteed(const backlog_item& item,
+                               const fleet_tables& tables) const -> bool {
+  if (item.where->priority != 0) return false;
+  auto use = urgent_use(tables);
+  auto held = item.spec->each.accelerators *
+                  static_cast<std::int64_t>(item.tasks.size()) +
+              use[item.job->spec.customer];
+  return held <= guarantee_of(item.job->spec.customer);
+}
+
+// Adds the runs of one step that could be stopped: the whole gang, or each
+// task by itself.
+void dispatcher::add_stoppable(
+    const job_record& job, const step_ref& ref,
+    const std::map<std::string_view, std::size_t>& index, moment now,
+    std::vector<stoppable>& found) const {
+  const auto& spec = job.spec.steps[ref.step];
+  const auto& tasks = job.open.at(ref.occurrence).steps[ref.step].tasks;
+  if (spec.lasting) return;
+  stoppable one;
+  for (std::uint32_t t = 0; t < tasks.size(); ++t) {
+    task_ref name{ref.job, ref.occurrence, ref.step, t};
+    auto run = runs_.find(name);
+    bool stops = tasks[t].holding && run != runs_.end() &&
+                 (run->second.phase == run_phase::started ||
+                  run->second.phase == run_phase::starting);
+    if (!stops) continue;
+    if (!spec.gang) one = {};
+    one.tasks.push_back(name);
+    one.placed_at = run->second.placed_at;
+    auto at = index.find(tasks[t].worker.name);
+    if (at != index.end()) {
+      one.what.frees.push_back({at->second, reserved_by(spec)});
+    }
+    one.accelerators += spec.each.accelerators;
+    one.what.loss += loss_of(spec, now.steady - run->second.placed_at);
+    if (!spec.gang && !one.what.frees.empty()) found.push_back(one);
+  }
+  if (spec.gang && !one.what.frees.empty()) found.push_back(std::move(one));
 }
 
-// The runs of lower priorities on these workers that could be stopped, and
-// which tasks each of them is.
+// The runs on these workers that may be stopped for urgent work: those of
+// lower priorities and, for a guaranteed claim, what other customers' urgent
+// work holds beyond their own guarantees, the latest first.
 auto dispatcher::find_victims(
-    const fleet_tables& tables, std::uint32_t priority,
+    const fleet_tables& tables, const backlog_item& item, bool guaranteed,
     const std::map<std::string_view, std::size_t>& index, moment now) const
     -> std::vector<stoppable> {
   std::vector<stoppable> found;
+  std::map<std::string_view, std::vector<stoppable>> borrowed;
   for (const auto& [id, job] : tables.jobs) {
     const auto* where = find_queue(*site_, job.spec.queue);
-    if (where == nullptr || where->priority <= priority) continue;
+    if (where == nullptr) continue;
+    bool lower = where->priority > item.where->priority;
+    bool other = guaranteed && job.spec.customer != item.job->spec.customer;
+    if (!lower && !other) continue;
+    auto& list = lower ? found : borrowed[job.spec.customer];
     for (const auto& [number, occurrence] : job.open) {
       for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
-        const auto& spec = job.spec.steps[s];
-        if (spec.lasting) continue;
-        stoppable one;
-        const auto& tasks = occurrence.steps[s].tasks;
-        for (std::uint32_t t = 0; t < tasks.size(); ++t) {
-          task_ref ref{id, number, s, t};
-          auto run = runs_.find(ref);
-          bool stops = tasks[t].holding && run != runs_.end() &&
-                       (run->second.phase == run_phase::started ||
-                        run->second.phase == run_phase::starting);
-          if (!stops) continue;
-          if (!spec.gang) one = {};
-          one.tasks.push_back(ref);
-          auto at = index.find(tasks[t].worker.name);
-          if (at != index.end()) {
-            one.what.frees.push_back({at->second, reserved_by(spec)});
-          }
-          one.what.loss += loss_of(spec, now.steady - run->second.placed_at);
-          if (!spec.gang && !one.what.frees.empty()) found.push_back(one);
-        }
-        if (spec.gang && !one.what.frees.empty()) found.push_back(one);
+        add_stoppable(job, {id, number, s}, index, now, list);
       }
     }
   }
+  auto use = urgent_use(tables);
+  for (auto& [customer, list] : borrowed) {
+    std::ranges::sort(list, std::ranges::greater(), &stoppable::placed_at);
+    auto excess = use[customer] - guarantee_of(customer);
+    for (auto& one : list) {
+      if (one.accelerators > excess) continue;
+      excess -= one.accelerators;
+      found.push_back(std::move(one));
+    }
+  }
   return found;
 }
 
@@ -328,12 +364,12 @@
   for (std::size_t i = 0; i < records.size(); ++i) {
     index[records[i]->life.name] = i;
   }
-  auto found = find_victims(tables, item.where->priority, index, now);
+  bool guaranteed = is_guaranteed(item, tables);
+  auto found = find_victims(tables, item, guaranteed, index, now);
   if (found.empty()) return;
   std::vector<victim> victims;
   victims.reserve(found.size());
   for (const auto& one : found) victims.push_back(one.what);
-  bool guaranteed = is_guaranteed(item, tables);
   need.any_rack = need.any_rack || guaranteed;
   auto plan = plan_reclaim(candidates, victims, need);
   if (!plan || plan->stopped.empty()) return;
--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -13,6 +13,7 @@
 constexpr milliseconds fence_pause{1000};   // another leader is in charge
 constexpr milliseconds settle_wait{250};    // for the end of a stopped run
 constexpr milliseconds unwell_pause{300};   // of a worker that did nothing
+constexpr milliseconds probe_pause{1000};   // of one that holds nothing
 constexpr milliseconds stale_look{1000};    // renew though ends wait
 constexpr std::uint32_t least_progress = 10;  // per cent, to judge a speed by
 constexpr std::uint32_t whole_percent = 100;
@@ -292,25 +293,39 @@
   }
   if (run.phase != run_phase::to_start) return;
   auto& worker = workers_[run.worker.name];
-  auto lease = worker.clock.lease_end(now.steady, limits_.lease);
-  if (!lease) return;  // a look will tell the clock
+  auto lease = lease_for(worker, now);
+  if (lease == 0) return;  // a look will tell the clock
   const auto& job = tables.jobs.at(ref.job);
   const auto& step = job.open.at(ref.occurrence).steps[ref.step];
   const auto& snapshot = job.spec.steps[ref.step].gang
                              ? step.snapshot
                              : step.tasks[ref.index].snapshot;
   run.phase = run_phase::starting;
-  worker.clock.granted(*lease);
-  send(*record,
-       start_order{ref, run.run, job.spec.text, *lease, snapshot, {}},
+  worker.clock.granted(lease);
+  send(*record, start_order{ref, run.run, job.spec.text, lease, snapshot, {}},
        limits_.order_timeout, now.steady);
 }
 
+// The end of the lease to grant now; 0 while the worker's clock is unknown. A
+// worker that does not answer is granted no more: it may hear every order, and
+// its work could never be given up.
+auto dispatcher::lease_for(const worker_state& worker, moment now) const
+    -> std::int64_t {
+  if (worker.unanswered > 0 && worker.clock.latest_end() != 0) {
+    return worker.clock.latest_end();
+  }
+  return worker.clock.lease_end(now.steady, limits_.lease).value_or(0);
+}
+
 void dispatcher::act_on_worker(const worker_record& record,
                                worker_state& worker, moment now) {
   if (worker.look_out || worker.next_look > now.steady) return;
   bool untold = worker.told < worker.acknowledged;
-  if (worker.holding == 0 && !untold) return;
+  // A worker that did not answer is asked again while it reports, or it would
+  // never be used again.
+  bool probe = worker.unanswered > 0 &&
+               now.steady - worker.reported_at < limits_.report_silence;
+  if (worker.holding == 0 && !untold && !probe) return;
   // The answer would list the same ends again.
   if (!worker.uncommitted.empty() &&
       now.steady - worker.answered_at < stale_look) {
@@ -322,17 +337,17 @@
   auto wait = worker.holding == 0 ? milliseconds(0)
               : unsettled         ? settle_wait
                                   : limits_.look_wait;
-  auto lease = worker.clock.lease_end(now.steady, limits_.lease);
-  if (lease) worker.clock.granted(*lease);
+  auto lease = lease_for(worker, now);
+  worker.clock.granted(lease);
   worker.look_out = true;
-  send(record, look_order{lease.value_or(0), worker.acknowledged, wait},
+  send(record, look_order{lease, worker.acknowledged, wait},
        limits_.order_timeout + wait, now.steady);
 }
 
 void dispatcher::send(const worker_record& to, order what, milliseconds timeout,
                       time_point now) {
   auto id = next_id_++;
-  orders_[id] = {to.life.name, what, now};
+  orders_[id] = {to.life, what, now};
   effects_.emplace_back(
       send_order{id, to.life, to.address, fence_, std::move(what), timeout});
 }
@@ -344,8 +359,19 @@
   if (it == orders_.end()) return {};
   auto asked = std::move(it->second);
   orders_.erase(it);
+  // Numbers begin anew in each life, so an earlier life's answer is void.
+  auto worker = workers_.find(asked.worker.name);
+  if (worker == workers_.end() || worker->second.life != asked.worker) {
+    return {};
+  }
+  const auto* looked = std::get_if<order_looked>(&answer);
+  if (looked != nullptr && looked->born_ms != 0 &&
+      looked->born_ms != asked.worker.born_ms) {
+    handle(tables, asked, order_misdirected{}, now);
+    return take_effects();
+  }
   if (std::holds_alternative<look_order>(asked.what)) {
-    workers_[asked.worker].look_out = false;
+    worker->second.look_out = false;
   }
   std::visit([&](const auto& one) { handle(tables, asked, one, now); }, answer);
   act(tables, now);
@@ -367,7 +393,7 @@
 
 void dispatcher::handle(const fleet_tables&, const pending_order& asked,
                         const order_accepted& answer, moment now) {
-  auto& worker = workers_[asked.worker];
+  auto& worker = workers_[asked.worker.name];
   worker.clock.sample(answer.clock_ms, now.steady);
   worker.unanswered = 0;
   worker.answered_at = now.steady;
@@ -389,7 +415,7 @@
 
 void dispatcher::handle(const fleet_tables& tables, const pending_order& asked,
                         const order_looked& answer, moment now) {
-  auto& worker = workers_[asked.worker];
+  auto& worker = workers_[asked.worker.name];
   worker.clock.sample(answer.clock_ms, now.steady);
   worker.unanswered = 0;
   worker.answered_at = now.steady;
@@ -470,9 +496,10 @@
   for (const auto& end : answer.ended) {
     if (end.sequence <= noted) continue;
     const auto* task = task_of(tables, end.task);
-    bool matches = task != nullptr && task->holding && task->run == end.run &&
-                   task->worker == worker.life;
-    // A run that was given up has ended well after all, and its task may be
+    bool matches = task != nullptr && task->run == end.run &&
+                   task->worker == worker.life &&
+                   (task->holding || (end.how == run_end::done && !task->done));
+    // A run that was given up has ended well after all, and its task is
     // running again: to acknowledge it would make that a second time.
     if (!matches && end.how == run_end::done && task != nullptr &&
         !task->done) {
@@ -529,7 +556,7 @@
 
 void dispatcher::handle(const fleet_tables&, const pending_order& asked,
                         const order_rejected& answer, moment now) {
-  auto& worker = workers_[asked.worker];
+  auto& worker = workers_[asked.worker.name];
   if (answer.clock_ms != 0) worker.clock.sample(answer.clock_ms, now.steady);
   worker.unanswered = 0;
   worker.answered_at = now.steady;
@@ -577,9 +604,9 @@
 
 void dispatcher::handle(const fleet_tables&, const pending_order& asked,
                         const order_misdirected&, moment) {
-  const auto& worker = workers_[asked.worker];
+  const auto& worker = workers_[asked.worker.name];
   note("worker_life_over",
-       {{"worker", asked.worker},
+       {{"worker", asked.worker.name},
         {"born", std::to_string(worker.life.born_ms)},
         {"reason", "another life answers at its address"}});
   propose_command(drop_worker{worker.life});
@@ -587,7 +614,7 @@
 
 void dispatcher::handle(const fleet_tables&, const pending_order& asked,
                         const order_refused&, moment now) {
-  auto& worker = workers_[asked.worker];
+  auto& worker = workers_[asked.worker.name];
   worker.answered_at = now.steady;
   worker.next_look = now.steady + unwell_pause;
   auto* run = ordered_run(asked.what);
@@ -604,9 +631,10 @@
 
 void dispatcher::handle(const fleet_tables& tables, const pending_order& asked,
                         const order_unanswered& answer, moment now) {
-  auto& worker = workers_[asked.worker];
+  auto& worker = workers_[asked.worker.name];
   ++worker.unanswered;
-  worker.next_look = now.steady + unwell_pause;
+  worker.next_look =
+      now.steady + (worker.holding == 0 ? probe_pause : unwell_pause);
   auto* run = ordered_run(asked.what);
   if (run == nullptr) return;
   if (run->phase == run_phase::stopping) run->phase = run_phase::to_stop;
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -72,7 +72,7 @@
 
  private:
   struct pending_order {
-    std::string worker;
+    worker_life worker;
     order what;
     time_point sent_at;
   };
@@ -84,6 +84,8 @@
   struct stoppable {
     std::vector<task_ref> tasks;
     victim what;
+    std::int64_t accelerators = 0;
+    time_point placed_at;
   };
   using room_map = std::map<std::string, resources, std::less<>>;
 
@@ -95,6 +97,7 @@
                   run_watch& run, moment now);
   void act_on_worker(const worker_record& record, worker_state& worker,
                      moment now);
+  auto lease_for(const worker_state& worker, moment now) const -> std::int64_t;
   void send(const worker_record& to, order what, milliseconds timeout,
             time_point now);
   void handle(const fleet_tables& tables, const pending_order& asked,
@@ -138,7 +141,14 @@
              room_map& room, moment now);
   auto is_guaranteed(const backlog_item& item, const fleet_tables& tables) const
       -> bool;
-  auto find_victims(const fleet_tables& tables, std::uint32_t priority,
+  auto urgent_use(const fleet_tables& tables) const
+      -> std::map<std::string_view, std::int64_t>;
+  auto guarantee_of(std::string_view customer) const -> std::int64_t;
+  void add_stoppable(const job_record& job, const step_ref& ref,
+                     const std::map<std::string_view, std::size_t>& index,
+                     moment now, std::vector<stoppable>& found) const;
+  auto find_victims(const fleet_tables& tables, const backlog_item& item,
+                    bool guaranteed,
                     const std::map<std::string_view, std::size_t>& index,
                     moment now) const -> std::vector<stoppable>;
   void reclaim(const backlog_item& item, const fleet_tables& tables,
--- a/src/core/fleet/fleet_state.cpp
+++ b/src/core/fleet/fleet_state.cpp
@@ -28,6 +28,13 @@
   return ref.index < tasks.size() ? &tasks[ref.index] : nullptr;
 }
 
+/// Whether an end concerns the last run of a task and is not yet noted. A run
+/// that was given up may turn out to have ended well after all.
+auto is_news(const task_record& task, const ended_run& end) -> bool {
+  if (task.run != end.run || task.worker != end.worker) return false;
+  return task.holding || (end.how == run_end::done && !task.done);
+}
+
 auto is_ended(job_state state) -> bool {
   return state == job_state::complete || state == job_state::failed ||
          state == job_state::cancelled;
@@ -174,10 +181,7 @@
   if (it == tables_.jobs.end()) return;
   auto& job = it->second;
   auto* task = find_task(job, end.task);
-  if (task == nullptr || !task->holding || task->run != end.run ||
-      task->worker != end.worker) {
-    return;
-  }
+  if (task == nullptr || !is_news(*task, end)) return;
   task->holding = false;
   const auto& spec = job.spec.steps[end.task.step];
   auto& step = job.open.at(end.task.occurrence).steps[end.task.step];
--- a/src/core/fleet/lease_clock.h
+++ b/src/core/fleet/lease_clock.h
@@ -22,6 +22,9 @@
   /// A lease up to this end may have been granted.
   void granted(std::int64_t end);
 
+  /// The latest end that may have been granted; 0 if none was.
+  auto latest_end() const -> std::int64_t { return end_; }
+
   /// An earlier leader may have granted a lease that runs until then.
   void assume_granted_until(time_point local_end);
 
--- a/src/core/fleet/order.h
+++ b/src/core/fleet/order.h
@@ -67,6 +67,7 @@
 
 struct order_looked {
   std::int64_t clock_ms = 0;
+  std::int64_t born_ms = 0;  // of the life that answers; 0 if it was not told
   std::vector<running_task> running;
   std::vector<listed_end> ended;
 };
--- /dev/null
+++ b/test/fakes/fleet_site.cpp
@@ -0,0 +1,422 @@
+#include "fakes/fleet_site.h"
+
+#include <algorithm>
+
+#include "core/fleet/task_name.h"
+#include "core/overloaded.h"
+
+namespace parsleyledge::fakes {
+
+namespace {
+
+constexpr milliseconds step_time{10};
+constexpr milliseconds tick_time{100};
+constexpr milliseconds report_time{1500};
+constexpr std::int64_t accelerators_a_worker = 8;
+
+}  // namespace
+
+auto make_step(std::uint32_t tasks, std::int64_t accelerators)
+    -> fleet::step_spec {
+  fleet::step_spec step;
+  step.tasks = tasks;
+  step.each = {1000, 100, accelerators};
+  step.estimate = milliseconds(1000);
+  return step;
+}
+
+auto make_gang(std::uint32_t tasks, std::int64_t accelerators)
+    -> fleet::step_spec {
+  auto step = make_step(tasks, accelerators);
+  step.gang = true;
+  return step;
+}
+
+fleet_site::fleet_site(int count, int a_rack)
+    : dispatcher_(fleet::dispatch_limits{}) {
+  for (int i = 0; i < count; ++i) {
+    fake_worker w;
+    w.record.life = {"w" + std::to_string(i), 1};
+    w.record.address = "10.0.0." + std::to_string(i) + ":80";
+    w.record.machine = "m" + std::to_string(i);
+    w.record.service = "s";
+    w.record.rack = "r" + std::to_string(i / a_rack);
+    w.record.labels = {"a", w.record.rack};
+    w.record.capacity = {64'000, 64'000, accelerators_a_worker};
+    workers.push_back(w);
+  }
+  configure(0);
+  dispatcher_.lead(fence_, state_.tables(), clock());
+  report_all();
+}
+
+void fleet_site::configure(std::int64_t guaranteed_a, std::int64_t guaranteed_b,
+                           std::uint32_t attempts) {
+  auto site = std::make_shared<fleet::site>();
+  site->version = 1;
+  site->services["s"] = {"s", false, false};
+  for (std::uint32_t p = 0; p < 3; ++p) {
+    fleet::queue q;
+    q.name = "q" + std::to_string(p);
+    q.service = "s";
+    q.priority = p;
+    q.attempts = attempts;
+    q.stretch = p == 0 ? 1.5 : 3;
+    q.objective = milliseconds(1000);
+    site->queues.push_back(q);
+  }
+  site->customers["a"] = {"a", guaranteed_a};
+  site->customers["b"] = {"b", guaranteed_b};
+  dispatcher_.adopt(site);
+}
+
+void fleet_site::report_all() {
+  for (auto& w : workers) {
+    if (w.silent) continue;
+    fleet::worker_report said;
+    said.life = w.record.life;
+    said.address = w.record.address;
+    said.machine = w.record.machine;
+    said.service = w.record.service;
+    said.rack = w.record.rack;
+    said.labels = w.record.labels;
+    said.capacity = w.record.capacity;
+    said.draining = w.record.draining;
+    said.clock_ms = to_ms(now_);
+    said.sequence = static_cast<std::uint64_t>(to_ms(now_));
+    if (auto news = dispatcher_.report(state_.tables(), said, clock())) {
+      apply(*news, 0);
+    }
+  }
+}
+
+auto fleet_site::submit(const std::string& queue, fleet::step_spec step,
+                        const std::string& customer) -> fleet::job_id {
+  return submit(queue, std::vector{std::move(step)}, customer);
+}
+
+auto fleet_site::submit(const std::string& queue,
+                        std::vector<fleet::step_spec> steps,
+                        const std::string& customer, std::uint32_t times,
+                        milliseconds first, milliseconds interval)
+    -> fleet::job_id {
+  fleet::job_spec spec;
+  spec.id = {next_job_++};
+  spec.queue = queue;
+  spec.customer = customer;
+  spec.steps = std::move(steps);
+  spec.times = times;
+  spec.first_due = now_ + first;
+  spec.interval = interval;
+  apply(fleet::add_job{spec, now_}, 0);
+  return spec.id;
+}
+
+void fleet_site::cancel(fleet::job_id id) {
+  apply(fleet::cancel_job{id, now_}, 0);
+}
+
+void fleet_site::change_leader() {
+  dispatcher_.resign();
+  looks_.clear();
+  unanswered_.clear();
+  held_back_.clear();
+  dispatcher_.lead(++fence_, state_.tables(), clock());
+  report_all();
+}
+
+void fleet_site::reborn(int worker) {
+  auto& w = workers[static_cast<std::size_t>(worker)];
+  ++w.record.life.born_ms;
+  w.running.clear();
+  w.refused_up_to.clear();
+  w.ended.clear();
+  w.next_end = 1;
+  w.fence = 0;
+  w.silent = false;
+  // Its connections broke.
+  for (auto& l : std::exchange(looks_, {})) {
+    if (l.worker == w.record.life.name) {
+      unanswered_.emplace_back(l.id, now_);
+    } else {
+      looks_.push_back(std::move(l));
+    }
+  }
+  report_all();
+}
+
+void fleet_site::drain(int worker) {
+  workers[static_cast<std::size_t>(worker)].record.draining = true;
+  report_all();
+}
+
+auto fleet_site::job(fleet::job_id id) const -> const fleet::job_record& {
+  return state_.tables().jobs.at(id);
+}
+
+auto fleet_site::state(fleet::job_id id) const -> fleet::job_state {
+  return job(id).state;
+}
+
+auto fleet_site::running(fleet::job_id id) const -> int {
+  int count = 0;
+  for (const auto& w : workers) {
+    count += static_cast<int>(std::ranges::count_if(
+        w.running, [&](const auto& item) { return item.first.job == id; }));
+  }
+  return count;
+}
+
+void fleet_site::remember(std::string_view what, const fleet::task_ref& task,
+                          std::uint32_t run, const fake_worker& worker) {
+  history.push_back(std::to_string(to_ms(now_)) + " " + worker.record.life.name +
+                    " " + std::string(what) + " " + fleet::to_string(task) +
+                    " run " + std::to_string(run));
+}
+
+auto fleet_site::describe() const -> std::string {
+  std::string all;
+  for (const auto& [ref, run] : dispatcher_.runs()) {
+    all += fleet::to_string(ref) + " run " + std::to_string(run.run) + " on " +
+           run.worker.name + " phase " +
+           std::to_string(static_cast<int>(run.phase)) + "; ";
+  }
+  for (const auto& [name, w] : dispatcher_.workers()) {
+    all += name + " holds " + std::to_string(w.holding) + " unanswered " +
+           std::to_string(w.unanswered) + " acknowledged " +
+           std::to_string(w.acknowledged) + " noted " +
+           std::to_string(w.noted) + " uncommitted " +
+           std::to_string(w.uncommitted.size()) + "; ";
+  }
+  return all;
+}
+
+auto fleet_site::find(const std::string& name) -> fake_worker& {
+  return *std::ranges::find(workers, name, [](const fake_worker& w) {
+    return w.record.life.name;
+  });
+}
+
+void fleet_site::run_for(milliseconds time) {
+  for (auto until = now_ + time; now_ < until;) {
+    now_ += step_time;
+    for (auto& w : workers) advance(w);
+    check_rules();
+    if (to_ms(now_) % report_time.count() == 0) report_all();
+    auto commands = std::exchange(held_back_, {});
+    for (auto& [what, token] : commands) apply(what, token);
+    auto looks = std::exchange(looks_, {});
+    for (auto& l : looks) {
+      auto& w = find(l.worker);
+      bool news = std::ranges::any_of(w.ended, [&](const auto& e) {
+        return e.sequence > l.order.acknowledged;
+      });
+      if (w.silent) {
+        unanswered_.emplace_back(l.id, l.until);
+      } else if (news || now_ >= l.until) {
+        carry_out(dispatcher_.answered(state_.tables(), l.id,
+                                       look(w, l.order), clock()));
+      } else {
+        looks_.push_back(l);
+      }
+    }
+    auto lost = std::exchange(unanswered_, {});
+    for (auto& [id, at] : lost) {
+      if (now_ < at) {
+        unanswered_.emplace_back(id, at);
+      } else {
+        carry_out(dispatcher_.answered(state_.tables(), id,
+                                       fleet::order_unanswered{}, clock()));
+      }
+    }
+    if (to_ms(now_) % tick_time.count() == 0) {
+      carry_out(dispatcher_.tick(state_.tables(), clock()));
+    }
+  }
+}
+
+void fleet_site::apply(const fleet::command& what, std::uint64_t token) {
+  if (!commits) {
+    held_back_.emplace_back(what, token);
+    return;
+  }
+  state_.apply(what);
+  if (token != 0) dispatcher_.committed(token);
+  carry_out(dispatcher_.changed(state_.tables(), clock()));
+}
+
+void fleet_site::carry_out(std::vector<fleet::effect> effects) {
+  for (auto& e : effects) {
+    std::visit(overloaded{[&](fleet::propose& p) { apply(p.what, p.token); },
+                          [&](fleet::send_order& o) { give(o); },
+                          [](fleet::ask_advice&) {},
+                          [&](fleet::decision& d) {
+                            auto line = std::to_string(to_ms(now_)) + " " +
+                                        std::string(d.event);
+                            for (const auto& [key, value] : d.fields) {
+                              line += " " + std::string(key) + "=" + value;
+                            }
+                            history.push_back(std::move(line));
+                          }},
+               e);
+  }
+}
+
+void fleet_site::give(const fleet::send_order& order) {
+  auto& w = find(order.worker.name);
+  if (w.silent) {
+    unanswered_.emplace_back(order.id, now_ + order.timeout);
+    return;
+  }
+  const auto* l = std::get_if<fleet::look_order>(&order.what);
+  bool same_life = w.record.life == order.worker;
+  if (l != nullptr && same_life && l->wait.count() > 0 && !w.mute) {
+    w.fence = std::max(w.fence, order.fence);
+    w.lease_end = std::max(w.lease_end, l->lease_end);
+    looks_.push_back({order.id, order.worker.name, *l, now_ + l->wait});
+    return;
+  }
+  auto said = answer(w, order);
+  if (w.mute) {
+    unanswered_.emplace_back(order.id, now_ + order.timeout);
+    return;
+  }
+  carry_out(dispatcher_.answered(state_.tables(), order.id, said, clock()));
+}
+
+auto fleet_site::answer(fake_worker& w, const fleet::send_order& order)
+    -> fleet::order_answer {
+  if (w.record.life != order.worker) return fleet::order_misdirected{};
+  if (order.fence < w.fence) {
+    return fleet::order_rejected{fleet::rejection::fence, to_ms(now_)};
+  }
+  w.fence = order.fence;
+  return std::visit(
+      overloaded{
+          [&](const fleet::start_order& o) { return start(w, o); },
+          [&](const fleet::stop_order& o) -> fleet::order_answer {
+            auto& refused = w.refused_up_to[o.task];
+            refused = std::max(refused, o.run);
+            auto it = w.running.find(o.task);
+            if (it != w.running.end() && it->second.run == o.run) {
+              end(w, o.task, fleet::run_end::stopped);
+            }
+            return fleet::order_accepted{to_ms(now_)};
+          },
+          [&](const fleet::look_order& o) { return look(w, o); },
+          [&](const fleet::pace_order&) -> fleet::order_answer {
+            return fleet::order_accepted{to_ms(now_)};
+          }},
+      order.what);
+}
+
+auto fleet_site::start(fake_worker& w, const fleet::start_order& o)
+    -> fleet::order_answer {
+  using fleet::rejection;
+  if (o.lease_end <= to_ms(now_)) {
+    return fleet::order_rejected{rejection::late, to_ms(now_)};
+  }
+  w.lease_end = std::max(w.lease_end, o.lease_end);
+  auto it = w.running.find(o.task);
+  if (it != w.running.end() && it->second.run == o.run) {
+    return fleet::order_accepted{to_ms(now_)};
+  }
+  if (it != w.running.end() || o.run <= w.refused_up_to[o.task]) {
+    return fleet::order_rejected{rejection::old_run, to_ms(now_)};
+  }
+  for (const auto& other : workers) {
+    auto there = other.running.find(o.task);
+    if (there != other.running.end()) broken_rules.insert("two runs at once");
+  }
+  if (acknowledged_done_.contains(o.task)) broken_rules.insert("done twice");
+  if (w.record.draining) broken_rules.insert("start on a draining worker");
+  const auto& spec = job(o.task.job).spec.steps[o.task.step];
+  remember("starts", o.task, o.run, w);
+  w.running[o.task] = {o.run, now_ + work, spec.gang};
+  ++w.starts;
+  if (w.fails) end(w, o.task, fleet::run_end::failed);
+  return fleet::order_accepted{to_ms(now_)};
+}
+
+auto fleet_site::look(fake_worker& w, const fleet::look_order& o)
+    -> fleet::order_answer {
+  w.lease_end = std::max(w.lease_end, o.lease_end);
+  while (!w.ended.empty() && w.ended.front().sequence <= o.acknowledged) {
+    if (w.ended.front().how == fleet::run_end::done) {
+      acknowledged_done_.insert(w.ended.front().task);
+      remember("is told it is done:", w.ended.front().task,
+               w.ended.front().run, w);
+    }
+    w.ended.pop_front();
+  }
+  fleet::order_looked said{to_ms(now_),
+                           w.record.life.born_ms,
+                           {},
+                           {w.ended.begin(), w.ended.end()}};
+  for (const auto& [task, run] : w.running) {
+    auto left = std::max<std::int64_t>((run.ends - now_).count(), 0);
+    auto percent = 100 - left * 100 / std::max<std::int64_t>(work.count(), 1);
+    said.running.push_back(
+        {task, run.run, "", static_cast<std::uint32_t>(percent), 0});
+  }
+  return said;
+}
+
+void fleet_site::end(fake_worker& w, const fleet::task_ref& task,
+                     fleet::run_end how) {
+  auto it = w.running.find(task);
+  if (it == w.running.end()) return;
+  auto run = it->second;
+  remember("ends", task, run.run, w);
+  w.running.erase(it);
+  auto& refused = w.refused_up_to[task];
+  refused = std::max(refused, run.run);
+  w.ended.push_back({w.next_end++, task, run.run, how, ""});
+  if (!run.gang) return;
+  // The other members of the gang end with it.
+  auto theirs =
+      how == fleet::run_end::done ? fleet::run_end::done : fleet::run_end::broken;
+  for (auto& other : workers) {
+    for (auto next = other.running.begin(); next != other.running.end();) {
+      auto member = next++;
+      if (member->first.job != task.job || member->first.step != task.step ||
+          member->first.occurrence != task.occurrence) {
+        continue;
+      }
+      other.ended.push_back(
+          {other.next_end++, member->first, member->second.run, theirs, ""});
+      other.refused_up_to[member->first] = member->second.run;
+      other.running.erase(member);
+    }
+  }
+}
+
+void fleet_site::advance(fake_worker& w) {
+  if (!w.running.empty() && to_ms(now_) > w.lease_end) {
+    while (!w.running.empty()) {
+      end(w, w.running.begin()->first, fleet::run_end::lapsed);
+    }
+  }
+  for (auto next = w.running.begin(); next != w.running.end();) {
+    auto item = next++;
+    const auto& spec = job(item->first.job).spec.steps[item->first.step];
+    if (spec.lasting || item->second.ends > now_) continue;
+    end(w, item->first, fleet::run_end::done);
+    next = w.running.begin();
+  }
+}
+
+void fleet_site::check_rules() {
+  for (const auto& w : workers) {
+    fleet::resources used;
+    for (const auto& [task, run] : w.running) {
+      used += job(task.job).spec.steps[task.step].each;
+    }
+    auto left = w.record.capacity - used;
+    if (left.cpu_milli < 0 || left.memory_mb < 0 || left.accelerators < 0) {
+      broken_rules.insert("overfilled");
+    }
+  }
+}
+
+}  // namespace parsleyledge::fakes
--- /dev/null
+++ b/test/fakes/fleet_site.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/fleet/dispatcher.h"
+#include "core/fleet/fleet_state.h"
+
+namespace parsleyledge::fakes {
+
+/// A run on a fake worker.
+struct fake_run {
+  std::uint32_t run = 0;
+  time_point ends;
+  bool gang = false;
+};
+
+/// A worker that follows the rules of the platform, on the test's clock.
+struct fake_worker {
+  fleet::worker_record record;
+  std::uint64_t fence = 0;
+  std::int64_t lease_end = 0;
+  std::map<fleet::task_ref, fake_run> running;
+  std::map<fleet::task_ref, std::uint32_t> refused_up_to;  // runs
+  std::deque<fleet::listed_end> ended;
+  std::uint64_t next_end = 1;
+  int starts = 0;
+
+  // Faults.
+  bool silent = false;         // hears nothing and answers nothing
+  bool mute = false;           // carries orders out and answers nothing
+  bool fails = false;          // fails all that it starts
+};
+
+/// The dispatcher with tables, a clock and fake workers around it. Commands
+/// are committed at once unless the test holds them back.
+class fleet_site {
+ public:
+  explicit fleet_site(int workers, int a_rack = 4);
+
+  /// A configuration with one service and queues q0, q1 and q2 of these
+  /// priorities, and customers "a" and "b" with so many accelerators each.
+  void configure(std::int64_t guaranteed_a, std::int64_t guaranteed_b = 0,
+                 std::uint32_t attempts = 2);
+
+  /// Hands in a job of one step and returns its id.
+  auto submit(const std::string& queue, fleet::step_spec step,
+              const std::string& customer = "a") -> fleet::job_id;
+  auto submit(const std::string& queue, std::vector<fleet::step_spec> steps,
+              const std::string& customer = "a", std::uint32_t times = 0,
+              milliseconds first = {}, milliseconds interval = {})
+      -> fleet::job_id;
+  void cancel(fleet::job_id id);
+
+  /// Lets the clock run, in steps of ten milliseconds.
+  void run_for(milliseconds time);
+
+  /// Another leader takes over with the tables alone.
+  void change_leader();
+
+  /// A worker starts again under its name.
+  void reborn(int worker);
+  void drain(int worker);
+
+  auto job(fleet::job_id id) const -> const fleet::job_record&;
+  auto state(fleet::job_id id) const -> fleet::job_state;
+  auto running(fleet::job_id id) const -> int;  // tasks on all workers
+  auto now() const -> time_point { return now_; }
+
+  /// What the dispatcher believes of every run and worker, for messages.
+  auto describe() const -> std::string;
+
+  std::vector<fake_worker> workers;
+  milliseconds work{1000};     // of every task
+  bool commits = true;         // false holds proposals back
+  std::set<std::string> broken_rules;
+  std::vector<std::string> history;  // of decisions and starts, for messages
+
+ private:
+  void report_all();
+  void carry_out(std::vector<fleet::effect> effects);
+  void apply(const fleet::command& what, std::uint64_t token);
+  void give(const fleet::send_order& order);
+  auto answer(fake_worker& worker, const fleet::send_order& order)
+      -> fleet::order_answer;
+  auto look(fake_worker& worker, const fleet::look_order& order)
+      -> fleet::order_answer;
+  auto start(fake_worker& worker, const fleet::start_order& order)
+      -> fleet::order_answer;
+  void advance(fake_worker& worker);
+  void end(fake_worker& worker, const fleet::task_ref& task,
+           fleet::run_end how);
+  void check_rules();
+  void remember(std::string_view what, const fleet::task_ref& task,
+                std::uint32_t run, const fake_worker& worker);
+  auto find(const std::string& name) -> fake_worker&;
+  auto clock() const -> fleet::moment { return {now_, now_}; }
+
+  struct waiting_look {
+    std::uint64_t id;
+    std::string worker;
+    fleet::look_order order;
+    time_point until;
+  };
+
+  time_point now_ = at_ms(1'000'000);
+  fleet::fleet_state state_;
+  fleet::dispatcher dispatcher_;
+  std::uint64_t fence_ = 1;
+  std::uint64_t next_job_ = 1;
+  std::vector<waiting_look> looks_;
+  std::vector<std::pair<std::uint64_t, time_point>> unanswered_;
+  std::vector<std::pair<fleet::command, std::uint64_t>> held_back_;
+  std::set<fleet::task_ref> acknowledged_done_;
+};
+
+/// A step of these tasks with accelerators each, and nothing else.
+auto make_step(std::uint32_t tasks, std::int64_t accelerators)
+    -> fleet::step_spec;
+
+/// The same, as a gang.
+auto make_gang(std::uint32_t tasks, std::int64_t accelerators)
+    -> fleet::step_spec;
+
+}  // namespace parsleyledge::fakes
