--- /dev/null
+++ b/test/fleet_units_test.cpp
@@ -0,0 +1,288 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <numeric>
+#include <random>
+
+#include "adapters/fleet_codec.h"
+#include "core/fleet/backlog.h"
+#include "core/fleet/fleet_state.h"
+#include "core/fleet/lease_clock.h"
+#include "core/fleet/placer.h"
+#include "core/fleet/reclaim.h"
+#include "core/fleet/speed_table.h"
+
+using namespace parsleyledge;
+using namespace parsleyledge::fleet;
+
+namespace {
+
+constexpr resources whole_worker{64'000, 64'000, 8};
+
+auto worker(std::string_view rack, std::int64_t free_accelerators,
+            double speed = 1) -> candidate {
+  candidate c;
+  c.rack = rack;
+  c.capacity = whole_worker;
+  c.free = {64'000, 64'000, free_accelerators};
+  c.speed = speed;
+  return c;
+}
+
+auto need_of(std::uint32_t tasks, std::int64_t accelerators)
+    -> placement_need {
+  placement_need need;
+  need.each = {1000, 100, accelerators};
+  need.tasks = tasks;
+  need.together = true;
+  need.task_work = 1000;
+  return need;
+}
+
+auto total(const std::vector<choice>& chosen) -> std::uint32_t {
+  return std::accumulate(
+      chosen.begin(), chosen.end(), 0U,
+      [](std::uint32_t sum, const choice& c) { return sum + c.tasks; });
+}
+
+}  // namespace
+
+class fleet_units_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(fleet_units_test);
+  CPPUNIT_TEST(a_gang_is_placed_whole_or_not_at_all);
+  CPPUNIT_TEST(a_gang_of_one_rack_waits_for_one_rack);
+  CPPUNIT_TEST(urgent_work_takes_fast_workers_and_patient_work_slow_ones);
+  CPPUNIT_TEST(patient_work_explores_unknown_workers);
+  CPPUNIT_TEST(at_most_so_many_tasks_a_worker);
+  CPPUNIT_TEST(the_least_work_is_stopped);
+  CPPUNIT_TEST(nothing_is_reclaimed_in_a_wrong_rack_if_one_fits);
+  CPPUNIT_TEST(speeds_are_learned_from_tasks_of_one_step);
+  CPPUNIT_TEST(a_lease_lapses_late_on_a_slow_clock);
+  CPPUNIT_TEST(tables_survive_a_snapshot);
+  CPPUNIT_TEST(commands_survive_the_log);
+  CPPUNIT_TEST(the_highest_configuration_stays);
+  CPPUNIT_TEST(urgent_work_comes_first_and_hopeless_work_last);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void a_gang_is_placed_whole_or_not_at_all() {
+    std::vector<candidate> workers = {worker("r0", 8), worker("r0", 4)};
+    CPPUNIT_ASSERT_EQUAL(3U, total(choose_workers(workers, need_of(3, 4))));
+    CPPUNIT_ASSERT(choose_workers(workers, need_of(4, 4)).empty());
+    auto loose = need_of(4, 4);
+    loose.together = false;
+    CPPUNIT_ASSERT_EQUAL(3U, total(choose_workers(workers, loose)));
+  }
+
+  void a_gang_of_one_rack_waits_for_one_rack() {
+    std::vector<candidate> workers = {worker("r0", 8), worker("r1", 8)};
+    auto need = need_of(2, 8);
+    need.same_rack = true;
+    CPPUNIT_ASSERT(choose_workers(workers, need).empty());
+    need.any_rack = true;
+    CPPUNIT_ASSERT_EQUAL(2U, total(choose_workers(workers, need)));
+  }
+
+  void urgent_work_takes_fast_workers_and_patient_work_slow_ones() {
+    std::vector<candidate> workers = {worker("r0", 8, 0.7),
+                                      worker("r0", 8, 1.7)};
+    auto need = need_of(1, 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         choose_workers(workers, need).at(0).candidate);
+    need.slow_first = true;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         choose_workers(workers, need).at(0).candidate);
+  }
+
+  void patient_work_explores_unknown_workers() {
+    std::vector<candidate> workers(4, worker("r0", 8));
+    for (std::size_t i = 1; i < 4; ++i) workers[i].known = false;
+    auto need = need_of(5, 1);
+    need.together = false;
+    need.slow_first = need.explore = true;
+    auto chosen = choose_workers(workers, need);
+    CPPUNIT_ASSERT_EQUAL(5U, total(chosen));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, chosen.size());
+  }
+
+  void at_most_so_many_tasks_a_worker() {
+    std::vector<candidate> workers(2, worker("r0", 8));
+    workers[0].taken = 1;
+    auto need = need_of(4, 1);
+    need.together = false;
+    need.most_per_worker = 2;
+    CPPUNIT_ASSERT_EQUAL(3U, total(choose_workers(workers, need)));
+  }
+
+  void the_least_work_is_stopped() {
+    std::vector<candidate> workers(2, worker("r0", 0));
+    std::vector<victim> victims = {{{{0, {1000, 100, 8}}}, 5000},
+                                   {{{1, {1000, 100, 4}}}, 700},
+                                   {{{1, {1000, 100, 4}}}, 800}};
+    auto plan = plan_reclaim(workers, victims, need_of(1, 8));
+    CPPUNIT_ASSERT(plan.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1500}, plan->loss);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan->chosen.at(0).candidate);
+    CPPUNIT_ASSERT(!plan_reclaim(workers, victims, need_of(3, 8)).has_value());
+  }
+
+  void nothing_is_reclaimed_in_a_wrong_rack_if_one_fits() {
+    std::vector<candidate> workers = {worker("r0", 0), worker("r0", 0),
+                                      worker("r1", 8), worker("r2", 8)};
+    std::vector<victim> victims = {
+        {{{0, {1000, 100, 8}}, {1, {1000, 100, 8}}}, 100}};
+    auto need = need_of(2, 8);
+    need.same_rack = need.any_rack = true;
+    auto plan = plan_reclaim(workers, victims, need);
+    CPPUNIT_ASSERT(plan.has_value());
+    for (const auto& c : plan->chosen) CPPUNIT_ASSERT(c.candidate < 2);
+  }
+
+  // The platform's machines differ by 0.7 to 1.7, the tasks of a step by a
+  // third, and the callers' estimates of steps by a factor of two.
+  void speeds_are_learned_from_tasks_of_one_step() {
+    std::mt19937 random(7);
+    std::uniform_real_distribution<double> uneven(0.7, 1.3);
+    std::uniform_real_distribution<double> off(0.3, 3);
+    std::uniform_int_distribution<int> any(0, 11);
+    speed_table speeds;
+    auto true_speed = [](int m) { return m % 3 == 0 ? 1.7 : 0.7; };
+    for (std::uint32_t s = 0; s < 40; ++s) {
+      auto work = 5000 * off(random);
+      for (int t = 0; t < 6; ++t) {
+        auto m = any(random);
+        speeds.observe({{1}, 0, s}, "m" + std::to_string(m),
+                       100 * true_speed(m) / (work * uneven(random)));
+      }
+    }
+    for (int fast = 0; fast < 12; fast += 3) {
+      for (int slow = 1; slow < 12; slow += 3) {
+        auto ratio = speeds.speed("m" + std::to_string(fast)) /
+                     speeds.speed("m" + std::to_string(slow));
+        CPPUNIT_ASSERT(ratio > 1.7 && ratio < 3.5);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(1.0, speeds.speed("unknown"));
+    CPPUNIT_ASSERT(!speeds.knows("unknown"));
+  }
+
+  void a_lease_lapses_late_on_a_slow_clock() {
+    lease_clock clock;
+    CPPUNIT_ASSERT(!clock.lease_end(at_ms(0), milliseconds(9000)).has_value());
+    clock.sample(50'000, at_ms(1000));
+    auto end = clock.lease_end(at_ms(1000), milliseconds(9000));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{59'000}, *end);
+    clock.granted(*end);
+    CPPUNIT_ASSERT(!clock.lapsed(at_ms(10'100)));
+    CPPUNIT_ASSERT(clock.lapsed(at_ms(10'300)));
+    // A reading that arrived late says less than what is known.
+    clock.sample(50'100, at_ms(5000));
+    CPPUNIT_ASSERT(clock.lapsed(at_ms(10'300)));
+    clock.assume_granted_until(at_ms(20'000));
+    CPPUNIT_ASSERT(!clock.lapsed(at_ms(19'000)));
+  }
+
+  void tables_survive_a_snapshot() {
+    auto state = sample_state();
+    auto bytes = encode(state.tables());
+    auto read = decode_tables(bytes);
+    CPPUNIT_ASSERT(read.has_value());
+    CPPUNIT_ASSERT_EQUAL(bytes, encode(*read));
+    CPPUNIT_ASSERT(!decode_tables("\x0a\xff").has_value());
+  }
+
+  void commands_survive_the_log() {
+    for (const auto& what : sample_commands()) {
+      auto bytes = encode(what);
+      auto read = decode_command(bytes);
+      CPPUNIT_ASSERT(read.has_value());
+      CPPUNIT_ASSERT_EQUAL(what.index(), read->index());
+      CPPUNIT_ASSERT_EQUAL(bytes, encode(*read));
+    }
+    CPPUNIT_ASSERT(!decode_command("").has_value());
+  }
+
+  void the_highest_configuration_stays() {
+    fleet_state state;
+    CPPUNIT_ASSERT(state.apply(put_site{5, "five"}) == command_outcome::done);
+    CPPUNIT_ASSERT(state.apply(put_site{4, "x"}) == command_outcome::repeated);
+    CPPUNIT_ASSERT(state.apply(put_site{5, "x"}) == command_outcome::repeated);
+    CPPUNIT_ASSERT_EQUAL(std::string("five"), state.tables().site_document);
+    state.apply(put_site{9, "nine"});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, state.tables().site_version);
+  }
+
+  void urgent_work_comes_first_and_hopeless_work_last() {
+    fleet_state state;
+    site config;
+    for (std::uint32_t p = 0; p < 2; ++p) {
+      queue q;
+      q.name = "q" + std::to_string(p);
+      q.priority = p;
+      q.objective = milliseconds(1000);
+      config.queues.push_back(q);
+    }
+    auto add = [&](std::uint64_t id, const std::string& where, int at) {
+      job_spec spec;
+      spec.id = {id};
+      spec.queue = where;
+      spec.steps.emplace_back();
+      state.apply(add_job{spec, at_ms(at)});
+    };
+    add(1, "q1", 9000);
+    add(2, "q0", 9900);
+    add(3, "q0", 1000);
+    add(4, "q0", 9500);
+    auto backlog = collect_backlog(state.tables(), config, at_ms(10'000));
+    std::vector<std::uint64_t> order;
+    for (const auto& item : backlog) order.push_back(item.step.job.value);
+    CPPUNIT_ASSERT(order == (std::vector<std::uint64_t>{4, 2, 3, 1}));
+  }
+
+ private:
+  static auto sample_commands() -> std::vector<command> {
+    job_spec spec;
+    spec.id = {0xfeed};
+    spec.queue = "q";
+    spec.customer = "c";
+    spec.text = "text";
+    step_spec step;
+    step.tasks = 2;
+    step.gang = step.checkpoints = true;
+    step.each = {500, 600, 2};
+    step.after = {};
+    step.label = "a";
+    spec.steps = {step, step};
+    spec.steps[1].after = {0};
+    spec.times = 2;
+    spec.first_due = at_ms(77);
+    worker_record w;
+    w.life = {"w1", 99};
+    w.address = "10.0.0.1:80";
+    w.labels = {"a", "r1"};
+    w.capacity = whole_worker;
+    return {read_barrier{},
+            put_site{3, "document"},
+            add_job{spec, at_ms(5)},
+            note_worker{w},
+            place_tasks{{{{{0xfeed}, 0, 0, 0}, 1, w.life},
+                         {{{0xfeed}, 0, 0, 1}, 1, w.life}},
+                        at_ms(6)},
+            end_runs{{{{{0xfeed}, 0, 0, 0}, 1, w.life, run_end::done, "snap"}},
+                     at_ms(7)},
+            add_wave{4, {{"m1"}, milliseconds(9), 1, at_ms(8), {}, {}}},
+            note_upkeep{4, "m1", true},
+            cancel_job{{0xfeed}, at_ms(9)},
+            fail_job{{0xfeed}, "why", at_ms(9)},
+            drop_worker{w.life}};
+  }
+
+  static auto sample_state() -> fleet_state {
+    fleet_state state;
+    auto commands = sample_commands();
+    commands.pop_back();
+    for (const auto& what : commands) state.apply(what);
+    return state;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_units_test);
