--- a/src/adapters/clock.h
+++ b/src/adapters/clock.h
@@ -12,8 +12,8 @@
 inline auto steady_now() -> time_point {
   timespec now{};
   clock_gettime(CLOCK_BOOTTIME, &now);
-  return time_point(milliseconds(std::int64_t{now.tv_sec} * 1000 +
-                                 now.tv_nsec / 1'000'000));
+  return time_point(
+      milliseconds(std::int64_t{now.tv_sec} * 1000 + now.tv_nsec / 1'000'000));
 }
 
 /// The wall clock: for times that are stored or shown.
--- a/src/adapters/fleet_codec.cpp
+++ b/src/adapters/fleet_codec.cpp
@@ -168,61 +168,61 @@
 }
 
 void write_command(const command& from, wire::fleet_command& to) {
-  std::visit(
-      overloaded{
-          [&](const read_barrier&) { to.set_barrier(true); },
-          [&](const put_site& c) {
-            to.mutable_site()->set_version(c.version);
-            to.mutable_site()->set_document(c.document);
-          },
-          [&](const add_job& c) {
-            write(c.spec, *to.mutable_add()->mutable_spec());
-            to.mutable_add()->set_at(to_ms(c.at));
-          },
-          [&](const cancel_job& c) {
-            to.mutable_cancel()->set_job(c.job.value);
-            to.mutable_cancel()->set_at(to_ms(c.at));
-          },
-          [&](const fail_job& c) {
-            to.mutable_fail()->set_job(c.job.value);
-            to.mutable_fail()->set_at(to_ms(c.at));
-            to.mutable_fail()->set_reason(c.reason);
-          },
-          [&](const place_tasks& c) {
-            auto& placed = *to.mutable_placed();
-            placed.set_at(to_ms(c.at));
-            for (const auto& p : c.placements) {
-              auto& one = *placed.add_placements();
-              write(p.task, *one.mutable_task());
-              one.set_run(p.run);
-              write(p.worker, *one.mutable_worker());
-            }
-          },
-          [&](const end_runs& c) {
-            auto& ended = *to.mutable_ended();
-            ended.set_at(to_ms(c.at));
-            for (const auto& e : c.runs) {
-              auto& one = *ended.add_runs();
-              write(e.task, *one.mutable_task());
-              one.set_run(e.run);
-              write(e.worker, *one.mutable_worker());
-              one.set_how(static_cast<std::uint32_t>(e.how));
-              one.set_snapshot(e.snapshot);
-            }
-          },
-          [&](const note_worker& c) {
-            write_worker(c.worker, *to.mutable_worker());
-          },
-          [&](const drop_worker& c) { write(c.life, *to.mutable_dropped()); },
-          [&](const add_wave& c) {
-            write(c.number, c.wave, *to.mutable_wave());
-          },
-          [&](const note_upkeep& c) {
-            to.mutable_kept_up()->set_wave(c.wave);
-            to.mutable_kept_up()->set_machine(c.machine);
-            to.mutable_kept_up()->set_ended(c.ended);
-          }},
-      from);
+  std::visit(overloaded{[&](const read_barrier&) { to.set_barrier(true); },
+                        [&](const put_site& c) {
+                          to.mutable_site()->set_version(c.version);
+                          to.mutable_site()->set_document(c.document);
+                        },
+                        [&](const add_job& c) {
+                          write(c.spec, *to.mutable_add()->mutable_spec());
+                          to.mutable_add()->set_at(to_ms(c.at));
+                        },
+                        [&](const cancel_job& c) {
+                          to.mutable_cancel()->set_job(c.job.value);
+                          to.mutable_cancel()->set_at(to_ms(c.at));
+                        },
+                        [&](const fail_job& c) {
+                          to.mutable_fail()->set_job(c.job.value);
+                          to.mutable_fail()->set_at(to_ms(c.at));
+                          to.mutable_fail()->set_reason(c.reason);
+                        },
+                        [&](const place_tasks& c) {
+                          auto& placed = *to.mutable_placed();
+                          placed.set_at(to_ms(c.at));
+                          for (const auto& p : c.placements) {
+                            auto& one = *placed.add_placements();
+                            write(p.task, *one.mutable_task());
+                            one.set_run(p.run);
+                            write(p.worker, *one.mutable_worker());
+                          }
+                        },
+                        [&](const end_runs& c) {
+                          auto& ended = *to.mutable_ended();
+                          ended.set_at(to_ms(c.at));
+                          for (const auto& e : c.runs) {
+                            auto& one = *ended.add_runs();
+                            write(e.task, *one.mutable_task());
+                            one.set_run(e.run);
+                            write(e.worker, *one.mutable_worker());
+                            one.set_how(static_cast<std::uint32_t>(e.how));
+                            one.set_snapshot(e.snapshot);
+                          }
+                        },
+                        [&](const note_worker& c) {
+                          write_worker(c.worker, *to.mutable_worker());
+                        },
+                        [&](const drop_worker& c) {
+                          write(c.life, *to.mutable_dropped());
+                        },
+                        [&](const add_wave& c) {
+                          write(c.number, c.wave, *to.mutable_wave());
+                        },
+                        [&](const note_upkeep& c) {
+                          to.mutable_kept_up()->set_wave(c.wave);
+                          to.mutable_kept_up()->set_machine(c.machine);
+                          to.mutable_kept_up()->set_ended(c.ended);
+                        }},
+             from);
 }
 
 auto read_placed(const wire::fleet_command::place& from) -> place_tasks {
@@ -256,9 +256,8 @@
     case fleet_command::kCancel:
       return cancel_job{{from.cancel().job()}, at_ms(from.cancel().at())};
     case fleet_command::kFail:
-      return fail_job{{from.fail().job()},
-                      from.fail().reason(),
-                      at_ms(from.fail().at())};
+      return fail_job{
+          {from.fail().job()}, from.fail().reason(), at_ms(from.fail().at())};
     case fleet_command::kPlaced:
       return read_placed(from.placed());
     case fleet_command::kEnded:
@@ -407,37 +406,31 @@
 }
 
 void write(const request& from, wire::fleet_request& to) {
-  std::visit(overloaded{[&](const ping_request&) { to.set_ping(true); },
-                        [&](const submit_request& r) {
-                          write(r.where, *to.mutable_submit());
-                          write(r.spec, *to.mutable_submit()->mutable_spec());
-                        },
-                        [&](const read_request& r) {
-                          write(r.where, *to.mutable_read());
-                        },
-                        [&](const cancel_request& r) {
-                          write(r.where, *to.mutable_cancel());
-                        },
-                        [&](const report_request& r) {
-                          write(r.report, *to.mutable_report());
-                        },
-                        [&](const leave_request& r) {
-                          write(r.life, *to.mutable_leave());
-                        },
-                        [&](const put_site_request& r) {
-                          to.mutable_put()->set_version(r.version);
-                          to.mutable_put()->set_document(r.document);
-                        },
-                        [&](const read_site_request&) {
-                          to.set_read_site(true);
-                        },
-                        [&](const start_wave_request& r) {
-                          write(r.number, r.wave, *to.mutable_start_wave());
-                        },
-                        [&](const read_wave_request& r) {
-                          to.set_read_wave(r.number);
-                        }},
-             from);
+  std::visit(
+      overloaded{
+          [&](const ping_request&) { to.set_ping(true); },
+          [&](const submit_request& r) {
+            write(r.where, *to.mutable_submit());
+            write(r.spec, *to.mutable_submit()->mutable_spec());
+          },
+          [&](const read_request& r) { write(r.where, *to.mutable_read()); },
+          [&](const cancel_request& r) {
+            write(r.where, *to.mutable_cancel());
+          },
+          [&](const report_request& r) {
+            write(r.report, *to.mutable_report());
+          },
+          [&](const leave_request& r) { write(r.life, *to.mutable_leave()); },
+          [&](const put_site_request& r) {
+            to.mutable_put()->set_version(r.version);
+            to.mutable_put()->set_document(r.document);
+          },
+          [&](const read_site_request&) { to.set_read_site(true); },
+          [&](const start_wave_request& r) {
+            write(r.number, r.wave, *to.mutable_start_wave());
+          },
+          [&](const read_wave_request& r) { to.set_read_wave(r.number); }},
+      from);
 }
 
 auto read(const wire::fleet_request& from) -> std::optional<request> {
--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -29,8 +29,8 @@
 }
 
 auto refusal(reply_status status, std::string_view text) -> reply {
-  bool later = status == reply_status::unavailable ||
-               status == reply_status::busy;
+  bool later =
+      status == reply_status::unavailable || status == reply_status::busy;
   return {status, std::string(text), 0, later ? retry_hint : milliseconds(0)};
 }
 
@@ -182,16 +182,16 @@
 }
 
 void fleet_control_node::carry_out_one(fleet::propose& what) {
-  replica_.propose(
-      what.what, [this, token = what.token](fleet::command_outcome outcome) {
-        if (outcome == fleet::command_outcome::not_committed ||
-            outcome == fleet::command_outcome::maybe) {
-          refused_ = true;
-          return;
-        }
-        ranked_lock lock(dispatch_mutex_);
-        dispatcher_.committed(token);
-      });
+  replica_.propose(what.what,
+                   [this, token = what.token](fleet::command_outcome outcome) {
+                     if (outcome == fleet::command_outcome::not_committed ||
+                         outcome == fleet::command_outcome::maybe) {
+                       refused_ = true;
+                       return;
+                     }
+                     ranked_lock lock(dispatch_mutex_);
+                     dispatcher_.committed(token);
+                   });
 }
 
 void fleet_control_node::carry_out_one(fleet::send_order& what) {
@@ -254,8 +254,8 @@
 auto fleet_control_node::serve(fleet::request what, milliseconds limit)
     -> asio::awaitable<reply> {
   if (!replica_.may_serve()) {
-    auto answer = co_await ask_leader(client_, std::move(what),
-                                      steady_now() + limit);
+    auto answer =
+        co_await ask_leader(client_, std::move(what), steady_now() + limit);
     co_return answer;
   }
   // The reply comes on any thread of the pool; the wait ends on this one.
@@ -281,25 +281,25 @@
 }
 
 void fleet_control_node::commit(const fleet::command& what, replier done) {
-  replica_.propose(what, [done = std::move(done)](
-                             fleet::command_outcome outcome) {
-    using fleet::command_outcome;
-    switch (outcome) {
-      case command_outcome::done:
-      case command_outcome::repeated:
-        done({reply_status::done, {}, 0, {}});
-        return;
-      case command_outcome::unknown:
-        done(refusal(reply_status::gone, "no such job"));
-        return;
-      case command_outcome::not_committed:
-        done(refusal(reply_status::unavailable, "the leader changed"));
-        return;
-      case command_outcome::maybe:
-        done(refusal(reply_status::unknown, "the leader changed"));
-        return;
-    }
-  });
+  replica_.propose(
+      what, [done = std::move(done)](fleet::command_outcome outcome) {
+        using fleet::command_outcome;
+        switch (outcome) {
+          case command_outcome::done:
+          case command_outcome::repeated:
+            done({reply_status::done, {}, 0, {}});
+            return;
+          case command_outcome::unknown:
+            done(refusal(reply_status::gone, "no such job"));
+            return;
+          case command_outcome::not_committed:
+            done(refusal(reply_status::unavailable, "the leader changed"));
+            return;
+          case command_outcome::maybe:
+            done(refusal(reply_status::unknown, "the leader changed"));
+            return;
+        }
+      });
 }
 
 // Finds the queue by host and path, and the customer by key. A null queue
@@ -346,8 +346,8 @@
   if (found.where == nullptr) return done(refused);
   auto id = parse_job_id(found.rest);
   if (!id) {
-    return done(refusal(reply_status::invalid,
-                        "a job's id is 16 hexadecimal digits"));
+    return done(
+        refusal(reply_status::invalid, "a job's id is 16 hexadecimal digits"));
   }
   what.spec.id = *id;
   what.spec.queue = found.where->name;
--- a/src/adapters/fleet_entry_node.cpp
+++ b/src/adapters/fleet_entry_node.cpp
@@ -76,8 +76,8 @@
 auto fleet_entry_node::serve(fleet::request what, milliseconds limit)
     -> asio::awaitable<fleet::reply> {
   auto begun = std::chrono::steady_clock::now();
-  auto reply = co_await ask_leader(client_, std::move(what),
-                                   steady_now() + limit);
+  auto reply =
+      co_await ask_leader(client_, std::move(what), steady_now() + limit);
   bool answered = reply.status != fleet::reply_status::unavailable &&
                   reply.status != fleet::reply_status::unknown;
   if (answered) note_answer();
--- a/src/adapters/log.cpp
+++ b/src/adapters/log.cpp
@@ -68,8 +68,7 @@
 
 }  // namespace
 
-void start_log(log_level lowest, std::string_view process,
-               log_stream stream) {
+void start_log(log_level lowest, std::string_view process, log_stream stream) {
   process_name() = process;
   lowest_level() = lowest;
   using backend = logging::sinks::text_ostream_backend;
--- a/src/adapters/replica_node.cpp
+++ b/src/adapters/replica_node.cpp
@@ -23,9 +23,10 @@
 
 template <typename Machine>
 basic_replica_node<Machine>::basic_replica_node(boost::asio::thread_pool& pool,
-                           ag::replica_settings settings, journal disk,
-                           ag::recovered_state recovered, metrics& counters,
-                           hooks hooks)
+                                                ag::replica_settings settings,
+                                                journal disk,
+                                                ag::recovered_state recovered,
+                                                metrics& counters, hooks hooks)
     : pool_(pool),
       timer_(pool),
       tick_(settings.delays.tick),
@@ -77,7 +78,7 @@
 
 template <typename Machine>
 void basic_replica_node<Machine>::propose(const command_type& what,
- result_handler done) {
+                                          result_handler done) {
   put(proposal{Machine::encode(what), std::move(done)});
 }
 
@@ -121,7 +122,8 @@
 }
 
 template <typename Machine>
-auto basic_replica_node<Machine>::step(std::deque<input>& inputs) -> std::vector<ag::effect> {
+auto basic_replica_node<Machine>::step(std::deque<input>& inputs)
+    -> std::vector<ag::effect> {
   std::vector<ag::effect> effects;
   std::vector<std::function<void()>> answers;
   std::vector<encoded_snapshot> snapshots;
@@ -159,8 +161,9 @@
         pending_[{first->index.value + i}] = {first->term,
                                               std::move(handlers[i])};
       } else if (handlers[i]) {
-        answers.push_back(
-            [tell = std::move(handlers[i])] { tell(Machine::not_committed()); });
+        answers.push_back([tell = std::move(handlers[i])] {
+          tell(Machine::not_committed());
+        });
       }
     }
     add(replica_.flush(now));
@@ -208,7 +211,8 @@
 }
 
 template <typename Machine>
-auto basic_replica_node<Machine>::write(std::span<const ag::effect> effects) -> bool {
+auto basic_replica_node<Machine>::write(std::span<const ag::effect> effects)
+    -> bool {
   auto begun = std::chrono::steady_clock::now();
   auto syncs = disk_.syncs();
   std::string error = leaf::try_handle_all(
@@ -244,7 +248,7 @@
 
 template <typename Machine>
 void basic_replica_node<Machine>::apply(const ag::log_entry& entry,
-                         std::vector<finished>& done) {
+                                        std::vector<finished>& done) {
   auto result = Machine::no_result();
   if (entry.kind == ag::entry_kind::membership) {
     applied_members_ = entry.members;
@@ -269,7 +273,8 @@
 }
 
 template <typename Machine>
-void basic_replica_node<Machine>::restore(const ag::persist_snapshot& snapshot) {
+void basic_replica_node<Machine>::restore(
+    const ag::persist_snapshot& snapshot) {
   auto state = Machine::decode_state(*snapshot.bytes);
   if (!state) {
     fail("a received snapshot holds no valid state");
@@ -304,9 +309,8 @@
     *tables = state_.tables();
   }
   boost::asio::post(pool_, [this, tables, last = applied_] {
-    put(encoded_snapshot{last,
-                         std::make_shared<const std::string>(
-                             Machine::encode(*tables))});
+    put(encoded_snapshot{
+        last, std::make_shared<const std::string>(Machine::encode(*tables))});
   });
 }
 
--- a/src/adapters/replica_node.h
+++ b/src/adapters/replica_node.h
@@ -31,11 +31,11 @@
   std::vector<agreement::member> members;
 };
 
-/// Runs one replica of a state machine: turns its effects into disk writes, messages and changes
-/// of the state. Whoever of the pool finds work in the inbox carries it out,
-/// one batch at a time, so that all proposals that waited share one sync.
-/// `Machine` names the commands, their results and the state, and how they
-/// are written.
+/// Runs one replica of a state machine: turns its effects into disk writes,
+/// messages and changes of the state. Whoever of the pool finds work in the
+/// inbox carries it out, one batch at a time, so that all proposals that waited
+/// share one sync. `Machine` names the commands, their results and the state,
+/// and how they are written.
 template <typename Machine>
 class basic_replica_node {
  public:
@@ -51,9 +51,9 @@
   };
 
   basic_replica_node(boost::asio::thread_pool& pool,
-               agreement::replica_settings settings, journal disk,
-               agreement::recovered_state recovered, metrics& counters,
-               hooks hooks);
+                     agreement::replica_settings settings, journal disk,
+                     agreement::recovered_state recovered, metrics& counters,
+                     hooks hooks);
 
   /// Starts the clock.
   void start();
--- a/src/adapters/site_machine.h
+++ b/src/adapters/site_machine.h
@@ -22,8 +22,7 @@
   static auto encode(const state_tables& tables) -> std::string {
     return parsleyledge::encode(tables);
   }
-  static auto decode_command(std::string_view bytes)
-      -> std::optional<command> {
+  static auto decode_command(std::string_view bytes) -> std::optional<command> {
     return parsleyledge::decode_command(bytes);
   }
   static auto decode_state(std::string_view bytes)
--- a/src/apps/fleet_control.cpp
+++ b/src/apps/fleet_control.cpp
@@ -86,8 +86,7 @@
   journal disk(node_file.data_folder.empty()
                    ? file_store(memory_files())
                    : file_store(disk_files(node_file.data_folder)));
-  auto recovered =
-      open_journal(disk, {settings.group, settings.replica.id});
+  auto recovered = open_journal(disk, {settings.group, settings.replica.id});
   settings.replica.life = disk.life();
   settings.replica.seed = disk.life().value;
   log_event(log_level::info, "recovered",
@@ -120,20 +119,17 @@
   http_server admin(pool, http_limits{});
   auto error = node.start();
   if (error.empty()) {
-    error = server.listen(node_file.control_address,
-                          [&](http_request request) {
-                            return platform::serve_control(
-                                std::move(request), serve, leader_control());
-                          });
+    error = server.listen(node_file.control_address, [&](http_request request) {
+      return platform::serve_control(std::move(request), serve,
+                                     leader_control());
+    });
   }
   if (error.empty()) {
     error = admin.listen(
         node_file.ip + ":" + std::to_string(absl::GetFlag(FLAGS_metrics_port)),
-        [&node](http_request request)
-            -> boost::asio::awaitable<http_response> {
+        [&node](http_request request) -> boost::asio::awaitable<http_response> {
           if (request.target == "/state") {
-            co_return make_response(200, "application/json",
-                                    node.state_text());
+            co_return make_response(200, "application/json", node.state_text());
           }
           co_return make_response(200, "text/plain", node.counters().print());
         });
--- a/src/apps/fleet_entry.cpp
+++ b/src/apps/fleet_entry.cpp
@@ -50,8 +50,8 @@
   block_signals();
 
   boost::asio::thread_pool pool(node_file.cores);
-  fleet_entry_node node(pool,
-                        {"fleet", node_file.node, control_addresses(node_file)});
+  fleet_entry_node node(
+      pool, {"fleet", node_file.node, control_addresses(node_file)});
   auto serve = [&node](fleet::request what, milliseconds limit) {
     return node.serve(std::move(what), limit);
   };
@@ -67,8 +67,7 @@
   if (error.empty()) {
     error = ready.listen(
         node_file.ready_address,
-        [&node](http_request request)
-            -> boost::asio::awaitable<http_response> {
+        [&node](http_request request) -> boost::asio::awaitable<http_response> {
           bool is_ready =
               platform::is_ready_request(request) && node.is_ready();
           co_return make_response(is_ready ? 200 : 503, "application/json",
--- a/src/core/fleet/command.h
+++ b/src/core/fleet/command.h
@@ -96,9 +96,9 @@
 /// acknowledged before it was proposed.
 struct read_barrier {};
 
-using command =
-    std::variant<read_barrier, put_site, add_job, cancel_job, fail_job, place_tasks, end_runs,
-                 note_worker, drop_worker, add_wave, note_upkeep>;
+using command = std::variant<read_barrier, put_site, add_job, cancel_job,
+                             fail_job, place_tasks, end_runs, note_worker,
+                             drop_worker, add_wave, note_upkeep>;
 
 /// What a command did.
 enum class command_outcome {
--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -29,8 +29,8 @@
 }
 
 auto has_label(const worker_record& worker, std::string_view label) -> bool {
-  return label.empty() || std::ranges::find(worker.labels, label) !=
-                              worker.labels.end();
+  return label.empty() ||
+         std::ranges::find(worker.labels, label) != worker.labels.end();
 }
 
 auto cores_of(const step_spec& spec) -> std::int64_t {
@@ -62,9 +62,8 @@
   for (const auto& w : workers) {
     if (only.empty() || w.rack == only) racks[w.rack].push_back(w);
   }
-  return std::ranges::any_of(racks, [&](const auto& rack) {
-    return can_ever_fit(rack.second, need);
-  });
+  return std::ranges::any_of(
+      racks, [&](const auto& rack) { return can_ever_fit(rack.second, need); });
 }
 
 }  // namespace
@@ -131,9 +130,9 @@
   for (auto it = reservations_.begin(); it != reservations_.end();) {
     const auto& [step, kept] = *it;
     auto job = tables.jobs.find(step.job);
-    bool wanted = job != tables.jobs.end() &&
-                  (job->second.state == job_state::queued ||
-                   job->second.state == job_state::running);
+    bool wanted =
+        job != tables.jobs.end() && (job->second.state == job_state::queued ||
+                                     job->second.state == job_state::running);
     bool ready = wanted;
     for (const auto& p : kept.placements) {
       auto worker = tables.workers.find(p.worker.name);
@@ -174,13 +173,13 @@
   for (const auto& c : chosen) {
     for (std::uint32_t n = 0; n < c.tasks; ++n, ++next) {
       auto index = item.tasks[next];
-      auto last = step == nullptr      ? 0
-                  : item.spec->gang    ? step->last_run
-                                       : step->tasks[index].run;
-      made.push_back({{item.step.job, item.step.occurrence, item.step.step,
-                       index},
-                      last + 1,
-                      workers[c.candidate]->life});
+      auto last = step == nullptr   ? 0
+                  : item.spec->gang ? step->last_run
+                                    : step->tasks[index].run;
+      made.push_back(
+          {{item.step.job, item.step.occurrence, item.step.step, index},
+           last + 1,
+           workers[c.candidate]->life});
     }
   }
   return made;
@@ -215,14 +214,14 @@
                       cores_of(*item.spec) * item.spec->estimate.count()};
   need.slow_first = item.where->stretch >= patient_stretch &&
                     now.wall < item.wanted_by - item.spec->estimate;
-  need.explore = need.slow_first && !need.together &&
-                 need.tasks >= tasks_to_compare;
+  need.explore =
+      need.slow_first && !need.together && need.tasks >= tasks_to_compare;
   // A wrong rack triples the work, so waiting as long as the work takes is
   // the better part of the time.
   bool patient = now.wall - item.due > item.spec->estimate;
   bool rack_matters = need.same_rack || !need.data_rack.empty();
-  need.any_rack = patient || (rack_matters && !fits_one_rack(candidates, need,
-                                                             need.data_rack));
+  need.any_rack = patient || (rack_matters &&
+                              !fits_one_rack(candidates, need, need.data_rack));
   auto chosen = choose_workers(candidates, need);
   if (chosen.empty()) {
     reclaim(item, tables, candidates, records, need, room, now);
--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -9,12 +9,12 @@
 
 namespace {
 
-constexpr milliseconds retry_pause{20};     // after a refusal that may pass
-constexpr milliseconds fence_pause{1000};   // another leader is in charge
-constexpr milliseconds settle_wait{250};    // for the end of a stopped run
-constexpr milliseconds unwell_pause{300};   // of a worker that did nothing
-constexpr milliseconds probe_pause{1000};   // of one that holds nothing
-constexpr milliseconds stale_look{1000};    // renew though ends wait
+constexpr milliseconds retry_pause{20};       // after a refusal that may pass
+constexpr milliseconds fence_pause{1000};     // another leader is in charge
+constexpr milliseconds settle_wait{250};      // for the end of a stopped run
+constexpr milliseconds unwell_pause{300};     // of a worker that did nothing
+constexpr milliseconds probe_pause{1000};     // of one that holds nothing
+constexpr milliseconds stale_look{1000};      // renew though ends wait
 constexpr std::uint32_t least_progress = 10;  // per cent, to judge a speed by
 constexpr std::uint32_t whole_percent = 100;
 constexpr std::uint32_t failures_to_quarantine = 2;
@@ -83,8 +83,8 @@
     auto& worker = workers_[name];
     worker.life = record.life;
     worker.reported_at = now.steady;
-    worker.clock.assume_granted_until(now.steady + limits_.longest_lease * 100 /
-                                                       98);
+    worker.clock.assume_granted_until(now.steady +
+                                      limits_.longest_lease * 100 / 98);
   }
   sweep(tables, now);
   for (auto& [ref, run] : runs_) run.phase = run_phase::inherited;
@@ -238,10 +238,9 @@
 
 void dispatcher::stop_run(const task_ref& ref, std::string_view reason) {
   auto& run = runs_.at(ref);
-  bool stops = run.phase == run_phase::to_stop ||
-               run.phase == run_phase::stopping ||
-               run.phase == run_phase::stopped ||
-               run.phase == run_phase::doubtful;
+  bool stops =
+      run.phase == run_phase::to_stop || run.phase == run_phase::stopping ||
+      run.phase == run_phase::stopped || run.phase == run_phase::doubtful;
   if (stops) return;
   note("stop", {{"task", fleet::to_string(ref)},
                 {"run", std::to_string(run.run)},
@@ -462,8 +461,7 @@
     if (run.phase == run_phase::inherited) {
       run.phase = run_phase::to_start;
       run.next_try = now.steady;
-    } else if (run.phase == run_phase::started ||
-               needs_a_look(run.phase)) {
+    } else if (run.phase == run_phase::started || needs_a_look(run.phase)) {
       end_as_lost(ref, run, "the worker does not have it", now);
     }
   }
@@ -605,10 +603,9 @@
 void dispatcher::handle(const fleet_tables&, const pending_order& asked,
                         const order_misdirected&, moment) {
   const auto& worker = workers_[asked.worker.name];
-  note("worker_life_over",
-       {{"worker", asked.worker.name},
-        {"born", std::to_string(worker.life.born_ms)},
-        {"reason", "another life answers at its address"}});
+  note("worker_life_over", {{"worker", asked.worker.name},
+                            {"born", std::to_string(worker.life.born_ms)},
+                            {"reason", "another life answers at its address"}});
   propose_command(drop_worker{worker.life});
 }
 
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -41,9 +41,7 @@
   auto fence() const -> std::uint64_t { return fence_; }
 
   /// Decides by another configuration from now on.
-  void adopt(std::shared_ptr<const site> config) {
-    site_ = std::move(config);
-  }
+  void adopt(std::shared_ptr<const site> config) { site_ = std::move(config); }
 
   /// Takes in what a worker says of itself. Returns the command that has to
   /// be committed before the report may be acknowledged, if there is one.
@@ -114,8 +112,7 @@
               const order_unanswered& answer, moment now);
   auto ordered_run(const order& what) -> run_watch*;
   void note_running(const fleet_tables& tables, worker_state& worker,
-                    const order_looked& answer, time_point sent_at,
-                    moment now);
+                    const order_looked& answer, time_point sent_at, moment now);
   void measure(const fleet_tables& tables, const task_ref& ref,
                const run_watch& run, std::uint32_t percent, moment now);
   void note_ends(const fleet_tables& tables, worker_state& worker,
@@ -124,8 +121,8 @@
   void judge(worker_state& worker, run_end how, moment now);
   void give_up_runs(const fleet_tables& tables, const worker_life& life,
                     std::string_view reason, moment now);
-  void end_as_lost(const task_ref& ref, run_watch& run,
-                   std::string_view reason, moment now);
+  void end_as_lost(const task_ref& ref, run_watch& run, std::string_view reason,
+                   moment now);
   void fail_hopeless_jobs(const fleet_tables& tables, moment now);
   auto propose_command(command what) -> std::uint64_t;
   void note(std::string_view event,
@@ -156,8 +153,7 @@
                std::span<const worker_record* const> records,
                placement_need need, room_map& room, moment now);
   auto is_usable(const worker_record& record, moment now) const -> bool;
-  auto make_placements(const backlog_item& item,
-                       std::span<const choice> chosen,
+  auto make_placements(const backlog_item& item, std::span<const choice> chosen,
                        std::span<const worker_record* const> workers)
       -> std::vector<placement>;
   void stop_run(const task_ref& ref, std::string_view reason);
@@ -172,7 +168,7 @@
   std::map<std::uint64_t, std::vector<placement>> planned_;  // by token
   std::map<step_ref, reservation> reservations_;
   speed_table speeds_;
-  std::set<job_id> failing_;  // jobs whose end as failed is proposed
+  std::set<job_id> failing_;   // jobs whose end as failed is proposed
   std::set<task_ref> ending_;  // runs whose end as lost is proposed
   std::vector<effect> effects_;
 };
--- a/src/core/fleet/placer.cpp
+++ b/src/core/fleet/placer.cpp
@@ -25,7 +25,7 @@
 struct ranked {
   std::size_t index;
   std::uint32_t room;
-  int speed_rank;  // lowest first
+  int speed_rank;      // lowest first
   std::int64_t spare;  // accelerators, then processors, that stay free
 };
 
@@ -77,8 +77,8 @@
 }
 
 /// The speed of the slowest worker chosen: a gang goes at its pace.
-auto slowest(std::span<const candidate> workers,
-             std::span<const choice> chosen) -> double {
+auto slowest(std::span<const candidate> workers, std::span<const choice> chosen)
+    -> double {
   double speed = 0;
   for (const auto& c : chosen) {
     auto s = workers[c.candidate].speed;
--- a/src/core/fleet/placer.h
+++ b/src/core/fleet/placer.h
@@ -14,9 +14,9 @@
   std::string_view rack;
   resources free;
   resources capacity;
-  double speed = 1;            // relative to the others of its service
-  std::uint32_t taken = 0;     // tasks of this step that it has already
-  bool known = true;           // whether its speed was ever seen
+  double speed = 1;         // relative to the others of its service
+  std::uint32_t taken = 0;  // tasks of this step that it has already
+  bool known = true;        // whether its speed was ever seen
 };
 
 /// What is to be placed.
@@ -27,9 +27,9 @@
   bool together = false;              // all tasks or none
   bool same_rack = false;
   std::string_view data_rack;
-  bool any_rack = false;  // waited long enough to run on a slower rack
-  bool slow_first = false;  // leave fast workers to others
-  bool explore = false;     // first one task to each worker of unknown speed
+  bool any_rack = false;       // waited long enough to run on a slower rack
+  bool slow_first = false;     // leave fast workers to others
+  bool explore = false;        // first one task to each worker of unknown speed
   std::int64_t task_work = 0;  // core-milliseconds of a task at speed 1
 };
 
@@ -39,9 +39,9 @@
   std::uint32_t tasks = 0;
 };
 
-/// Chooses workers: fast ones first unless the need is patient, and among equals the one with the least
-/// room to spare, so that wide tasks still find whole workers. Returns nothing
-/// if tasks that belong together do not fit.
+/// Chooses workers: fast ones first unless the need is patient, and among
+/// equals the one with the least room to spare, so that wide tasks still find
+/// whole workers. Returns nothing if tasks that belong together do not fit.
 auto choose_workers(std::span<const candidate> workers,
                     const placement_need& need) -> std::vector<choice>;
 
--- a/src/core/fleet/reclaim.cpp
+++ b/src/core/fleet/reclaim.cpp
@@ -28,9 +28,8 @@
       }
     }
     for (auto& list : at_worker_) {
-      std::ranges::sort(list, {}, [&](std::size_t v) {
-        return victims_[v].loss;
-      });
+      std::ranges::sort(list, {},
+                        [&](std::size_t v) { return victims_[v].loss; });
     }
   }
 
@@ -82,8 +81,8 @@
       }
     }
     if (!fits(room, need_.each)) return {};
-    auto slowness = static_cast<double>(need_.task_work) * slow_weight /
-                    workers_[w].speed;
+    auto slowness =
+        static_cast<double>(need_.task_work) * slow_weight / workers_[w].speed;
     return loss + static_cast<std::int64_t>(slowness);
   }
 
--- a/src/core/fleet/request.h
+++ b/src/core/fleet/request.h
@@ -61,10 +61,10 @@
 struct ping_request {};
 
 /// What the outside asks of the leader.
-using request = std::variant<ping_request, submit_request, read_request, cancel_request,
-                             report_request, leave_request, put_site_request,
-                             read_site_request, start_wave_request,
-                             read_wave_request>;
+using request =
+    std::variant<ping_request, submit_request, read_request, cancel_request,
+                 report_request, leave_request, put_site_request,
+                 read_site_request, start_wave_request, read_wave_request>;
 
 enum class reply_status {
   done,
@@ -79,8 +79,8 @@
 
 struct reply {
   reply_status status = reply_status::unavailable;
-  std::string text;          // a state, a document, or the reason of a refusal
-  std::int64_t number = 0;   // a count
+  std::string text;         // a state, a document, or the reason of a refusal
+  std::int64_t number = 0;  // a count
   milliseconds retry_after{0};
 };
 
--- a/src/core/fleet/run_watch.h
+++ b/src/core/fleet/run_watch.h
@@ -32,7 +32,7 @@
   time_point base_at;    // since when its progress is measured here
   std::uint32_t base_percent = 0;
   bool measured = false;
-  bool seen = false;     // in the sweep under way
+  bool seen = false;  // in the sweep under way
 };
 
 }  // namespace parsleyledge::fleet
--- a/src/core/fleet/worker_report.h
+++ b/src/core/fleet/worker_report.h
@@ -21,7 +21,7 @@
   std::vector<std::string> labels;
   resources capacity;
   bool draining = false;
-  milliseconds remaining{0};  // least time left while it drains
+  milliseconds remaining{0};             // least time left while it drains
   std::optional<std::int64_t> clock_ms;  // its steady clock
   std::uint64_t sequence = 0;
 };
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -294,8 +294,8 @@
             w.mute = !w.mute;
             break;
           case 2:
-            if (!ids.empty()) site.cancel(ids[*rc::gen::inRange<std::size_t>(
-                                  0, ids.size())]);
+            if (!ids.empty())
+              site.cancel(ids[*rc::gen::inRange<std::size_t>(0, ids.size())]);
             break;
           case 3:
             site.reborn(who);
@@ -310,8 +310,8 @@
                                                     : make_step(tasks, each);
             step.same_rack = *rc::gen::arbitrary<bool>();
             auto queue = "q" + std::to_string(*rc::gen::inRange(0, 3));
-            ids.push_back(site.submit(
-                queue, step, *rc::gen::arbitrary<bool>() ? "a" : "b"));
+            ids.push_back(site.submit(queue, step,
+                                      *rc::gen::arbitrary<bool>() ? "a" : "b"));
           }
         }
         site.run_for(milliseconds(*rc::gen::inRange(10, 1500)));
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -169,9 +169,9 @@
 
 void fleet_site::remember(std::string_view what, const fleet::task_ref& task,
                           std::uint32_t run, const fake_worker& worker) {
-  history.push_back(std::to_string(to_ms(now_)) + " " + worker.record.life.name +
-                    " " + std::string(what) + " " + fleet::to_string(task) +
-                    " run " + std::to_string(run));
+  history.push_back(std::to_string(to_ms(now_)) + " " +
+                    worker.record.life.name + " " + std::string(what) + " " +
+                    fleet::to_string(task) + " run " + std::to_string(run));
 }
 
 auto fleet_site::describe() const -> std::string {
@@ -192,9 +192,8 @@
 }
 
 auto fleet_site::find(const std::string& name) -> fake_worker& {
-  return *std::ranges::find(workers, name, [](const fake_worker& w) {
-    return w.record.life.name;
-  });
+  return *std::ranges::find(
+      workers, name, [](const fake_worker& w) { return w.record.life.name; });
 }
 
 void fleet_site::run_for(milliseconds time) {
@@ -214,8 +213,8 @@
       if (w.silent) {
         unanswered_.emplace_back(l.id, l.until);
       } else if (news || now_ >= l.until) {
-        carry_out(dispatcher_.answered(state_.tables(), l.id,
-                                       look(w, l.order), clock()));
+        carry_out(dispatcher_.answered(state_.tables(), l.id, look(w, l.order),
+                                       clock()));
       } else {
         looks_.push_back(l);
       }
@@ -292,21 +291,20 @@
   }
   w.fence = order.fence;
   return std::visit(
-      overloaded{
-          [&](const fleet::start_order& o) { return start(w, o); },
-          [&](const fleet::stop_order& o) -> fleet::order_answer {
-            auto& refused = w.refused_up_to[o.task];
-            refused = std::max(refused, o.run);
-            auto it = w.running.find(o.task);
-            if (it != w.running.end() && it->second.run == o.run) {
-              end(w, o.task, fleet::run_end::stopped);
-            }
-            return fleet::order_accepted{to_ms(now_)};
-          },
-          [&](const fleet::look_order& o) { return look(w, o); },
-          [&](const fleet::pace_order&) -> fleet::order_answer {
-            return fleet::order_accepted{to_ms(now_)};
-          }},
+      overloaded{[&](const fleet::start_order& o) { return start(w, o); },
+                 [&](const fleet::stop_order& o) -> fleet::order_answer {
+                   auto& refused = w.refused_up_to[o.task];
+                   refused = std::max(refused, o.run);
+                   auto it = w.running.find(o.task);
+                   if (it != w.running.end() && it->second.run == o.run) {
+                     end(w, o.task, fleet::run_end::stopped);
+                   }
+                   return fleet::order_accepted{to_ms(now_)};
+                 },
+                 [&](const fleet::look_order& o) { return look(w, o); },
+                 [&](const fleet::pace_order&) -> fleet::order_answer {
+                   return fleet::order_accepted{to_ms(now_)};
+                 }},
       order.what);
 }
 
@@ -344,15 +342,13 @@
   while (!w.ended.empty() && w.ended.front().sequence <= o.acknowledged) {
     if (w.ended.front().how == fleet::run_end::done) {
       acknowledged_done_.insert(w.ended.front().task);
-      remember("is told it is done:", w.ended.front().task,
-               w.ended.front().run, w);
+      remember("is told it is done:", w.ended.front().task, w.ended.front().run,
+               w);
     }
     w.ended.pop_front();
   }
-  fleet::order_looked said{to_ms(now_),
-                           w.record.life.born_ms,
-                           {},
-                           {w.ended.begin(), w.ended.end()}};
+  fleet::order_looked said{
+      to_ms(now_), w.record.life.born_ms, {}, {w.ended.begin(), w.ended.end()}};
   for (const auto& [task, run] : w.running) {
     auto left = std::max<std::int64_t>((run.ends - now_).count(), 0);
     auto percent = 100 - left * 100 / std::max<std::int64_t>(work.count(), 1);
@@ -374,8 +370,8 @@
   w.ended.push_back({w.next_end++, task, run.run, how, ""});
   if (!run.gang) return;
   // The other members of the gang end with it.
-  auto theirs =
-      how == fleet::run_end::done ? fleet::run_end::done : fleet::run_end::broken;
+  auto theirs = how == fleet::run_end::done ? fleet::run_end::done
+                                            : fleet::run_end::broken;
   for (auto& other : workers) {
     for (auto next = other.running.begin(); next != other.running.end();) {
       auto member = next++;
--- a/test/fakes/fleet_site.h
+++ b/test/fakes/fleet_site.h
@@ -31,9 +31,9 @@
   int starts = 0;
 
   // Faults.
-  bool silent = false;         // hears nothing and answers nothing
-  bool mute = false;           // carries orders out and answers nothing
-  bool fails = false;          // fails all that it starts
+  bool silent = false;  // hears nothing and answers nothing
+  bool mute = false;    // carries orders out and answers nothing
+  bool fails = false;   // fails all that it starts
 };
 
 /// The dispatcher with tables, a clock and fake workers around it. Commands
@@ -75,8 +75,8 @@
   auto describe() const -> std::string;
 
   std::vector<fake_worker> workers;
-  milliseconds work{1000};     // of every task
-  bool commits = true;         // false holds proposals back
+  milliseconds work{1000};  // of every task
+  bool commits = true;      // false holds proposals back
   std::set<std::string> broken_rules;
   std::vector<std::string> history;  // of decisions and starts, for messages
 
--- a/test/fleet_units_test.cpp
+++ b/test/fleet_units_test.cpp
@@ -28,8 +28,7 @@
   return c;
 }
 
-auto need_of(std::uint32_t tasks, std::int64_t accelerators)
-    -> placement_need {
+auto need_of(std::uint32_t tasks, std::int64_t accelerators) -> placement_need {
   placement_need need;
   need.each = {1000, 100, accelerators};
   need.tasks = tasks;
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -126,8 +126,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), job.steps[0].data_rack);
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, job.steps[1].after.at(0));
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, job.steps[1].most_per_worker);
-    CPPUNIT_ASSERT_EQUAL(std::int64_t{1700000002000},
-                         to_ms(due_at(job, 1)));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1700000002000}, to_ms(due_at(job, 1)));
   }
 
   void refuses_invalid_jobs() {
@@ -139,9 +138,8 @@
         {"a count as text", R"({"steps": [{"count": "4"}]})"},
         {"negative need", R"({"steps": [{"count": 1, "cpu": -5}]})"},
         {"a step of another type", R"({"steps": [4]})"},
-        {"a long text",
-         R"({"spec": ")" + std::string(4001, 'x') +
-             R"(", "steps": [{"count": 1}]})"},
+        {"a long text", R"({"spec": ")" + std::string(4001, 'x') +
+                            R"(", "steps": [{"count": 1}]})"},
         {"cut", R"({"steps": [{"count": 1)"}};
     for (const auto& [name, body] : cases) {
       CPPUNIT_ASSERT_MESSAGE(name, refused(platform::parse_job(body)));
@@ -181,15 +179,14 @@
         fleet::stop_order{{{0x5c0e7a21d94b36f8}, 0, 1, 17}, 2}, 7);
     CPPUNIT_ASSERT_EQUAL(std::string("/api/run-stop"), order.path);
     CPPUNIT_ASSERT_EQUAL(
-        std::string(
-            R"({"fence":7,"task":"5c0e7a21d94b36f8.0.1.17","run":2})"),
+        std::string(R"({"fence":7,"task":"5c0e7a21d94b36f8.0.1.17","run":2})"),
         order.body);
     auto task = platform::parse_task("5c0e7a21d94b36f8.0.1.17");
     CPPUNIT_ASSERT(task.has_value());
     CPPUNIT_ASSERT(*task == (fleet::task_ref{{0x5c0e7a21d94b36f8}, 0, 1, 17}));
-    for (const auto* bad : {"", "5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.1",
-                            "5c0e7a21d94b36f8.0.1.x", "zz.0.1.2",
-                            "5c0e7a21d94b36f8.0.1.17.3"}) {
+    for (const auto* bad :
+         {"", "5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.1",
+          "5c0e7a21d94b36f8.0.1.x", "zz.0.1.2", "5c0e7a21d94b36f8.0.1.17.3"}) {
       CPPUNIT_ASSERT_MESSAGE(bad, !platform::parse_task(bad).has_value());
     }
   }
@@ -225,8 +222,8 @@
     CPPUNIT_ASSERT(is<order_unanswered>(parse(start, 200, R"({"clock)")));
     CPPUNIT_ASSERT(is<order_unanswered>(parse(start, 500, "{}")));
     const std::vector<std::pair<std::string, rejection>> reasons = {
-        {"fence", rejection::fence}, {"old", rejection::old_run},
-        {"late", rejection::late},   {"room", rejection::no_room},
+        {"fence", rejection::fence},      {"old", rejection::old_run},
+        {"late", rejection::late},        {"room", rejection::no_room},
         {"ticket", rejection::no_ticket}, {"new words", rejection::invalid}};
     for (const auto& [word, why] : reasons) {
       auto answer =
