--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -21,6 +21,7 @@
 using fleet::reply_status;
 
 constexpr milliseconds round_interval{100};
+constexpr int rest_factor = 3;  // rest after a decision, in its own lengths
 constexpr milliseconds retry_hint{1000};  // while there is no leader
 constexpr std::size_t job_id_digits = 16;
 
@@ -81,12 +82,7 @@
                   write(m, *out.mutable_agreement());
                   peers_.send(address, std::move(out));
                 },
-                [this] {
-                  decide([this](const auto& tables) {
-                    return dispatcher_.changed(tables, now_both());
-                  });
-                },
-                std::move(fatal)}),
+                [this] { note_change(); }, std::move(fatal)}),
       timer_(pool),
       dispatcher_(settings_.limits) {}
 
@@ -133,6 +129,34 @@
   });
 }
 
+// Several changes in quick succession are decided on together, so that
+// decisions take no more than a quarter of the processor.
+void fleet_control_node::note_change() {
+  if (change_noted_.exchange(true)) return;
+  auto wait = std::chrono::steady_clock::duration(next_decision_) -
+              std::chrono::steady_clock::now().time_since_epoch();
+  if (wait.count() <= 0) {
+    decide_on_change();
+    return;
+  }
+  auto timer = std::make_shared<asio::steady_timer>(pool_, wait);
+  timer->async_wait([this, timer](const boost::system::error_code&) {
+    if (!stopped_) decide_on_change();
+  });
+}
+
+void fleet_control_node::decide_on_change() {
+  change_noted_ = false;
+  auto begun = std::chrono::steady_clock::now();
+  decide([this](const auto& tables) {
+    return dispatcher_.changed(tables, now_both());
+  });
+  auto ended = std::chrono::steady_clock::now();
+  auto took = ended - begun;
+  next_decision_ = (ended.time_since_epoch() + rest_factor * took).count();
+  metrics_.latency("decision_seconds").record(took);
+}
+
 void fleet_control_node::run_round() {
   auto status = replica_.status();
   decide([&](const fleet::fleet_tables& tables) {
--- a/src/adapters/fleet_control_node.h
+++ b/src/adapters/fleet_control_node.h
@@ -97,6 +97,8 @@
   void commit(const fleet::command& what, replier done);
   void schedule_round();
   void run_round();
+  void note_change();
+  void decide_on_change();
   void follow_leadership(const fleet::fleet_tables& tables,
                          const replica_status& status);
   void adopt_site(const fleet::fleet_tables& tables);
@@ -121,6 +123,9 @@
   boost::asio::steady_timer timer_;
   std::atomic<bool> stopped_{false};
   std::atomic<bool> refused_{false};  // a proposal was refused
+  std::atomic<bool> change_noted_{false};
+  // When the next decision may begin, by the steady clock.
+  std::atomic<std::chrono::steady_clock::rep> next_decision_{0};
 
   ranked_mutex dispatch_mutex_{lock_rank::worker_table};
   fleet::dispatcher dispatcher_;
--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <set>
 
 #include "core/fleet/dispatcher.h"
 #include "core/fleet/task_name.h"
@@ -17,6 +16,8 @@
 // itself: more work lost was worth less on days of both sites, and so was any
 // work that other priorities stopped.
 constexpr double urgent_worth = 1;
+// Between two searches for a step's place; a stop takes half as long.
+constexpr milliseconds reclaim_pause{100};
 // The platform counts an accelerator as so many cores.
 constexpr std::int64_t cores_an_accelerator = 8;
 // A task that saves its progress loses what came after the last snapshot.
@@ -28,11 +29,6 @@
   return need;
 }
 
-auto has_label(const worker_record& worker, std::string_view label) -> bool {
-  return label.empty() ||
-         std::ranges::find(worker.labels, label) != worker.labels.end();
-}
-
 auto cores_of(const step_spec& spec) -> std::int64_t {
   return spec.each.cpu_milli / 1000 +
          spec.each.accelerators * cores_an_accelerator;
@@ -90,43 +86,42 @@
   });
 }
 
-// Room that is neither held nor promised. It may be negative on a worker
-// where something is still to be stopped.
-auto dispatcher::free_room(const fleet_tables& tables) -> room_map {
-  room_map room;
+auto dispatcher::begin_pass(const fleet_tables& tables, moment now) const
+    -> planning_pass {
+  planning_pass pass;
   for (const auto& [name, record] : tables.workers) {
-    auto it = workers_.find(name);
-    if (it == workers_.end()) continue;
-    room[name] = record.capacity - it->second.used;
+    if (!is_usable(record, now)) continue;
+    auto machine = machine_of(record);
+    pass.add({&record, record.capacity - workers_.at(name).used,
+              speeds_.speed(machine), speeds_.knows(machine)});
   }
   auto subtract = [&](std::span<const placement> placements) {
     for (const auto& p : placements) {
       auto job = tables.jobs.find(p.task.job);
       if (job == tables.jobs.end()) continue;
-      auto it = room.find(p.worker.name);
-      if (it != room.end()) {
-        it->second -= reserved_by(job->second.spec.steps[p.task.step]);
-      }
+      pass.take(p.worker.name,
+                reserved_by(job->second.spec.steps[p.task.step]));
     }
   };
   for (const auto& [token, placements] : planned_) subtract(placements);
   for (const auto& [step, kept] : reservations_) subtract(kept.placements);
-  return room;
+  return pass;
 }
 
 void dispatcher::plan(const fleet_tables& tables, moment now) {
   settle_reservations(tables, now);
   auto backlog = collect_backlog(tables, *site_, now.wall);
   if (backlog.empty()) return;
-  auto room = free_room(tables);
+  auto pass = begin_pass(tables, now);
   for (const auto& item : backlog) {
-    if (is_planned(item.step)) continue;
-    place(item, tables, room, now);
+    if (!is_planned(item.step)) place(item, tables, pass, now);
   }
 }
 
 // A reservation becomes a placement once every worker has the room.
 void dispatcher::settle_reservations(const fleet_tables& tables, moment now) {
+  if (reservations_.empty()) return;
+  auto pass = begin_pass(tables, now);
   for (auto it = reservations_.begin(); it != reservations_.end();) {
     const auto& [step, kept] = *it;
     auto job = tables.jobs.find(step.job);
@@ -136,20 +131,13 @@
     bool ready = wanted;
     for (const auto& p : kept.placements) {
       auto worker = tables.workers.find(p.worker.name);
-      bool usable = worker != tables.workers.end() &&
-                    worker->second.life == p.worker &&
-                    is_usable(worker->second, now);
-      wanted = wanted && usable;
+      const auto* left = pass.room(p.worker.name);  // after this reservation
+      wanted = wanted && left != nullptr && worker != tables.workers.end() &&
+               worker->second.life == p.worker;
+      ready = ready && wanted && left->cpu_milli >= 0 && left->memory_mb >= 0 &&
+              left->accelerators >= 0;
     }
-    if (wanted) {
-      auto room = free_room(tables);
-      for (const auto& p : kept.placements) {
-        auto left = room.at(p.worker.name);  // after this reservation
-        ready = ready && left.cpu_milli >= 0 && left.memory_mb >= 0 &&
-                left.accelerators >= 0;
-      }
-    }
-    if (wanted && ready) {
+    if (ready) {
       auto placements = kept.placements;
       auto token = propose_command(place_tasks{placements, now.wall});
       planned_[token] = std::move(placements);
@@ -161,7 +149,8 @@
 
 auto dispatcher::make_placements(const backlog_item& item,
                                  std::span<const choice> chosen,
-                                 std::span<const worker_record* const> workers)
+                                 std::span<const std::size_t> rows,
+                                 const planning_pass& pass) const
     -> std::vector<placement> {
   std::vector<placement> made;
   const step_record* step = nullptr;
@@ -179,69 +168,70 @@
       made.push_back(
           {{item.step.job, item.step.occurrence, item.step.step, index},
            last + 1,
-           workers[c.candidate]->life});
+           pass.row(rows[c.candidate]).record->life});
     }
   }
   return made;
 }
 
-void dispatcher::place(const backlog_item& item, const fleet_tables& tables,
-                       room_map& room, moment now) {
-  std::vector<candidate> candidates;
-  std::vector<const worker_record*> records;
-  auto counts = tasks_by_worker(item);
-  for (const auto& [name, record] : tables.workers) {
-    if (record.service != item.where->service) continue;
-    if (!has_label(record, item.spec->label) || !is_usable(record, now)) {
-      continue;
-    }
-    auto taken = counts.find(name);
-    candidates.push_back({record.rack, room[name], record.capacity,
-                          speeds_.speed(machine_of(record)),
-                          taken == counts.end() ? 0 : taken->second,
-                          speeds_.knows(machine_of(record))});
-    records.push_back(&record);
-  }
-  placement_need need{reserved_by(*item.spec),
-                      static_cast<std::uint32_t>(item.tasks.size()),
-                      item.spec->most_per_worker,
-                      item.spec->gang,
-                      item.spec->same_rack,
-                      item.spec->data_rack,
-                      false,
-                      false,
-                      false,
-                      cores_of(*item.spec) * item.spec->estimate.count()};
+auto dispatcher::need_of(const backlog_item& item, moment now) const
+    -> placement_need {
+  placement_need need;
+  need.each = reserved_by(*item.spec);
+  need.tasks = static_cast<std::uint32_t>(item.tasks.size());
+  need.most_per_worker = item.spec->most_per_worker;
+  need.together = item.spec->gang;
+  need.same_rack = item.spec->same_rack;
+  need.data_rack = item.spec->data_rack;
+  // A wrong rack triples the work, so waiting as long as the work takes is
+  // the better part of the time.
+  need.any_rack = now.wall - item.due > item.spec->estimate;
   need.slow_first = item.where->stretch >= patient_stretch &&
                     now.wall < item.wanted_by - item.spec->estimate;
   need.explore =
       need.slow_first && !need.together && need.tasks >= tasks_to_compare;
-  // A wrong rack triples the work, so waiting as long as the work takes is
-  // the better part of the time.
-  bool patient = now.wall - item.due > item.spec->estimate;
-  bool rack_matters = need.same_rack || !need.data_rack.empty();
-  need.any_rack = patient || (rack_matters &&
-                              !fits_one_rack(candidates, need, need.data_rack));
+  need.task_work = cores_of(*item.spec) * item.spec->estimate.count();
+  return need;
+}
+
+void dispatcher::place(const backlog_item& item, const fleet_tables& tables,
+                       planning_pass& pass, moment now) {
+  auto need = need_of(item, now);
+  const auto& service = item.where->service;
+  const auto& label = item.spec->label;
+  bool urgent = item.where->priority == 0;
+  bool hopeless = pass.has_failed(service, label, need);
+  if (hopeless && !urgent) return;
+  auto rows = pass.rows_of(service, label);
+  std::vector<candidate> candidates;
+  candidates.reserve(rows.size());
+  auto counts = tasks_by_worker(item);
+  for (auto i : rows) {
+    const auto& row = pass.row(i);
+    auto taken = counts.find(row.record->life.name);
+    candidates.push_back({row.record->rack, row.room, row.record->capacity,
+                          row.speed, taken == counts.end() ? 0 : taken->second,
+                          row.known});
+  }
+  bool bound = need.same_rack || !need.data_rack.empty();
+  if (bound && !need.any_rack) {
+    need.any_rack = !fits_one_rack(candidates, need, need.data_rack);
+  }
   auto chosen = choose_workers(candidates, need);
   if (chosen.empty()) {
-    reclaim(item, tables, candidates, records, need, room, now);
+    pass.note_failure(service, label, need);
+    reclaim(item, tables, candidates, rows, need, pass, now);
     return;
   }
-  auto placements = make_placements(item, chosen, records);
-  for (const auto& c : chosen) {
-    room[records[c.candidate]->life.name] -= need.each * c.tasks;
-  }
-  double slowest = 0;
-  std::set<std::string_view> racks;
+  auto placements = make_placements(item, chosen, rows, pass);
+  double slowest = candidates[chosen.front().candidate].speed;
   for (const auto& c : chosen) {
-    auto speed = candidates[c.candidate].speed;
-    if (slowest == 0 || speed < slowest) slowest = speed;
-    racks.insert(candidates[c.candidate].rack);
+    slowest = std::min(slowest, candidates[c.candidate].speed);
+    pass.take_row(rows[c.candidate], need.each * c.tasks);
   }
   note("placed",
        {{"step", fleet::to_string(item.step)},
         {"slowest", std::to_string(slowest)},
-        {"racks", std::to_string(racks.size())},
         {"estimate_ms", std::to_string(item.spec->estimate.count())},
         {"tasks", std::to_string(placements.size())},
         {"run", std::to_string(placements.front().run)},
@@ -356,12 +346,15 @@
 // keeps the place meanwhile.
 void dispatcher::reclaim(const backlog_item& item, const fleet_tables& tables,
                          std::span<const candidate> candidates,
-                         std::span<const worker_record* const> records,
-                         placement_need need, room_map& room, moment now) {
+                         std::span<const std::size_t> rows, placement_need need,
+                         planning_pass& pass, moment now) {
   if (!need.together || item.where->priority != 0) return;
+  auto& last_try = reclaim_tried_[item.step];
+  if (now.steady - last_try < reclaim_pause) return;
+  last_try = now.steady;
   std::map<std::string_view, std::size_t> index;
-  for (std::size_t i = 0; i < records.size(); ++i) {
-    index[records[i]->life.name] = i;
+  for (std::size_t i = 0; i < rows.size(); ++i) {
+    index[pass.row(rows[i]).record->life.name] = i;
   }
   bool guaranteed = is_guaranteed(item, tables);
   auto found = find_victims(tables, item, guaranteed, index, now);
@@ -377,7 +370,7 @@
   bool worth_it = static_cast<double>(plan->loss) <=
                   urgent_worth * static_cast<double>(own);
   if (!guaranteed && !worth_it) return;
-  auto placements = make_placements(item, plan->chosen, records);
+  auto placements = make_placements(item, plan->chosen, rows, pass);
   for (auto v : plan->stopped) {
     for (const auto& ref : found[v].tasks) {
       stop_run(ref, "reclaimed for " + fleet::to_string(item.step));
@@ -385,7 +378,7 @@
   }
   // What is stopped still holds its room, so only this step may count on it.
   for (const auto& c : plan->chosen) {
-    room[records[c.candidate]->life.name] -= need.each * c.tasks;
+    pass.take_row(rows[c.candidate], need.each * c.tasks);
   }
   note("reclaim", {{"step", fleet::to_string(item.step)},
                    {"customer", item.job->spec.customer},
--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -99,7 +99,9 @@
   runs_.clear();
   orders_.clear();
   planned_.clear();
+  committed_.clear();
   reservations_.clear();
+  reclaim_tried_.clear();
   failing_.clear();
   ending_.clear();
   effects_.clear();
@@ -179,7 +181,9 @@
   for (auto& [name, worker] : workers_) {
     worker.holding = 0;
     worker.used = {};
+    worker.runs.clear();
   }
+  for (auto token : std::exchange(committed_, {})) planned_.erase(token);
   for (auto& [ref, run] : runs_) run.seen = false;
   for (const auto& [id, job] : tables.jobs) {
     for (const auto& [number, occurrence] : job.open) {
@@ -189,6 +193,10 @@
     }
   }
   std::erase_if(runs_, [](const auto& item) { return !item.second.seen; });
+  std::erase_if(reclaim_tried_, [&](const auto& item) {
+    return !tables.jobs.contains(item.first.job) ||
+           is_ended(tables.jobs.at(item.first.job));
+  });
   std::erase_if(ending_,
                 [&](const task_ref& ref) { return !runs_.contains(ref); });
   for (auto it = workers_.begin(); it != workers_.end();) {
@@ -226,6 +234,7 @@
     if (worker != workers_.end() && worker->second.life == task.worker) {
       ++worker->second.holding;
       worker->second.used += reserved_by(spec);
+      worker->second.runs.push_back(name);
     }
     holding.push_back(name);
   }
@@ -272,26 +281,31 @@
 }
 
 void dispatcher::act(const fleet_tables& tables, moment now) {
-  for (auto& [ref, run] : runs_) act_on_run(tables, ref, run, now);
-  for (auto& [name, worker] : workers_) {
-    if (const auto* record = record_of(tables, worker.life)) {
-      act_on_worker(*record, worker, now);
-    }
+  for (auto& [name, worker] : workers_) act_on(tables, worker, now);
+}
+
+void dispatcher::act_on(const fleet_tables& tables, worker_state& worker,
+                        moment now) {
+  const auto* record = record_of(tables, worker.life);
+  if (record == nullptr) return;
+  for (const auto& ref : worker.runs) {
+    auto run = runs_.find(ref);
+    if (run == runs_.end()) continue;
+    act_on_run(tables, *record, worker, ref, run->second, now);
   }
+  act_on_worker(*record, worker, now);
 }
 
-void dispatcher::act_on_run(const fleet_tables& tables, const task_ref& ref,
-                            run_watch& run, moment now) {
+void dispatcher::act_on_run(const fleet_tables& tables,
+                            const worker_record& record, worker_state& worker,
+                            const task_ref& ref, run_watch& run, moment now) {
   if (run.next_try > now.steady) return;
-  const auto* record = record_of(tables, run.worker);
-  if (record == nullptr) return;
   if (run.phase == run_phase::to_stop) {
     run.phase = run_phase::stopping;
-    send(*record, stop_order{ref, run.run}, limits_.order_timeout, now.steady);
+    send(record, stop_order{ref, run.run}, limits_.order_timeout, now.steady);
     return;
   }
   if (run.phase != run_phase::to_start) return;
-  auto& worker = workers_[run.worker.name];
   auto lease = lease_for(worker, now);
   if (lease == 0) return;  // a look will tell the clock
   const auto& job = tables.jobs.at(ref.job);
@@ -301,7 +315,7 @@
                              : step.tasks[ref.index].snapshot;
   run.phase = run_phase::starting;
   worker.clock.granted(lease);
-  send(*record, start_order{ref, run.run, job.spec.text, lease, snapshot, {}},
+  send(record, start_order{ref, run.run, job.spec.text, lease, snapshot, {}},
        limits_.order_timeout, now.steady);
 }
 
@@ -330,8 +344,9 @@
       now.steady - worker.answered_at < stale_look) {
     return;
   }
-  bool unsettled = std::ranges::any_of(runs_, [&](const auto& item) {
-    return item.second.worker == worker.life && needs_a_look(item.second.phase);
+  bool unsettled = std::ranges::any_of(worker.runs, [&](const task_ref& ref) {
+    auto run = runs_.find(ref);
+    return run != runs_.end() && needs_a_look(run->second.phase);
   });
   auto wait = worker.holding == 0 ? milliseconds(0)
               : unsettled         ? settle_wait
@@ -373,7 +388,7 @@
     worker->second.look_out = false;
   }
   std::visit([&](const auto& one) { handle(tables, asked, one, now); }, answer);
-  act(tables, now);
+  act_on(tables, worker->second, now);
   return take_effects();
 }
 
@@ -434,8 +449,10 @@
   for (const auto& r : answer.running) running[r.task] = &r;
   std::set<task_ref> ended;
   for (const auto& e : answer.ended) ended.insert(e.task);
-  for (auto& [ref, run] : runs_) {
-    if (run.worker != worker.life) continue;
+  for (const auto& ref : worker.runs) {
+    auto watched = runs_.find(ref);
+    if (watched == runs_.end()) continue;
+    auto& run = watched->second;
     auto it = running.find(ref);
     if (it != running.end() && it->second->run == run.run) {
       if (run.base_at == time_point{}) {
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -11,6 +11,7 @@
 #include "core/fleet/dispatch_limits.h"
 #include "core/fleet/effect.h"
 #include "core/fleet/placer.h"
+#include "core/fleet/planning_pass.h"
 #include "core/fleet/reclaim.h"
 #include "core/fleet/run_watch.h"
 #include "core/fleet/speed_table.h"
@@ -53,7 +54,7 @@
                 const order_answer& answer, moment now) -> std::vector<effect>;
 
   /// A proposal is committed; changed() follows.
-  void committed(std::uint64_t token) { planned_.erase(token); }
+  void committed(std::uint64_t token) { committed_.push_back(token); }
 
   /// Acts on tables that have changed.
   auto changed(const fleet_tables& tables, moment now) -> std::vector<effect>;
@@ -85,14 +86,15 @@
     std::int64_t accelerators = 0;
     time_point placed_at;
   };
-  using room_map = std::map<std::string, resources, std::less<>>;
 
   // Events, in dispatcher.cpp.
   void sweep(const fleet_tables& tables, moment now);
   void watch_step(const job_record& job, const step_ref& ref, moment now);
   void act(const fleet_tables& tables, moment now);
-  void act_on_run(const fleet_tables& tables, const task_ref& ref,
-                  run_watch& run, moment now);
+  void act_on(const fleet_tables& tables, worker_state& worker, moment now);
+  void act_on_run(const fleet_tables& tables, const worker_record& record,
+                  worker_state& worker, const task_ref& ref, run_watch& run,
+                  moment now);
   void act_on_worker(const worker_record& record, worker_state& worker,
                      moment now);
   auto lease_for(const worker_state& worker, moment now) const -> std::int64_t;
@@ -131,11 +133,13 @@
 
   // Placement, in dispatch_plan.cpp.
   void plan(const fleet_tables& tables, moment now);
+  auto begin_pass(const fleet_tables& tables, moment now) const
+      -> planning_pass;
   void settle_reservations(const fleet_tables& tables, moment now);
   auto is_planned(const step_ref& step) const -> bool;
-  auto free_room(const fleet_tables& tables) -> room_map;
+  auto need_of(const backlog_item& item, moment now) const -> placement_need;
   void place(const backlog_item& item, const fleet_tables& tables,
-             room_map& room, moment now);
+             planning_pass& pass, moment now);
   auto is_guaranteed(const backlog_item& item, const fleet_tables& tables) const
       -> bool;
   auto urgent_use(const fleet_tables& tables) const
@@ -150,11 +154,12 @@
                     moment now) const -> std::vector<stoppable>;
   void reclaim(const backlog_item& item, const fleet_tables& tables,
                std::span<const candidate> candidates,
-               std::span<const worker_record* const> records,
-               placement_need need, room_map& room, moment now);
+               std::span<const std::size_t> rows, placement_need need,
+               planning_pass& pass, moment now);
   auto is_usable(const worker_record& record, moment now) const -> bool;
   auto make_placements(const backlog_item& item, std::span<const choice> chosen,
-                       std::span<const worker_record* const> workers)
+                       std::span<const std::size_t> rows,
+                       const planning_pass& pass) const
       -> std::vector<placement>;
   void stop_run(const task_ref& ref, std::string_view reason);
 
@@ -166,7 +171,10 @@
   std::map<task_ref, run_watch> runs_;
   std::map<std::uint64_t, pending_order> orders_;
   std::map<std::uint64_t, std::vector<placement>> planned_;  // by token
+  // Committed proposals that the use of workers does not count yet.
+  std::vector<std::uint64_t> committed_;
   std::map<step_ref, reservation> reservations_;
+  std::map<step_ref, time_point> reclaim_tried_;
   speed_table speeds_;
   std::set<job_id> failing_;   // jobs whose end as failed is proposed
   std::set<task_ref> ending_;  // runs whose end as lost is proposed
--- /dev/null
+++ b/src/core/fleet/planning_pass.cpp
@@ -0,0 +1,71 @@
+#include "core/fleet/planning_pass.h"
+
+#include <algorithm>
+
+namespace parsleyledge::fleet {
+
+namespace {
+
+auto has_label(const worker_record& worker, std::string_view label) -> bool {
+  return label.empty() ||
+         std::ranges::find(worker.labels, label) != worker.labels.end();
+}
+
+/// Whether a need that fits would prove that the other fits, too.
+auto is_no_smaller(const placement_need& need, const placement_need& other)
+    -> bool {
+  auto tasks = [](const placement_need& n) { return n.together ? n.tasks : 1; };
+  return need.each.cpu_milli >= other.each.cpu_milli &&
+         need.each.memory_mb >= other.each.memory_mb &&
+         need.each.accelerators >= other.each.accelerators &&
+         tasks(need) >= tasks(other) && (need.same_rack || !other.same_rack) &&
+         (!need.any_rack || other.any_rack) &&
+         (other.data_rack.empty() || other.data_rack == need.data_rack) &&
+         other.most_per_worker == 0;
+}
+
+}  // namespace
+
+void planning_pass::add(planning_row row) {
+  index_[row.record->life.name] = rows_.size();
+  rows_.push_back(row);
+}
+
+void planning_pass::take(std::string_view worker, const resources& amount) {
+  auto it = index_.find(worker);
+  if (it != index_.end()) rows_[it->second].room -= amount;
+}
+
+auto planning_pass::room(std::string_view worker) const -> const resources* {
+  auto it = index_.find(worker);
+  return it == index_.end() ? nullptr : &rows_[it->second].room;
+}
+
+auto planning_pass::rows_of(std::string_view service,
+                            std::string_view label) const
+    -> std::vector<std::size_t> {
+  std::vector<std::size_t> found;
+  for (std::size_t i = 0; i < rows_.size(); ++i) {
+    const auto& record = *rows_[i].record;
+    if (record.service == service && has_label(record, label)) {
+      found.push_back(i);
+    }
+  }
+  return found;
+}
+
+void planning_pass::note_failure(std::string_view service,
+                                 std::string_view label,
+                                 const placement_need& need) {
+  failures_.push_back({service, label, need});
+}
+
+auto planning_pass::has_failed(std::string_view service, std::string_view label,
+                               const placement_need& need) const -> bool {
+  return std::ranges::any_of(failures_, [&](const failure& f) {
+    return f.service == service && f.label == label &&
+           is_no_smaller(need, f.need);
+  });
+}
+
+}  // namespace parsleyledge::fleet
--- /dev/null
+++ b/src/core/fleet/planning_pass.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <map>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/fleet/placer.h"
+#include "core/fleet/records.h"
+
+namespace parsleyledge::fleet {
+
+/// A worker that may take work, with the room that is neither held nor
+/// promised. The room may be negative while something is still to be stopped.
+struct planning_row {
+  const worker_record* record = nullptr;
+  resources room;
+  double speed = 1;
+  bool known = true;  // whether its speed was ever seen
+};
+
+/// The workers during one pass over the backlog. A need that did not fit is
+/// not tried again in the same pass, for room only shrinks.
+class planning_pass {
+ public:
+  void add(planning_row row);
+
+  /// Takes room from a worker, if it takes part.
+  void take(std::string_view worker, const resources& amount);
+
+  /// The room left on a worker; null if it takes no part.
+  auto room(std::string_view worker) const -> const resources*;
+
+  /// The rows of a service whose workers have a label.
+  auto rows_of(std::string_view service, std::string_view label) const
+      -> std::vector<std::size_t>;
+
+  auto row(std::size_t i) const -> const planning_row& { return rows_[i]; }
+  void take_row(std::size_t i, const resources& amount) {
+    rows_[i].room -= amount;
+  }
+
+  /// Remembers that a need did not fit the workers of a service and label.
+  void note_failure(std::string_view service, std::string_view label,
+                    const placement_need& need);
+
+  /// Whether an equal or smaller need failed before.
+  auto has_failed(std::string_view service, std::string_view label,
+                  const placement_need& need) const -> bool;
+
+ private:
+  struct failure {
+    std::string_view service;
+    std::string_view label;
+    placement_need need;
+  };
+
+  std::vector<planning_row> rows_;
+  std::unordered_map<std::string_view, std::size_t> index_;
+  std::vector<failure> failures_;
+};
+
+}  // namespace parsleyledge::fleet
--- a/src/core/fleet/worker_state.h
+++ b/src/core/fleet/worker_state.h
@@ -31,6 +31,7 @@
   // Derived from the tables by each sweep.
   std::uint32_t holding = 0;  // tasks
   resources used;
+  std::vector<task_ref> runs;
 };
 
 }  // namespace parsleyledge::fleet
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -241,6 +241,8 @@
   }
   state_.apply(what);
   if (token != 0) dispatcher_.committed(token);
+  // Another worker of the pool may let time pass before the change is seen.
+  carry_out(dispatcher_.tick(state_.tables(), clock()));
   carry_out(dispatcher_.changed(state_.tables(), clock()));
 }
 
