Let a replacement at a new address join the group and succeed the lost one

Cause: a control machine replaced at another address was unknown to the group, which then ran on two of three for good. Tests first red: a stranger could not even answer the leader, whose address it did not know.

--- a/src/adapters/control_client.cpp
+++ b/src/adapters/control_client.cpp
@@ -45,6 +45,7 @@
 
 void control_client::use(std::vector<std::string> addresses) {
   ranked_lock lock(mutex_);
+  if (addresses_ == addresses) return;
   addresses_ = std::move(addresses);
   turn_ = 0;
   if (leader_.empty() && !addresses_.empty()) leader_ = addresses_.front();
--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -159,6 +159,11 @@
 
 void fleet_control_node::run_round() {
   auto status = replica_.status();
+  if (!status.members.empty()) {
+    std::vector<std::string> members;
+    for (const auto& m : status.members) members.push_back(m.address);
+    client_.use(std::move(members));
+  }
   decide([&](const fleet::fleet_tables& tables) {
     follow_leadership(tables, status);
     return dispatcher_.tick(tables, now_both());
@@ -360,8 +365,12 @@
   return replica_.status().leader_address;
 }
 
+// The reply names the group's members, one address a line, for the seeds of
+// the caller may be gone by now.
 void fleet_control_node::handle_one(const fleet::ping_request&, replier done) {
-  done({reply_status::done, {}, 0, {}});
+  reply r{reply_status::done, {}, 0, {}};
+  for (const auto& m : replica_.status().members) r.text += m.address + "\n";
+  done(std::move(r));
 }
 
 void fleet_control_node::handle_one(fleet::submit_request what, replier done) {
--- a/src/adapters/fleet_entry_node.cpp
+++ b/src/adapters/fleet_entry_node.cpp
@@ -1,5 +1,6 @@
 #include "adapters/fleet_entry_node.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 
 #include "adapters/clock.h"
@@ -28,7 +29,8 @@
                  client_.receive(std::move(*message.mutable_reply()));
                }
              }),
-      client_(peers_, std::move(settings.control)),
+      client_(peers_, settings.control),
+      seeds_(std::move(settings.control)),
       timer_(asio::make_strand(pool)) {}
 
 auto fleet_entry_node::start() -> std::string {
@@ -57,6 +59,30 @@
   return !draining_ && answered_ms_ != 0 && silence < ready_silence;
 }
 
+// Members come before the seeds, which the settings may hold longer than the
+// machines last.
+void fleet_entry_node::use_members(std::string_view lines) {
+  std::vector<std::string> addresses;
+  while (!lines.empty()) {
+    auto end = lines.find('\n');
+    addresses.emplace_back(lines.substr(0, end));
+    lines.remove_prefix(end == lines.npos ? lines.size() : end + 1);
+  }
+  for (const auto& seed : seeds_) {
+    if (std::ranges::find(addresses, seed) == addresses.end()) {
+      addresses.push_back(seed);
+    }
+  }
+  client_.use(std::move(addresses));
+}
+
+void fleet_entry_node::use_control(std::vector<std::string> addresses) {
+  client_.use(addresses);
+  asio::post(timer_.get_executor(), [this, a = std::move(addresses)]() mutable {
+    seeds_ = std::move(a);
+  });
+}
+
 auto fleet_entry_node::ping() -> asio::awaitable<void> {
   while (!stopped_) {
     fleet::request what = fleet::ping_request{};
@@ -64,6 +90,7 @@
                                      steady_now() + ping_limit);
     if (reply.status == fleet::reply_status::done) {
       note_answer();
+      use_members(reply.text);
     } else if (in_touch_.exchange(false)) {
       log_event(log_level::warning, "leader_lost", {{"detail", reply.text}});
     }
--- a/src/adapters/fleet_entry_node.h
+++ b/src/adapters/fleet_entry_node.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/thread_pool.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "adapters/control_client.h"
@@ -40,9 +41,7 @@
   auto is_ready() const -> bool;
 
   /// Looks for the leader at these peer addresses from now on.
-  void use_control(std::vector<std::string> addresses) {
-    client_.use(std::move(addresses));
-  }
+  void use_control(std::vector<std::string> addresses);
 
   /// From now on this process is not ready.
   void begin_drain() { draining_ = true; }
@@ -54,10 +53,12 @@
  private:
   auto ping() -> boost::asio::awaitable<void>;
   void note_answer();
+  void use_members(std::string_view lines);
 
   metrics metrics_;
   peer_socket peers_;
   control_client client_;
+  std::vector<std::string> seeds_;  // used where the pings run
   boost::asio::steady_timer timer_;
   std::atomic<bool> draining_{false};
   std::atomic<bool> stopped_{false};
--- a/src/apps/fleet_control.cpp
+++ b/src/apps/fleet_control.cpp
@@ -1,5 +1,6 @@
 #include <absl/flags/flag.h>
 
+#include <algorithm>
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/thread_pool.hpp>
@@ -64,6 +65,14 @@
     settings.replica.peers.push_back(
         {replica_number(address), {}, address, true});
   }
+  auto self = std::ranges::find(settings.replica.peers, settings.replica.id,
+                                &agreement::member::id);
+  settings.replica.admits_strangers = true;
+  settings.replica.may_found = self != settings.replica.peers.end();
+  if (!settings.replica.may_found) {
+    settings.replica.peers.push_back(
+        {settings.replica.id, {}, settings.listen_peer, true});
+  }
   settings.limits.longest_lease = node.longest_lease;
   settings.limits.lease = node.longest_lease * 9 / 10;
   settings.limits.gang_wait = node.gang_wait;
--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -13,6 +13,10 @@
 constexpr milliseconds hello_interval{200};
 constexpr milliseconds snapshot_retry{1000};
 constexpr std::uint64_t promotion_lag = 64;  // entries behind, at most
+// A member that is replaced falls silent so long before or after its successor
+// comes; a restart takes less than the silence.
+constexpr milliseconds succession{10'000};
+constexpr milliseconds retirement_silence{3000};
 
 }  // namespace
 
@@ -125,11 +129,7 @@
 void replica::send(replica_id to, message_body body, bool before_sync) {
   const auto* target = find_member(to);
   auto life = target != nullptr ? target->life : incarnation{};
-  std::string address = target != nullptr ? target->address : std::string();
-  if (target == nullptr) {
-    auto it = std::ranges::find(settings_.peers, to, &member::id);
-    if (it != settings_.peers.end()) address = it->address;
-  }
+  auto address = address_of(to);
   if (address.empty()) return;
   effects_.emplace_back(send_message{
       {settings_.id, settings_.life, to, life, hard_.term, std::move(body)},
@@ -138,12 +138,8 @@
 }
 
 void replica::reply(const message& in, message_body body) {
-  const auto* known = find_member(in.from);
-  std::string address = known != nullptr ? known->address : std::string();
-  if (address.empty()) {
-    auto it = std::ranges::find(settings_.peers, in.from, &member::id);
-    if (it != settings_.peers.end()) address = it->address;
-  }
+  auto address = address_of(in.from);
+  if (address.empty()) return;
   effects_.emplace_back(
       send_message{{settings_.id, settings_.life, in.from, in.from_life,
                     hard_.term, std::move(body)},
@@ -151,6 +147,15 @@
                    false});
 }
 
+// A replica that joins may know the leader only by the answer to its hello.
+auto replica::address_of(replica_id id) const -> std::string {
+  if (const auto* known = find_member(id)) return known->address;
+  auto it = std::ranges::find(settings_.peers, id, &member::id);
+  if (it != settings_.peers.end()) return it->address;
+  auto contact = contacts_.find(id);
+  return contact == contacts_.end() ? std::string() : contact->second;
+}
+
 auto replica::accepts(const message& in) const -> bool {
   if (in.to != settings_.id) return false;
   if (std::holds_alternative<hello>(in.body)) return true;
@@ -196,6 +201,7 @@
       heartbeat_due_ = now + settings_.delays.heartbeat;
       broadcast(true);
       promote_learners();
+      retire_silent();
     }
   } else {
     // A replica that came back empty is unknown to the group under its new
@@ -212,18 +218,16 @@
 }
 
 void replica::send_hello() {
-  std::string address;
+  auto own = address_of(settings_.id);
   for (const auto& peer : settings_.peers) {
-    if (peer.id == settings_.id) address = peer.address;
-  }
-  for (const auto& peer : settings_.peers) {
-    if (peer.id != settings_.id) send(peer.id, hello{false, false, address});
+    if (peer.id != settings_.id) send(peer.id, hello{false, false, own});
   }
 }
 
 // Only the lowest replica founds the group, and only once every peer has said
 // that it is empty: else a lost folder could found a second group.
 void replica::form_group() {
+  if (!settings_.may_found) return;
   auto lowest = std::ranges::min_element(settings_.peers, {}, &member::id);
   if (lowest == settings_.peers.end() || lowest->id != settings_.id) return;
   if (greeted_.size() + 1 < settings_.peers.size()) return;
@@ -248,6 +252,7 @@
 
 void replica::handle(const message& in, const hello& greeting) {
   if (greeting.reply) {
+    contacts_[in.from] = greeting.address;
     if (greeting.formed) {
       greeted_.erase(in.from);
     } else {
@@ -255,9 +260,57 @@
     }
     return;
   }
-  reply(in, hello{role_ != role::unformed, true, greeting.address});
-  if (role_ == role::leader) {
-    admit_returned(in.from, in.from_life, greeting.address);
+  effects_.emplace_back(
+      send_message{{settings_.id, settings_.life, in.from, in.from_life,
+                    hard_.term,
+                    hello{role_ != role::unformed, true,
+                          address_of(settings_.id)}},
+                   greeting.address,
+                   false});
+  if (role_ != role::leader) {
+    if (find_member(in.from) == nullptr) pass_to_leader(in);
+    return;
+  }
+  admit_returned(in.from, in.from_life, greeting.address);
+  if (settings_.admits_strangers) admit_stranger(in, greeting.address);
+}
+
+// A stranger may know of followers only.
+void replica::pass_to_leader(const message& in) {
+  const auto* leader = find_member(leader_);
+  if (leader == nullptr) return;
+  auto passed = in;
+  passed.to = leader_;
+  effects_.emplace_back(send_message{std::move(passed), leader->address, true});
+}
+
+// A replica at a new address becomes a learner, and later a voter: it has no
+// memory to vote with.
+void replica::admit_stranger(const message& in, std::string_view address) {
+  if (find_member(in.from) != nullptr || address.empty()) return;
+  auto changed = members_;
+  changed.push_back({in.from, in.from_life, std::string(address), false});
+  if (!propose_members(std::move(changed))) return;
+  if (now_ - admitted_at_ > succession) successors_ = 0;
+  admitted_at_ = now_;
+  ++successors_;
+}
+
+// Removes a voter that has been silent since about the time when a stranger
+// was admitted, once the stranger votes.
+void replica::retire_silent() {
+  bool due = successors_ > 0 && now_ - admitted_at_ < succession &&
+             std::ranges::all_of(members_, &member::voter);
+  if (!due || now_ - led_since_ < retirement_silence) return;
+  for (const auto& m : members_) {
+    auto it = progress_.find(m.id);
+    bool silent = m.id != settings_.id && it != progress_.end() &&
+                  now_ - it->second.heard_at > retirement_silence;
+    if (!silent) continue;
+    auto changed = members_;
+    std::erase_if(changed, [&](const member& c) { return c.id == m.id; });
+    if (propose_members(std::move(changed))) --successors_;
+    return;
   }
 }
 
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -40,6 +40,12 @@
   std::vector<member> peers;  // itself included; incarnations unknown
   timing delays;
   std::uint64_t seed = 1;
+  // Whether it may found the group together with its peers. A replica that
+  // replaces another may only join.
+  bool may_found = true;
+  // Whether a leader admits replicas that it does not know. Each is taken for
+  // the successor of a member that falls silent about then.
+  bool admits_strangers = false;
 };
 
 /// One replica of the log, after Raft (Ongaro and Ousterhout, 2014) with
@@ -131,7 +137,10 @@
   void send_hello();
   void admit_returned(replica_id id, incarnation life,
                       std::string_view address);
+  void admit_stranger(const message& in, std::string_view address);
+  void pass_to_leader(const message& in);
   void promote_learners();
+  void retire_silent();
   void send_append(replica_id to, bool heartbeat);
   void send_snapshot(replica_id to, progress& peer);
   void broadcast(bool heartbeat);
@@ -142,6 +151,7 @@
   void restore_members_before(log_index index);
   void send(replica_id to, message_body body, bool before_sync = false);
   void reply(const message& in, message_body body);
+  auto address_of(replica_id id) const -> std::string;
   void persist_hard();
   auto lease_start() const -> time_point;
   auto has_quorum(const std::map<replica_id, bool>& votes) const -> bool;
@@ -163,6 +173,8 @@
   time_point heartbeat_due_;
   time_point transfer_until_;
   time_point led_since_;
+  time_point admitted_at_;        // when the last stranger was admitted
+  std::uint32_t successors_ = 0;  // strangers that replaced no one yet
   bool transferring_ = false;
   bool pre_vote_phase_ = false;
 
@@ -181,6 +193,7 @@
 
   std::map<replica_id, progress> progress_;
   std::map<replica_id, bool> votes_;
+  std::map<replica_id, std::string> contacts_;  // addresses told by others
   std::map<replica_id, member> greeted_;  // empty peers heard while unformed
   std::mt19937_64 random_;
   std::vector<effect> effects_;
--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -34,7 +34,8 @@
 /// Replicas over an in-memory channel on a manual clock, with one seed.
 class group {
  public:
-  group(std::uint32_t size, std::uint64_t seed) : random_(seed) {
+  group(std::uint32_t size, std::uint64_t seed, bool admits_strangers = false)
+      : admits_strangers_(admits_strangers), random_(seed) {
     for (std::uint32_t i = 1; i <= size; ++i) {
       peers_.push_back({{i}, {}, "r" + std::to_string(i), true});
     }
@@ -49,6 +50,13 @@
     settings.life = d.life;
     settings.peers = peers_;
     settings.seed = random_();
+    settings.admits_strangers = admits_strangers_;
+    settings.may_found = id.value <= peers_.size();
+    if (!settings.may_found) {
+      // It knows of one of the others only, beside itself.
+      settings.peers = {peers_.at(known_to_strangers),
+                        {id, {}, "r" + std::to_string(id.value), true}};
+    }
     recovered_state found{d.hard, d.snapshot_last, d.members, d.snapshot,
                           d.log};
     applied_[id] = d.snapshot_last.index;
@@ -61,6 +69,8 @@
     disks_[id] = {};
   }
 
+  std::size_t known_to_strangers = 0;  // index of a peer
+
   /// Cuts or heals all links of a replica.
   void cut(replica_id id, bool on) {
     if (on) {
@@ -280,6 +290,7 @@
     CPPUNIT_ASSERT_MESSAGE("two replicas serve", serving <= 1);
   }
 
+  bool admits_strangers_ = false;
   std::mt19937_64 random_;
   std::uint64_t lives_ = 0;
   std::vector<member> peers_;
@@ -329,6 +340,9 @@
   CPPUNIT_TEST(hands_over_quickly);
   CPPUNIT_TEST(sends_a_snapshot_to_a_late_replica);
   CPPUNIT_TEST(replaces_replicas_for_good);
+  CPPUNIT_TEST(a_stranger_succeeds_a_replica_that_is_gone);
+  CPPUNIT_TEST(a_stranger_comes_before_the_other_goes);
+  CPPUNIT_TEST(a_restart_beside_a_stranger_retires_no_one);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -540,6 +554,68 @@
     g.check_nothing_lost();
     CPPUNIT_ASSERT_EQUAL(std::size_t{200}, g.acknowledged.size());
   }
+
+  // The present members but the one that is gone, by number.
+  static auto numbers(group& g) -> std::set<std::uint32_t> {
+    std::set<std::uint32_t> all;
+    auto* leader = g.wait_for_leader();
+    CPPUNIT_ASSERT(leader != nullptr);
+    for (const auto& m : leader->members()) {
+      CPPUNIT_ASSERT(m.voter);
+      all.insert(m.id.value);
+    }
+    return all;
+  }
+
+  void a_stranger_succeeds_a_replica_that_is_gone() {
+    for (std::uint64_t seed = 1; seed <= 9; ++seed) {
+      group g(3, seed, true);
+      CPPUNIT_ASSERT(g.commit("before"));
+      g.known_to_strangers = seed % 3;
+      replica_id gone{static_cast<std::uint32_t>((seed + 1) % 3 + 1)};
+      g.lose_disk(gone);
+      g.run(milliseconds(1000));
+      g.start({4});
+      wait_for_voter(g, {4});
+      g.run(milliseconds(8000));
+      auto left = numbers(g);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, left.size());
+      CPPUNIT_ASSERT(!left.contains(gone.value));
+      // The group bears the loss of another one again.
+      replica_id next{*left.begin()};
+      g.crash(next);
+      CPPUNIT_ASSERT(g.commit("after"));
+      g.check_nothing_lost();
+    }
+  }
+
+  void a_stranger_comes_before_the_other_goes() {
+    group g(3, 5, true);
+    CPPUNIT_ASSERT(g.commit("before"));
+    g.start({4});
+    wait_for_voter(g, {4});
+    g.lose_disk({3});
+    g.run(milliseconds(9000));
+    CPPUNIT_ASSERT(numbers(g) == (std::set<std::uint32_t>{1, 2, 4}));
+    g.check_nothing_lost();
+  }
+
+  void a_restart_beside_a_stranger_retires_no_one() {
+    group g(3, 6, true);
+    CPPUNIT_ASSERT(g.commit("before"));
+    g.start({4});
+    wait_for_voter(g, {4});
+    g.crash({2});
+    g.run(milliseconds(1500));
+    g.start({2});
+    g.run(milliseconds(9000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, numbers(g).size());
+    g.crash({3});
+    g.run(milliseconds(9000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, numbers(g).size());
+    CPPUNIT_ASSERT(g.commit("after"));
+    g.check_nothing_lost();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(agreement_test);
