--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -88,7 +88,7 @@
 
 auto fleet_control_node::start() -> std::string {
   auto error = peers_.start(settings_.listen_peer);
-  if (!error.empty()) return error;
+  if (!error.empty() || !settings_.has_disk) return error;
   replica_.start();
   schedule_round();
   return {};
@@ -248,6 +248,7 @@
 void fleet_control_node::receive(std::string_view from,
                                  wire::envelope message) {
   if (message.has_agreement()) {
+    if (!settings_.has_disk) return;
     if (auto m = read(message.agreement())) replica_.receive(std::move(*m));
     return;
   }
--- a/src/adapters/fleet_control_node.h
+++ b/src/adapters/fleet_control_node.h
@@ -34,6 +34,8 @@
   std::vector<std::string> control;  // peer addresses of control processes
   agreement::replica_settings replica;
   fleet::dispatch_limits limits;
+  // Without a disk a process only passes requests on: it joins no group.
+  bool has_disk = true;
 };
 
 /// One control process of the fleet: a replica of the tables and, while it
--- a/src/apps/fleet_control.cpp
+++ b/src/apps/fleet_control.cpp
@@ -1,4 +1,5 @@
 #include <absl/flags/flag.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <boost/asio/ip/address_v4.hpp>
@@ -73,6 +74,7 @@
     settings.replica.peers.push_back(
         {settings.replica.id, {}, settings.listen_peer, true});
   }
+  settings.has_disk = !node.data_folder.empty();
   settings.limits.longest_lease = node.longest_lease;
   settings.limits.lease = node.longest_lease * 9 / 10;
   settings.limits.gang_wait = node.gang_wait;
@@ -145,7 +147,9 @@
   }
   if (!error.empty()) stop_at_once("start_failed", error);
   log_event(log_level::info, "started",
-            {{"first_start", node_file.first_start}});
+            {{"first_start", node_file.first_start},
+             {"disk", settings.has_disk},
+             {"seeds", absl::StrJoin(node_file.seeds, ",")}});
 
   wait_for_signal([&] {
     auto loaded = platform::load_settings(path);
