--- a/src/adapters/control_client.cpp
+++ b/src/adapters/control_client.cpp
@@ -48,7 +48,8 @@
   if (addresses_ == addresses) return;
   addresses_ = std::move(addresses);
   turn_ = 0;
-  if (leader_.empty() && !addresses_.empty()) leader_ = addresses_.front();
+  bool known = std::ranges::find(addresses_, leader_) != addresses_.end();
+  if (!known && !addresses_.empty()) leader_ = addresses_.front();
 }
 
 auto control_client::leader() -> std::string {
--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 #include <charconv>
+#include <set>
 
 #include "adapters/clock.h"
 #include "adapters/codec.h"
@@ -21,6 +22,7 @@
 using fleet::reply_status;
 
 constexpr milliseconds round_interval{100};
+constexpr milliseconds tell_interval{1000};
 constexpr int rest_factor = 3;  // rest after a decision, in its own lengths
 constexpr milliseconds retry_hint{1000};  // while there is no leader
 constexpr std::size_t job_id_digits = 16;
@@ -84,7 +86,8 @@
                 },
                 [this] { note_change(); }, std::move(fatal)}),
       timer_(pool),
-      dispatcher_(settings_.limits) {}
+      dispatcher_(settings_.limits),
+      seeds_(settings_.control) {}
 
 auto fleet_control_node::start() -> std::string {
   auto error = peers_.start(settings_.listen_peer);
@@ -157,13 +160,49 @@
   metrics_.latency("decision_seconds").record(took);
 }
 
+void fleet_control_node::use_control(std::vector<std::string> addresses) {
+  ranked_lock lock(dispatch_mutex_);
+  seeds_ = std::move(addresses);
+}
+
+// Seeds may all be processes without a disk, and a member that lost its disk
+// may know no other: the leader tells all of them who the members are.
+void fleet_control_node::tell_members(const replica_status& status) {
+  auto now = steady_now();
+  if (!status.may_serve || now - told_at_ < tell_interval) return;
+  told_at_ = now;
+  wire::envelope out;
+  std::set<std::string> targets;
+  std::vector<std::string> members;
+  for (const auto& m : status.members) {
+    write(m, *out.mutable_roster()->add_members());
+    targets.insert(m.address);
+    members.push_back(m.address);
+  }
+  {
+    ranked_lock lock(dispatch_mutex_);
+    targets.insert(seeds_.begin(), seeds_.end());
+  }
+  targets.erase(settings_.listen_peer);
+  for (const auto& address : targets) peers_.send(address, out);
+  client_.use(std::move(members));
+}
+
+void fleet_control_node::hear_members(const wire::member_list& list) {
+  std::vector<agreement::member> members;
+  std::vector<std::string> addresses;
+  for (const auto& m : list.members()) {
+    members.push_back(read(m));
+    addresses.push_back(m.address());
+  }
+  if (addresses.empty()) return;
+  client_.use(std::move(addresses));
+  replica_.learn(members);
+}
+
 void fleet_control_node::run_round() {
   auto status = replica_.status();
-  if (!status.members.empty()) {
-    std::vector<std::string> members;
-    for (const auto& m : status.members) members.push_back(m.address);
-    client_.use(std::move(members));
-  }
+  tell_members(status);
   decide([&](const fleet::fleet_tables& tables) {
     follow_leadership(tables, status);
     return dispatcher_.tick(tables, now_both());
@@ -252,6 +291,10 @@
     if (auto m = read(message.agreement())) replica_.receive(std::move(*m));
     return;
   }
+  if (message.has_roster()) {
+    hear_members(message.roster());
+    return;
+  }
   if (message.has_reply()) {
     client_.receive(std::move(*message.mutable_reply()));
     return;
@@ -268,7 +311,9 @@
     if (!replica_.may_serve()) {
       wire::envelope out;
       out.mutable_reply()->set_id(id);
-      out.mutable_reply()->set_leader(replica_.status().leader_address);
+      out.mutable_reply()->set_leader(settings_.has_disk
+                                          ? replica_.status().leader_address
+                                          : client_.leader());
       peers_.reply(to, std::move(out));
       return;
     }
--- a/src/adapters/fleet_control_node.h
+++ b/src/adapters/fleet_control_node.h
@@ -22,6 +22,7 @@
 
 namespace parsleyledge::wire {
 class envelope;
+class member_list;
 }  // namespace parsleyledge::wire
 
 namespace parsleyledge {
@@ -59,10 +60,8 @@
   /// The leader's peer address as far as it is known here; empty if not.
   auto leader_address() -> std::string;
 
-  /// Looks for the leader at these peer addresses from now on.
-  void use_control(std::vector<std::string> addresses) {
-    client_.use(std::move(addresses));
-  }
+  /// Takes other seeds: peer addresses of control processes.
+  void use_control(std::vector<std::string> addresses);
 
   /// Hands leadership over. The process may end once it no longer leads.
   void transfer();
@@ -97,6 +96,8 @@
   auto find_job(const fleet::job_address& where, fleet::reply& refusal)
       -> found_job;
   void commit(const fleet::command& what, replier done);
+  void tell_members(const replica_status& status);
+  void hear_members(const wire::member_list& list);
   void schedule_round();
   void run_round();
   void note_change();
@@ -132,6 +133,8 @@
   ranked_mutex dispatch_mutex_{lock_rank::worker_table};
   fleet::dispatcher dispatcher_;
   std::shared_ptr<const fleet::site> site_;
+  std::vector<std::string> seeds_;
+  time_point told_at_;  // when the seeds were last told the members
 };
 
 }  // namespace parsleyledge
--- a/src/adapters/replica_node.cpp
+++ b/src/adapters/replica_node.cpp
@@ -76,6 +76,12 @@
   put(std::move(message));
 }
 
+template <typename Machine>
+void basic_replica_node<Machine>::learn(std::span<const ag::member> members) {
+  ranked_lock lock(replica_mutex_);
+  for (const auto& m : members) replica_.learn(m.id, m.address);
+}
+
 template <typename Machine>
 void basic_replica_node<Machine>::propose(const command_type& what,
                                           result_handler done) {
--- a/src/adapters/replica_node.h
+++ b/src/adapters/replica_node.h
@@ -61,6 +61,9 @@
   /// Hands over a message from a peer.
   void receive(agreement::message message);
 
+  /// Hears of the group's members from elsewhere.
+  void learn(std::span<const agreement::member> members);
+
   /// Proposes a command. The handler gets its result once it is applied; or
   /// a refusal, if it is certain that it never will be.
   void propose(const command_type& what, result_handler done);
--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -1,6 +1,7 @@
 #include "core/agreement/replica.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace parsleyledge::agreement {
@@ -219,9 +220,15 @@
 
 void replica::send_hello() {
   auto own = address_of(settings_.id);
-  for (const auto& peer : settings_.peers) {
-    if (peer.id != settings_.id) send(peer.id, hello{false, false, own});
-  }
+  std::set<replica_id> all;
+  for (const auto& peer : settings_.peers) all.insert(peer.id);
+  for (const auto& [id, address] : contacts_) all.insert(id);
+  all.erase(settings_.id);
+  for (auto id : all) send(id, hello{false, false, own});
+}
+
+void replica::learn(replica_id id, std::string_view address) {
+  if (id != settings_.id) contacts_[id] = address;
 }
 
 // Only the lowest replica founds the group, and only once every peer has said
@@ -260,13 +267,11 @@
     }
     return;
   }
-  effects_.emplace_back(
-      send_message{{settings_.id, settings_.life, in.from, in.from_life,
-                    hard_.term,
-                    hello{role_ != role::unformed, true,
-                          address_of(settings_.id)}},
-                   greeting.address,
-                   false});
+  effects_.emplace_back(send_message{
+      {settings_.id, settings_.life, in.from, in.from_life, hard_.term,
+       hello{role_ != role::unformed, true, address_of(settings_.id)}},
+      greeting.address,
+      false});
   if (role_ != role::leader) {
     if (find_member(in.from) == nullptr) pass_to_leader(in);
     return;
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -76,6 +76,10 @@
   /// Tells that the log is on disk up to this position.
   auto persisted(log_position last, time_point now) -> std::vector<effect>;
 
+  /// Hears of a member of the group from elsewhere. A replica that the group
+  /// does not know makes itself known there, too.
+  void learn(replica_id id, std::string_view address);
+
   /// Drops the log up to `last`, which a snapshot now covers.
   void compact(log_position last, std::shared_ptr<const std::string> snapshot);
 
--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -52,7 +52,10 @@
     settings.seed = random_();
     settings.admits_strangers = admits_strangers_;
     settings.may_found = id.value <= peers_.size();
-    if (!settings.may_found) {
+    if (seeds_are_gone) {
+      settings.may_found = false;
+      settings.peers = {{id, {}, "r" + std::to_string(id.value), true}};
+    } else if (!settings.may_found) {
       // It knows of one of the others only, beside itself.
       settings.peers = {peers_.at(known_to_strangers),
                         {id, {}, "r" + std::to_string(id.value), true}};
@@ -70,6 +73,7 @@
   }
 
   std::size_t known_to_strangers = 0;  // index of a peer
+  bool seeds_are_gone = false;         // for replicas started from now on
 
   /// Cuts or heals all links of a replica.
   void cut(replica_id id, bool on) {
@@ -340,6 +344,7 @@
   CPPUNIT_TEST(hands_over_quickly);
   CPPUNIT_TEST(sends_a_snapshot_to_a_late_replica);
   CPPUNIT_TEST(replaces_replicas_for_good);
+  CPPUNIT_TEST(a_lost_disk_learns_of_members_that_its_seeds_do_not_name);
   CPPUNIT_TEST(a_stranger_succeeds_a_replica_that_is_gone);
   CPPUNIT_TEST(a_stranger_comes_before_the_other_goes);
   CPPUNIT_TEST(a_restart_beside_a_stranger_retires_no_one);
@@ -555,6 +560,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{200}, g.acknowledged.size());
   }
 
+  // The seeds in its settings may all be machines without a disk.
+  void a_lost_disk_learns_of_members_that_its_seeds_do_not_name() {
+    group g(3, 8, true);
+    CPPUNIT_ASSERT(g.commit("before"));
+    g.lose_disk({2});
+    g.seeds_are_gone = true;
+    g.start({2});
+    g.run(milliseconds(4000));
+    auto* leader = g.wait_for_leader();
+    CPPUNIT_ASSERT(leader != nullptr);
+    g.at(2).learn(id_of(*leader), "r" + std::to_string(id_of(*leader).value));
+    wait_for_voter(g, {2});
+    g.check_nothing_lost();
+  }
+
   // The present members but the one that is gone, by number.
   static auto numbers(group& g) -> std::set<std::uint32_t> {
     std::set<std::uint32_t> all;
