--- a/src/adapters/replica_node.cpp
+++ b/src/adapters/replica_node.cpp
@@ -268,6 +268,7 @@
     result = Machine::apply(state_, *what, entry.position.index);
   }
   applied_ = entry.position;
+  applied_term_ = applied_.term.value;
   auto it = pending_.find(entry.position.index);
   if (it == pending_.end()) return;
   if (it->second.term != entry.position.term) {
@@ -287,6 +288,7 @@
     return;
   }
   applied_ = snapshot.last;
+  applied_term_ = applied_.term.value;
   applied_members_ = snapshot.members;
   {
     ranked_lock lock(state_mutex_);
@@ -361,7 +363,15 @@
 template <typename Machine>
 auto basic_replica_node<Machine>::may_serve() -> bool {
   ranked_lock lock(replica_mutex_);
-  return replica_.may_serve(steady_now());
+  return serves_applied(steady_now());
+}
+
+// Holds the lock of the replica. Once an entry of its own term is applied,
+// the tables hold all that any leader acknowledged before.
+template <typename Machine>
+auto basic_replica_node<Machine>::serves_applied(time_point now) const -> bool {
+  return replica_.may_serve(now) &&
+         applied_term_ == replica_.current_term().value;
 }
 
 template <typename Machine>
@@ -373,7 +383,7 @@
   s.commit = replica_.commit_index().value;
   s.last = replica_.last_position().index.value;
   s.snapshot = replica_.snapshot_position().index.value;
-  s.may_serve = replica_.may_serve(steady_now());
+  s.may_serve = serves_applied(steady_now());
   s.members.assign(replica_.members().begin(), replica_.members().end());
   if (const auto* leader = replica_.find_member(replica_.leader())) {
     s.leader_address = leader->address;
--- a/src/adapters/replica_node.h
+++ b/src/adapters/replica_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/thread_pool.hpp>
 #include <deque>
@@ -132,6 +133,7 @@
   void install(const encoded_snapshot& snapshot);
   void schedule_tick();
   void fail(std::string_view detail);
+  auto serves_applied(time_point now) const -> bool;
 
   boost::asio::thread_pool& pool_;
   boost::asio::steady_timer timer_;
@@ -143,6 +145,7 @@
   agreement::log_position applied_;                  // likewise
   std::vector<agreement::member> applied_members_;   // likewise
   bool snapshot_running_ = false;                    // likewise
+  std::atomic<std::uint64_t> applied_term_{0};  // of the last applied entry
 
   ranked_mutex inbox_mutex_{lock_rank::inbox};
   std::deque<input> inbox_;
