--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -391,14 +391,20 @@
     return found;
   }
   const auto* queue = find_queue(*found.config, where.host, where.path);
-  if (queue == nullptr) {
-    refused = refusal(reply_status::no_queue, "no such queue");
-    return found;
-  }
   auto customer = found.config->customer_by_key.find(where.key);
   bool known = customer != found.config->customer_by_key.end();
-  if (!known && !queue->open) {
+  if (queue == nullptr) {
+    refused = refusal(reply_status::no_queue, "no such queue");
+  } else if (!known && !queue->open) {
     refused = refusal(reply_status::unauthorized, "unknown key");
+  }
+  if (refused.status != reply_status::done) {
+    log_event(
+        log_level::info, "request_refused",
+        {{"host", where.host},
+         {"path", where.path},
+         {"reason", refused.text},
+         {"site_version", static_cast<std::int64_t>(found.config->version)}});
     return found;
   }
   if (known) found.customer = customer->second;
@@ -420,7 +426,7 @@
 }
 
 void fleet_control_node::handle_one(fleet::submit_request what, replier done) {
-  reply refused;
+  reply refused{reply_status::done, {}, 0, {}};
   auto found = find_job(what.where, refused);
   if (found.where == nullptr) return done(refused);
   auto id = parse_job_id(found.rest);
@@ -442,7 +448,7 @@
 
 void fleet_control_node::handle_one(const fleet::read_request& what,
                                     replier done) {
-  reply refused;
+  reply refused{reply_status::done, {}, 0, {}};
   auto found = find_job(what.where, refused);
   if (found.where == nullptr) return done(refused);
   if (found.rest.empty()) {
@@ -468,7 +474,7 @@
 
 void fleet_control_node::handle_one(const fleet::cancel_request& what,
                                     replier done) {
-  reply refused;
+  reply refused{reply_status::done, {}, 0, {}};
   auto found = find_job(what.where, refused);
   if (found.where == nullptr) return done(refused);
   auto id = parse_job_id(found.rest);
--- a/src/adapters/fleet_entry_node.cpp
+++ b/src/adapters/fleet_entry_node.cpp
@@ -19,6 +19,16 @@
 // An election and two pings; a shorter silence takes no caller elsewhere.
 constexpr milliseconds ready_silence{4000};
 
+/// The path that a caller asked for, which ends in the job's id.
+auto path_of(const fleet::request& what) -> std::string {
+  return std::visit(
+      [](const auto& one) -> std::string {
+        if constexpr (requires { one.where; }) return one.where.path;
+        return {};
+      },
+      what);
+}
+
 }  // namespace
 
 fleet_entry_node::fleet_entry_node(asio::thread_pool& pool,
@@ -103,11 +113,19 @@
 auto fleet_entry_node::serve(fleet::request what, milliseconds limit)
     -> asio::awaitable<fleet::reply> {
   auto begun = std::chrono::steady_clock::now();
+  auto path = path_of(what);
   auto reply =
       co_await ask_leader(client_, std::move(what), steady_now() + limit);
   bool answered = reply.status != fleet::reply_status::unavailable &&
                   reply.status != fleet::reply_status::unknown;
-  if (answered) note_answer();
+  if (answered) {
+    note_answer();
+  } else {
+    log_event(log_level::warning, "request_without_leader",
+              {{"path", path},
+               {"may_have_run", reply.status == fleet::reply_status::unknown},
+               {"detail", reply.text}});
+  }
   ++metrics_.counter(answered ? "requests_total{outcome=\"answered\"}"
                               : "requests_total{outcome=\"no_leader\"}");
   metrics_.latency("request_seconds")
