--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -268,8 +268,6 @@
                  asio::detached);
 }
 
-void fleet_control_node::carry_out_one(fleet::ask_advice&) {}
-
 void fleet_control_node::carry_out_one(fleet::decision& what) {
   log_decision(what.event, what.fields);
 }
--- a/src/adapters/fleet_control_node.h
+++ b/src/adapters/fleet_control_node.h
@@ -108,7 +108,6 @@
   void carry_out(std::vector<fleet::effect> effects);
   void carry_out_one(fleet::propose& what);
   void carry_out_one(fleet::send_order& what);
-  void carry_out_one(fleet::ask_advice& what);
   void carry_out_one(fleet::decision& what);
   auto give_order(fleet::send_order what) -> boost::asio::awaitable<void>;
 
--- a/src/apps/fleet_control.cpp
+++ b/src/apps/fleet_control.cpp
@@ -30,36 +30,19 @@
 constexpr std::chrono::milliseconds last_answers{1500};
 constexpr std::uint32_t extra_threads = 1;  // one may wait for the disk
 
-auto load_or_stop(std::string_view path) -> platform::node_settings {
-  auto loaded = platform::load_settings(path);
-  if (const auto* error = std::get_if<platform::settings_error>(&loaded)) {
-    refuse_setting("node_file", to_string(*error));
-  }
-  return std::get<platform::node_settings>(std::move(loaded));
-}
-
 // The number of a replica is its machine's IP number, which no other has.
 auto replica_number(std::string_view address) -> agreement::replica_id {
   auto ip = boost::asio::ip::make_address_v4(split_address(address).first);
   return {ip.to_uint()};
 }
 
-auto control_addresses(const platform::node_settings& node)
-    -> std::vector<std::string> {
-  std::vector<std::string> addresses;
-  for (const auto& seed : node.seeds) {
-    addresses.push_back(platform::peer_address(node, seed));
-  }
-  return addresses;
-}
-
 auto make_settings(const platform::node_settings& node)
     -> fleet_control_settings {
   fleet_control_settings settings;
   settings.name = node.node;
   settings.group = "fleet";
   settings.listen_peer = node.ip + ":" + std::to_string(node.first_port);
-  settings.control = control_addresses(node);
+  settings.control = platform::control_peers(node);
   settings.replica.id = replica_number(settings.listen_peer);
   settings.replica.delays.tick = milliseconds(50);
   for (const auto& address : settings.control) {
@@ -88,7 +71,7 @@
   read_settings(argc, argv,
                 "parsleyledge-fleet-control: a replica of the fleet's state");
   auto path = absl::GetFlag(FLAGS_node_file);
-  auto node_file = load_or_stop(path);
+  auto node_file = platform::load_or_refuse(path);
   start_log_from_flag(absl::GetFlag(FLAGS_log_level), node_file.node,
                       log_stream::standard_output);
   block_signals();
@@ -159,7 +142,7 @@
       return;
     }
     node.use_control(
-        control_addresses(std::get<platform::node_settings>(loaded)));
+        platform::control_peers(std::get<platform::node_settings>(loaded)));
     log_event(log_level::info, "reloaded");
   });
   log_event(log_level::info, "handing_over");
--- a/src/apps/fleet_entry.cpp
+++ b/src/apps/fleet_entry.cpp
@@ -22,36 +22,19 @@
 // Left of the time to shut down for the last answers and the end itself.
 constexpr milliseconds last_answers{1500};
 
-auto load_or_stop(std::string_view path) -> platform::node_settings {
-  auto loaded = platform::load_settings(path);
-  if (const auto* error = std::get_if<platform::settings_error>(&loaded)) {
-    refuse_setting("node_file", to_string(*error));
-  }
-  return std::get<platform::node_settings>(std::move(loaded));
-}
-
-auto control_addresses(const platform::node_settings& node)
-    -> std::vector<std::string> {
-  std::vector<std::string> addresses;
-  for (const auto& seed : node.seeds) {
-    addresses.push_back(platform::peer_address(node, seed));
-  }
-  return addresses;
-}
-
 }  // namespace
 
 auto main(int argc, char** argv) -> int {
   read_settings(argc, argv, "parsleyledge-fleet-entry: callers' way in");
   auto path = absl::GetFlag(FLAGS_node_file);
-  auto node_file = load_or_stop(path);
+  auto node_file = platform::load_or_refuse(path);
   start_log_from_flag(absl::GetFlag(FLAGS_log_level), node_file.node,
                       log_stream::standard_output);
   block_signals();
 
   boost::asio::thread_pool pool(node_file.cores);
   fleet_entry_node node(
-      pool, {"fleet", node_file.node, control_addresses(node_file)});
+      pool, {"fleet", node_file.node, platform::control_peers(node_file)});
   auto serve = [&node](fleet::request what, milliseconds limit) {
     return node.serve(std::move(what), limit);
   };
@@ -92,7 +75,7 @@
       return;
     }
     node.use_control(
-        control_addresses(std::get<platform::node_settings>(loaded)));
+        platform::control_peers(std::get<platform::node_settings>(loaded)));
     log_event(log_level::info, "reloaded");
   });
   log_event(log_level::info, "draining");
--- a/src/core/fleet/backlog.cpp
+++ b/src/core/fleet/backlog.cpp
@@ -89,9 +89,7 @@
                      time_point wall) -> std::vector<backlog_item> {
   std::vector<backlog_item> out;
   for (const auto& [id, job] : tables.jobs) {
-    if (job.state != job_state::queued && job.state != job_state::running) {
-      continue;
-    }
+    if (is_ended(job)) continue;
     const auto* where = find_queue(config, job.spec.queue);
     if (where == nullptr) continue;
     auto total = occurrences_of(job.spec);
--- /dev/null
+++ b/src/core/fleet/command.cpp
@@ -0,0 +1,25 @@
+#include "core/fleet/command.h"
+
+namespace parsleyledge::fleet {
+
+auto to_string(run_end how) -> std::string_view {
+  switch (how) {
+    case run_end::done:
+      return "done";
+    case run_end::failed:
+      return "failed";
+    case run_end::stopped:
+      return "stopped";
+    case run_end::lapsed:
+      return "lapsed";
+    case run_end::broken:
+      return "broken";
+    case run_end::alone:
+      return "alone";
+    case run_end::lost:
+      return "lost";
+  }
+  return "unknown";
+}
+
+}  // namespace parsleyledge::fleet
--- a/src/core/fleet/command.h
+++ b/src/core/fleet/command.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -56,6 +57,9 @@
   lost      // nobody will tell: the worker is gone, or never started it
 };
 
+/// The end's name in logs.
+auto to_string(run_end how) -> std::string_view;
+
 struct ended_run {
   task_ref task;
   std::uint32_t run = 0;
--- /dev/null
+++ b/src/core/fleet/dispatch_answers.cpp
@@ -0,0 +1,347 @@
+#include <algorithm>
+
+#include "core/fleet/dispatcher.h"
+#include "core/fleet/task_name.h"
+#include "core/overloaded.h"
+
+namespace parsleyledge::fleet {
+
+namespace {
+
+constexpr milliseconds retry_pause{20};       // after a refusal that may pass
+constexpr milliseconds fence_pause{1000};     // another leader is in charge
+constexpr milliseconds unwell_pause{300};     // of a worker that did nothing
+constexpr milliseconds probe_pause{1000};     // of one that holds nothing
+constexpr milliseconds withheld_pause{1000};  // its ends are listed each time
+constexpr std::uint32_t least_progress = 10;  // per cent, to judge a speed by
+constexpr std::uint32_t whole_percent = 100;
+constexpr std::uint32_t failures_to_quarantine = 2;
+constexpr std::uint32_t longest_doubling = 3;
+
+/// Whether only a look can tell what became of a run.
+auto is_unsure(run_phase phase) -> bool {
+  return phase == run_phase::started || phase == run_phase::stopped ||
+         phase == run_phase::doubtful;
+}
+
+}  // namespace
+
+auto dispatcher::answered(const fleet_tables& tables, std::uint64_t id,
+                          const order_answer& answer, moment now)
+    -> std::vector<effect> {
+  auto it = orders_.find(id);
+  if (it == orders_.end()) return {};
+  auto asked = std::move(it->second);
+  orders_.erase(it);
+  // Numbers begin anew in each life, so an earlier life's answer is void.
+  auto worker = workers_.find(asked.worker.name);
+  if (worker == workers_.end() || worker->second.life != asked.worker) {
+    return {};
+  }
+  const auto* looked = std::get_if<order_looked>(&answer);
+  if (looked != nullptr && looked->born_ms != 0 &&
+      looked->born_ms != asked.worker.born_ms) {
+    handle(tables, asked, order_misdirected{}, now);
+    return take_effects();
+  }
+  if (std::holds_alternative<look_order>(asked.what)) {
+    worker->second.look_out = false;
+  }
+  std::visit([&](const auto& one) { handle(tables, asked, one, now); }, answer);
+  act_on(tables, worker->second, now);
+  return take_effects();
+}
+
+auto dispatcher::ordered_run(const order& what) -> run_watch* {
+  return std::visit(
+      overloaded{[](const look_order&) -> run_watch* { return nullptr; },
+                 [&](const auto& one) -> run_watch* {
+                   auto it = runs_.find(one.task);
+                   if (it == runs_.end() || it->second.run != one.run) {
+                     return nullptr;
+                   }
+                   return &it->second;
+                 }},
+      what);
+}
+
+void dispatcher::handle(const fleet_tables&, const pending_order& asked,
+                        const order_accepted& answer, moment now) {
+  auto& worker = workers_[asked.worker.name];
+  worker.clock.sample(answer.clock_ms, now.steady);
+  worker.unanswered = 0;
+  worker.answered_at = now.steady;
+  auto* run = ordered_run(asked.what);
+  if (run == nullptr) return;
+  if (std::holds_alternative<start_order>(asked.what) &&
+      run->phase == run_phase::starting) {
+    run->phase = run_phase::started;
+    run->settled_at = run->moved_at = now.steady;
+    const auto& start = std::get<start_order>(asked.what);
+    if (start.snapshot.empty()) run->base_at = now.steady;
+  }
+  if (std::holds_alternative<stop_order>(asked.what) &&
+      run->phase == run_phase::stopping) {
+    run->phase = run_phase::stopped;
+    run->settled_at = now.steady;
+  }
+}
+
+void dispatcher::handle(const fleet_tables& tables, const pending_order& asked,
+                        const order_looked& answer, moment now) {
+  auto& worker = workers_[asked.worker.name];
+  worker.clock.sample(answer.clock_ms, now.steady);
+  worker.unanswered = 0;
+  worker.answered_at = now.steady;
+  worker.next_look = now.steady;
+  const auto& look = std::get<look_order>(asked.what);
+  worker.told = std::max(worker.told, look.acknowledged);
+  note_running(tables, worker, answer, asked.sent_at, now);
+  note_ends(tables, worker, answer, now);
+}
+
+// Compares what a worker has with what it should have. Only a look that was
+// sent after the last order was answered tells that a run is missing.
+void dispatcher::note_running(const fleet_tables& tables, worker_state& worker,
+                              const order_looked& answer, time_point sent_at,
+                              moment now) {
+  std::map<task_ref, const running_task*> running;
+  for (const auto& r : answer.running) running[r.task] = &r;
+  std::set<task_ref> ended;
+  for (const auto& e : answer.ended) ended.insert(e.task);
+  for (const auto& ref : worker.runs) {
+    auto watched = runs_.find(ref);
+    if (watched == runs_.end()) continue;
+    auto& run = watched->second;
+    auto it = running.find(ref);
+    if (it != running.end() && it->second->run == run.run) {
+      if (run.base_at == time_point{}) {
+        run.base_at = now.steady;
+        run.base_percent = it->second->percent;
+      }
+      bool is_new = run.phase == run_phase::inherited ||
+                    run.phase == run_phase::starting ||
+                    run.phase == run_phase::to_start;
+      if (is_new) run.phase = run_phase::started;
+      if (is_new || it->second->percent != run.percent) {
+        run.moved_at = now.steady;
+      }
+      run.percent = it->second->percent;
+      run.snapshot = it->second->snapshot;
+      if (!run.measured && run.percent >= run.base_percent + least_progress) {
+        run.measured = true;
+        measure(tables, ref, run, run.percent, now);
+      }
+      continue;
+    }
+    if (ended.contains(ref) || sent_at <= run.settled_at) continue;
+    if (run.phase == run_phase::inherited) {
+      run.phase = run_phase::to_start;
+      run.next_try = now.steady;
+    } else if (is_unsure(run.phase)) {
+      end_as_lost(ref, run, "the worker does not have it", now);
+    }
+  }
+}
+
+// Takes the progress of a run since it began here as a sign of the speed of
+// its machine. The members of a gang go at the pace of the slowest, and a
+// wrong rack slows a task, so those tell nothing.
+void dispatcher::measure(const fleet_tables& tables, const task_ref& ref,
+                         const run_watch& run, std::uint32_t percent,
+                         moment now) {
+  const auto* record = find_worker(tables, run.worker);
+  auto job = tables.jobs.find(ref.job);
+  if (record == nullptr || job == tables.jobs.end()) return;
+  const auto& spec = job->second.spec.steps[ref.step];
+  bool far = !spec.data_rack.empty() && spec.data_rack != record->rack;
+  auto took = (now.steady - run.base_at).count();
+  if (spec.gang || spec.lasting || far || took <= 0) return;
+  if (run.base_at == time_point{}) return;
+  speeds_.observe({ref.job, ref.occurrence, ref.step}, machine_of(*record),
+                  static_cast<double>(percent - run.base_percent) /
+                      static_cast<double>(took));
+}
+
+void dispatcher::note_ends(const fleet_tables& tables, worker_state& worker,
+                           const order_looked& answer, moment now) {
+  end_runs fresh;
+  fresh.at = now.wall;
+  auto noted = worker.noted;
+  for (const auto& end : answer.ended) {
+    if (end.sequence <= noted) continue;
+    const auto* task = find_task(tables, end.task);
+    bool matches = task != nullptr && task->run == end.run &&
+                   task->worker == worker.life &&
+                   (task->holding || (end.how == run_end::done && !task->done));
+    // A run that was given up has ended well after all, and its task is
+    // running again: to acknowledge it would make that a second time.
+    if (!matches && end.how == run_end::done && task != nullptr &&
+        !task->done) {
+      note("end_withheld", {{"task", fleet::to_string(end.task)},
+                            {"run", std::to_string(end.run)},
+                            {"worker", worker.life.name}});
+      worker.next_look = now.steady + withheld_pause;
+      break;
+    }
+    noted = end.sequence;
+    if (!matches) continue;
+    judge(worker, end.how, now);
+    auto run = runs_.find(end.task);
+    if (end.how == run_end::done && run != runs_.end()) {
+      measure(tables, end.task, run->second, whole_percent, now);
+    }
+    note("ended", {{"task", fleet::to_string(end.task)},
+                   {"run", std::to_string(end.run)},
+                   {"worker", worker.life.name},
+                   {"how", std::string(to_string(end.how))}});
+    fresh.runs.push_back(
+        {end.task, end.run, worker.life, end.how, end.snapshot});
+  }
+  worker.noted = noted;
+  worker.uncommitted.insert(worker.uncommitted.end(), fresh.runs.begin(),
+                            fresh.runs.end());
+  if (!fresh.runs.empty()) propose_command(std::move(fresh));
+  confirm_ends(tables, worker);
+}
+
+// An end may be acknowledged once the tables have it.
+void dispatcher::confirm_ends(const fleet_tables& tables,
+                              worker_state& worker) {
+  std::erase_if(worker.uncommitted, [&](const ended_run& end) {
+    const auto* task = find_task(tables, end.task);
+    return task == nullptr || !task->holding || task->run != end.run;
+  });
+  if (worker.uncommitted.empty()) worker.acknowledged = worker.noted;
+}
+
+void dispatcher::judge(worker_state& worker, run_end how, moment now) {
+  if (how == run_end::done) worker.failures = 0;
+  if (how != run_end::failed) return;
+  ++worker.failures;
+  if (worker.failures < failures_to_quarantine) return;
+  auto doubled =
+      std::min(worker.failures - failures_to_quarantine, longest_doubling);
+  auto length = limits_.quarantine * (1 << doubled);
+  worker.quarantined_until = now.steady + length;
+  note("quarantined", {{"worker", worker.life.name},
+                       {"failures", std::to_string(worker.failures)},
+                       {"for_ms", std::to_string(length.count())}});
+}
+
+void dispatcher::handle(const fleet_tables&, const pending_order& asked,
+                        const order_rejected& answer, moment now) {
+  auto& worker = workers_[asked.worker.name];
+  if (answer.clock_ms != 0) worker.clock.sample(answer.clock_ms, now.steady);
+  worker.unanswered = 0;
+  worker.answered_at = now.steady;
+  auto* run = ordered_run(asked.what);
+  if (run == nullptr) {
+    worker.next_look = now.steady + fence_pause;
+    return;
+  }
+  if (std::holds_alternative<stop_order>(asked.what)) {
+    if (run->phase != run_phase::stopping) return;
+    bool fenced = answer.why == rejection::fence;
+    run->phase = fenced ? run_phase::to_stop : run_phase::stopped;
+    run->settled_at = now.steady;
+    run->next_try = now.steady + (fenced ? fence_pause : retry_pause);
+    return;
+  }
+  const auto* start = std::get_if<start_order>(&asked.what);
+  if (start == nullptr || run->phase != run_phase::starting) return;
+  switch (answer.why) {
+    case rejection::fence:
+      run->phase = run_phase::to_start;
+      run->next_try = now.steady + fence_pause;
+      break;
+    case rejection::late:
+      run->phase = run_phase::to_start;
+      run->next_try = now.steady + retry_pause;
+      break;
+    case rejection::old_run:
+      run->phase = run_phase::doubtful;
+      run->settled_at = now.steady;
+      break;
+    case rejection::no_room:
+      worker.quarantined_until = now.steady + fence_pause;
+      end_as_lost(start->task, *run, "no room", now);
+      break;
+    case rejection::no_ticket:
+      end_as_lost(start->task, *run, "no valid ticket", now);
+      break;
+    case rejection::invalid:
+      judge(worker, run_end::failed, now);
+      end_as_lost(start->task, *run, "refused as invalid", now);
+      break;
+  }
+}
+
+void dispatcher::handle(const fleet_tables&, const pending_order& asked,
+                        const order_misdirected&, moment) {
+  const auto& worker = workers_[asked.worker.name];
+  note("worker_life_over", {{"worker", asked.worker.name},
+                            {"born", std::to_string(worker.life.born_ms)},
+                            {"reason", "another life answers at its address"}});
+  propose_command(drop_worker{worker.life});
+}
+
+void dispatcher::handle(const fleet_tables&, const pending_order& asked,
+                        const order_refused&, moment now) {
+  auto& worker = workers_[asked.worker.name];
+  worker.answered_at = now.steady;
+  worker.next_look = now.steady + unwell_pause;
+  auto* run = ordered_run(asked.what);
+  if (run == nullptr) return;
+  if (const auto* start = std::get_if<start_order>(&asked.what)) {
+    if (run->phase != run_phase::starting) return;
+    judge(worker, run_end::failed, now);
+    end_as_lost(start->task, *run, "the worker is unwell", now);
+  } else if (run->phase == run_phase::stopping) {
+    run->phase = run_phase::to_stop;
+    run->next_try = now.steady + unwell_pause;
+  }
+}
+
+void dispatcher::handle(const fleet_tables& tables, const pending_order& asked,
+                        const order_unanswered& answer, moment now) {
+  auto& worker = workers_[asked.worker.name];
+  ++worker.unanswered;
+  worker.next_look =
+      now.steady + (worker.holding == 0 ? probe_pause : unwell_pause);
+  auto* run = ordered_run(asked.what);
+  if (run == nullptr) return;
+  if (run->phase == run_phase::stopping) run->phase = run_phase::to_stop;
+  run->next_try = now.steady + (answer.sent ? retry_pause : unwell_pause);
+  const auto* start = std::get_if<start_order>(&asked.what);
+  if (start == nullptr || run->phase != run_phase::starting) return;
+  run->phase = run_phase::to_start;
+  bool gang = tables.jobs.contains(start->task.job) &&
+              tables.jobs.at(start->task.job).spec.steps[start->task.step].gang;
+  bool too_late = now.steady - run->placed_at >
+                  limits_.gang_wait - 2 * limits_.order_timeout;
+  if (too_late && gang) stop_run(start->task, "no answer to its start");
+}
+
+void dispatcher::end_as_lost(const task_ref& ref, run_watch& run,
+                             std::string_view reason, moment now) {
+  if (!ending_.insert(ref).second) return;
+  note("run_lost", {{"task", fleet::to_string(ref)},
+                    {"run", std::to_string(run.run)},
+                    {"worker", run.worker.name},
+                    {"reason", std::string(reason)}});
+  propose_command(end_runs{
+      {{ref, run.run, run.worker, run_end::lost, run.snapshot}}, now.wall});
+}
+
+void dispatcher::give_up_runs(const fleet_tables& tables,
+                              const worker_life& life, std::string_view reason,
+                              moment now) {
+  for (auto& [ref, run] : runs_) {
+    const auto* task = find_task(tables, ref);
+    if (run.worker != life || task == nullptr) continue;
+    end_as_lost(ref, run, reason, now);
+  }
+}
+
+}  // namespace parsleyledge::fleet
--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -23,12 +23,6 @@
 // A task that saves its progress loses what came after the last snapshot.
 constexpr milliseconds unsaved{500};
 
-auto reserved_by(const step_spec& spec) -> resources {
-  auto need = spec.each;
-  if (spec.fills) need.cpu_milli = 0;
-  return need;
-}
-
 auto cores_of(const step_spec& spec) -> std::int64_t {
   return spec.each.cpu_milli / 1000 +
          spec.each.accelerators * cores_an_accelerator;
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -87,7 +87,7 @@
     time_point placed_at;
   };
 
-  // Events, in dispatcher.cpp.
+  // Orders, in dispatcher.cpp; what comes of them, in dispatch_answers.cpp.
   void sweep(const fleet_tables& tables, moment now);
   void watch_step(const job_record& job, const step_ref& ref, moment now);
   void act(const fleet_tables& tables, moment now);
--- a/src/core/fleet/effect.h
+++ b/src/core/fleet/effect.h
@@ -26,19 +26,12 @@
   milliseconds timeout{0};
 };
 
-/// Ask the advice service which of these workers may run a step.
-struct ask_advice {
-  step_ref step;
-  std::vector<std::string> workers;
-  milliseconds timeout{0};
-};
-
 /// A decision to be logged: what was decided, and the inputs that decided it.
 struct decision {
   std::string_view event;
   std::vector<std::pair<std::string_view, std::string>> fields;
 };
 
-using effect = std::variant<propose, send_order, ask_advice, decision>;
+using effect = std::variant<propose, send_order, decision>;
 
 }  // namespace parsleyledge::fleet
--- a/src/core/fleet/fleet_state.cpp
+++ b/src/core/fleet/fleet_state.cpp
@@ -35,51 +35,8 @@
   return task.holding || (end.how == run_end::done && !task.done);
 }
 
-auto is_ended(job_state state) -> bool {
-  return state == job_state::complete || state == job_state::failed ||
-         state == job_state::cancelled;
-}
-
-auto holds_anything(const job_record& job) -> bool {
-  for (const auto& [number, occurrence] : job.open) {
-    for (const auto& step : occurrence.steps) {
-      if (std::ranges::any_of(step.tasks, &task_record::holding)) return true;
-    }
-  }
-  return false;
-}
-
 }  // namespace
 
-auto machine_of(const worker_record& worker) -> std::string_view {
-  return worker.machine.empty() ? worker.life.name : worker.machine;
-}
-
-auto is_active(const job_record& job) -> bool {
-  return !is_ended(job.state) || holds_anything(job);
-}
-
-auto is_done(const step_spec& spec, const step_record& step) -> bool {
-  if (spec.lasting) return false;
-  return spec.gang ? step.done > 0 : step.done == step.tasks.size();
-}
-
-auto to_string(job_state state) -> std::string_view {
-  switch (state) {
-    case job_state::queued:
-      return "queued";
-    case job_state::running:
-      return "running";
-    case job_state::complete:
-      return "complete";
-    case job_state::failed:
-      return "failed";
-    case job_state::cancelled:
-      return "cancelled";
-  }
-  return "unknown";
-}
-
 auto fleet_state::apply(const command& what) -> command_outcome {
   return std::visit([this](const auto& one) { return apply_one(one); }, what);
 }
@@ -109,7 +66,7 @@
     auto it = tables_.jobs.find(tables_.ended.front());
     if (it != tables_.jobs.end()) {
       if (now - it->second.ended_at < ended_job_retention) return;
-      if (holds_anything(it->second)) return;
+      if (holds_workers(it->second)) return;
       tables_.jobs.erase(it);
     }
     tables_.ended.pop_front();
@@ -117,7 +74,7 @@
 }
 
 void fleet_state::end_job(job_record& job, job_state state, time_point at) {
-  if (is_ended(job.state)) return;
+  if (is_ended(job)) return;
   job.state = state;
   job.ended_at = at;
   tables_.ended.push_back(job.spec.id);
@@ -126,7 +83,7 @@
 auto fleet_state::apply_one(const cancel_job& what) -> command_outcome {
   auto it = tables_.jobs.find(what.job);
   if (it == tables_.jobs.end()) return command_outcome::unknown;
-  if (is_ended(it->second.state)) return command_outcome::repeated;
+  if (is_ended(it->second)) return command_outcome::repeated;
   end_job(it->second, job_state::cancelled, what.at);
   return command_outcome::done;
 }
@@ -134,7 +91,7 @@
 auto fleet_state::apply_one(const fail_job& what) -> command_outcome {
   auto it = tables_.jobs.find(what.job);
   if (it == tables_.jobs.end()) return command_outcome::unknown;
-  if (is_ended(it->second.state)) return command_outcome::repeated;
+  if (is_ended(it->second)) return command_outcome::repeated;
   end_job(it->second, job_state::failed, what.at);
   return command_outcome::done;
 }
@@ -148,7 +105,7 @@
 // been cancelled, or the worker gone, while the command was on its way.
 void fleet_state::place(const placement& one) {
   auto it = tables_.jobs.find(one.task.job);
-  if (it == tables_.jobs.end() || is_ended(it->second.state)) return;
+  if (it == tables_.jobs.end() || is_ended(it->second)) return;
   auto worker = tables_.workers.find(one.worker.name);
   if (worker == tables_.workers.end() || worker->second.life != one.worker) {
     return;
@@ -195,7 +152,7 @@
       ++step.done;
     }
   }
-  if (!is_ended(job.state)) finish_step(job, end.task.occurrence, at);
+  if (!is_ended(job)) finish_step(job, end.task.occurrence, at);
 }
 
 // The members of a gang share their ends: one done is all done, and a failed
--- a/src/core/fleet/job_spec.h
+++ b/src/core/fleet/job_spec.h
@@ -46,6 +46,13 @@
   auto operator==(const job_spec&) const -> bool = default;
 };
 
+/// What a task of the step counts against its worker's capacity.
+constexpr auto reserved_by(const step_spec& step) -> resources {
+  auto need = step.each;
+  if (step.fills) need.cpu_milli = 0;
+  return need;
+}
+
 /// How often the steps run.
 constexpr auto occurrences_of(const job_spec& spec) -> std::uint32_t {
   return spec.times == 0 ? 1 : spec.times;
--- /dev/null
+++ b/src/core/fleet/records.cpp
@@ -0,0 +1,63 @@
+#include "core/fleet/records.h"
+
+#include <algorithm>
+
+namespace parsleyledge::fleet {
+
+auto holds_workers(const job_record& job) -> bool {
+  for (const auto& [number, occurrence] : job.open) {
+    for (const auto& step : occurrence.steps) {
+      if (std::ranges::any_of(step.tasks, &task_record::holding)) return true;
+    }
+  }
+  return false;
+}
+
+auto is_ended(const job_record& job) -> bool {
+  return job.state != job_state::queued && job.state != job_state::running;
+}
+
+auto find_task(const fleet_tables& tables, const task_ref& ref)
+    -> const task_record* {
+  auto job = tables.jobs.find(ref.job);
+  if (job == tables.jobs.end()) return nullptr;
+  auto occurrence = job->second.open.find(ref.occurrence);
+  if (occurrence == job->second.open.end()) return nullptr;
+  if (ref.step >= occurrence->second.steps.size()) return nullptr;
+  const auto& tasks = occurrence->second.steps[ref.step].tasks;
+  return ref.index < tasks.size() ? &tasks[ref.index] : nullptr;
+}
+
+auto find_worker(const fleet_tables& tables, const worker_life& life)
+    -> const worker_record* {
+  auto it = tables.workers.find(life.name);
+  if (it == tables.workers.end() || it->second.life != life) return nullptr;
+  return &it->second;
+}
+
+auto machine_of(const worker_record& worker) -> std::string_view {
+  return worker.machine.empty() ? worker.life.name : worker.machine;
+}
+
+auto is_done(const step_spec& spec, const step_record& step) -> bool {
+  if (spec.lasting) return false;
+  return spec.gang ? step.done > 0 : step.done == step.tasks.size();
+}
+
+auto to_string(job_state state) -> std::string_view {
+  switch (state) {
+    case job_state::queued:
+      return "queued";
+    case job_state::running:
+      return "running";
+    case job_state::complete:
+      return "complete";
+    case job_state::failed:
+      return "failed";
+    case job_state::cancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+}  // namespace parsleyledge::fleet
--- a/src/core/fleet/records.h
+++ b/src/core/fleet/records.h
@@ -84,8 +84,19 @@
   std::map<std::uint64_t, wave_record> waves;
 };
 
-/// Whether a job still has work or holds workers.
-auto is_active(const job_record& job) -> bool;
+/// The task, or null if its job or occurrence is no longer open.
+auto find_task(const fleet_tables& tables, const task_ref& ref)
+    -> const task_record*;
+
+/// The record of this life of a worker, or null.
+auto find_worker(const fleet_tables& tables, const worker_life& life)
+    -> const worker_record*;
+
+/// Whether a job's final state is known.
+auto is_ended(const job_record& job) -> bool;
+
+/// Whether a task of the job still holds a worker.
+auto holds_workers(const job_record& job) -> bool;
 
 /// Whether a step has ended.
 auto is_done(const step_spec& spec, const step_record& step) -> bool;
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -250,7 +250,6 @@
   for (auto& e : effects) {
     std::visit(overloaded{[&](fleet::propose& p) { apply(p.what, p.token); },
                           [&](fleet::send_order& o) { give(o); },
-                          [](fleet::ask_advice&) {},
                           [&](fleet::decision& d) {
                             auto line = std::to_string(to_ms(now_)) + " " +
                                         std::string(d.event);
