Reclaim for urgent steps that are no gangs, too

Ruled out: the replaced core machine (the claim came 3.7 s before it). dispatcher_test::guaranteed_work_need_not_be_a_gang red before, green now.

--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -342,7 +342,7 @@
                          std::span<const candidate> candidates,
                          std::span<const std::size_t> rows, placement_need need,
                          planning_pass& pass, moment now) {
-  if (!need.together || item.where->priority != 0) return;
+  if (item.where->priority != 0) return;
   auto& last_try = reclaim_tried_[item.step];
   if (now.steady - last_try < reclaim_pause) return;
   last_try = now.steady;
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(occurrences_start_when_they_are_due);
   CPPUNIT_TEST(a_gang_that_fails_too_often_fails_its_job);
   CPPUNIT_TEST(guaranteed_work_reclaims_from_lower_priorities);
+  CPPUNIT_TEST(guaranteed_work_need_not_be_a_gang);
   CPPUNIT_TEST(guaranteed_work_reclaims_what_other_customers_borrow);
   CPPUNIT_TEST(a_guarantee_is_not_reclaimed_by_another);
   CPPUNIT_TEST(an_order_without_an_answer_is_repeated);
@@ -100,6 +101,19 @@
     assert_clean(site);
   }
 
+  // Seen on the bench, sarza-ke: a job of a single task is no gang, and waited.
+  void guaranteed_work_need_not_be_a_gang() {
+    fleet_site site(4);
+    site.configure(16);
+    site.work = seconds(30);
+    site.submit("q2", make_step(32, 1));
+    site.run_for(seconds(1));
+    auto one = site.submit("q0", make_step(1, 8));
+    site.run_for(reclaim_bound);
+    CPPUNIT_ASSERT_EQUAL(1, site.running(one));
+    assert_clean(site);
+  }
+
   // Seen once on the bench: the room was held by urgent work of another
   // customer, beyond what that one is guaranteed.
   void guaranteed_work_reclaims_what_other_customers_borrow() {
