--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -359,8 +359,8 @@
   return said;
 }
 
-void fleet_site::end(fake_worker& w, const fleet::task_ref& task,
-                     fleet::run_end how) {
+// Takes the task by value: it may name a run that is removed here.
+void fleet_site::end(fake_worker& w, fleet::task_ref task, fleet::run_end how) {
   auto it = w.running.find(task);
   if (it == w.running.end()) return;
   auto run = it->second;
--- a/test/fakes/fleet_site.h
+++ b/test/fakes/fleet_site.h
@@ -92,8 +92,7 @@
   auto start(fake_worker& worker, const fleet::start_order& order)
       -> fleet::order_answer;
   void advance(fake_worker& worker);
-  void end(fake_worker& worker, const fleet::task_ref& task,
-           fleet::run_end how);
+  void end(fake_worker& worker, fleet::task_ref task, fleet::run_end how);
   void check_rules();
   void remember(std::string_view what, const fleet::task_ref& task,
                 std::uint32_t run, const fake_worker& worker);
