Move work off workers that stand still or leave; tell failing steps from failing workers

Cause: a run that stood still kept its worker until its lease, which every look renewed; work on a worker that drained was lost with it; two failures of one step that fails everywhere put two sound workers into quarantine. Before: the five tests fail. After: dispatcher_test 24 passed.

--- a/src/core/fleet/dispatch_answers.cpp
+++ b/src/core/fleet/dispatch_answers.cpp
@@ -15,8 +15,6 @@
 constexpr milliseconds withheld_pause{1000};  // its ends are listed each time
 constexpr std::uint32_t least_progress = 10;  // per cent, to judge a speed by
 constexpr std::uint32_t whole_percent = 100;
-constexpr std::uint32_t failures_to_quarantine = 2;
-constexpr std::uint32_t longest_doubling = 3;
 
 /// Whether only a look can tell what became of a run.
 auto is_unsure(run_phase phase) -> bool {
@@ -109,6 +107,7 @@
   for (const auto& r : answer.running) running[r.task] = &r;
   std::set<task_ref> ended;
   for (const auto& e : answer.ended) ended.insert(e.task);
+  std::vector<task_ref> stalled;
   for (const auto& ref : worker.runs) {
     auto watched = runs_.find(ref);
     if (watched == runs_.end()) continue;
@@ -132,6 +131,7 @@
         run.measured = true;
         measure(tables, ref, run, run.percent, now);
       }
+      if (stands_still(tables, ref, run, now)) stalled.push_back(ref);
       continue;
     }
     if (ended.contains(ref) || sent_at <= run.settled_at) continue;
@@ -142,6 +142,7 @@
       end_as_lost(ref, run, "the worker does not have it", now);
     }
   }
+  for (const auto& ref : stalled) restart_stalled(tables, ref, now);
 }
 
 // Takes the progress of a run since it began here as a sign of the speed of
@@ -186,7 +187,7 @@
     }
     noted = end.sequence;
     if (!matches) continue;
-    judge(worker, end.how, now);
+    judge(worker, end.task, end.how, now);
     auto run = runs_.find(end.task);
     if (end.how == run_end::done && run != runs_.end()) {
       measure(tables, end.task, run->second, whole_percent, now);
@@ -215,20 +216,6 @@
   if (worker.uncommitted.empty()) worker.acknowledged = worker.noted;
 }
 
-void dispatcher::judge(worker_state& worker, run_end how, moment now) {
-  if (how == run_end::done) worker.failures = 0;
-  if (how != run_end::failed) return;
-  ++worker.failures;
-  if (worker.failures < failures_to_quarantine) return;
-  auto doubled =
-      std::min(worker.failures - failures_to_quarantine, longest_doubling);
-  auto length = limits_.quarantine * (1 << doubled);
-  worker.quarantined_until = now.steady + length;
-  note("quarantined", {{"worker", worker.life.name},
-                       {"failures", std::to_string(worker.failures)},
-                       {"for_ms", std::to_string(length.count())}});
-}
-
 void dispatcher::handle(const fleet_tables&, const pending_order& asked,
                         const order_rejected& answer, moment now) {
   auto& worker = workers_[asked.worker.name];
@@ -271,7 +258,7 @@
       end_as_lost(start->task, *run, "no valid ticket", now);
       break;
     case rejection::invalid:
-      judge(worker, run_end::failed, now);
+      judge(worker, start->task, run_end::failed, now);
       end_as_lost(start->task, *run, "refused as invalid", now);
       break;
   }
@@ -295,7 +282,7 @@
   if (run == nullptr) return;
   if (const auto* start = std::get_if<start_order>(&asked.what)) {
     if (run->phase != run_phase::starting) return;
-    judge(worker, run_end::failed, now);
+    judge(worker, start->task, run_end::failed, now);
     end_as_lost(start->task, *run, "the worker is unwell", now);
   } else if (run->phase == run_phase::stopping) {
     run->phase = run_phase::to_stop;
--- /dev/null
+++ b/src/core/fleet/dispatch_health.cpp
@@ -0,0 +1,153 @@
+#include <algorithm>
+
+#include "core/fleet/dispatcher.h"
+#include "core/fleet/task_name.h"
+
+namespace parsleyledge::fleet {
+
+namespace {
+
+constexpr std::uint32_t failures_to_quarantine = 2;
+constexpr std::uint32_t longest_doubling = 3;
+constexpr std::uint32_t whole_percent = 100;
+// A task of the slowest machine on a wrong rack moves by one per cent in a
+// twentieth of its estimate, even if that is three times too short.
+constexpr int estimate_part = 10;
+// A stop takes a fifth of a second, its order up to two round trips.
+constexpr milliseconds time_to_leave{600};
+
+}  // namespace
+
+void dispatcher::judge(worker_state& worker, const task_ref& task, run_end how,
+                       moment now) {
+  if (how == run_end::done) worker.failures = 0;
+  if (how != run_end::failed) return;
+  auto verdict = failed_steps_.note({task.job, task.occurrence, task.step},
+                                    worker.life.name);
+  absolve(verdict);
+  if (!verdict.against_worker) return;
+  ++worker.failures;
+  if (worker.failures >= failures_to_quarantine) {
+    quarantine(worker, "failed runs", now);
+  }
+}
+
+// The step has failed elsewhere, too, so the first worker was not at fault.
+void dispatcher::absolve(const failure_verdict& verdict) {
+  auto it = workers_.find(verdict.absolved);
+  if (it == workers_.end()) return;
+  auto& worker = it->second;
+  bool quarantined = worker.failures >= failures_to_quarantine;
+  worker.failures -= std::min(worker.failures, verdict.absolved_of);
+  if (!quarantined || worker.failures >= failures_to_quarantine) return;
+  worker.quarantined_until = {};
+  note("quarantine_lifted",
+       {{"worker", worker.life.name},
+        {"reason", "the step fails on other workers, too"}});
+}
+
+void dispatcher::quarantine(worker_state& worker, std::string_view reason,
+                            moment now) {
+  worker.failures = std::max(worker.failures, failures_to_quarantine);
+  auto doubled =
+      std::min(worker.failures - failures_to_quarantine, longest_doubling);
+  auto length = limits_.quarantine * (1 << doubled);
+  worker.quarantined_until = now.steady + length;
+  note("quarantined", {{"worker", worker.life.name},
+                       {"reason", std::string(reason)},
+                       {"failures", std::to_string(worker.failures)},
+                       {"for_ms", std::to_string(length.count())}});
+}
+
+// Whether a started run has made no progress for longer than a sound worker
+// would need for one per cent. A gang begins once its last member has started.
+auto dispatcher::stands_still(const fleet_tables& tables, const task_ref& ref,
+                              const run_watch& run, moment now) const -> bool {
+  if (run.phase != run_phase::started || run.percent >= whole_percent) {
+    return false;
+  }
+  const auto& job = tables.jobs.at(ref.job);
+  const auto& spec = job.spec.steps[ref.step];
+  if (spec.lasting || is_ended(job)) return false;
+  auto allowed = std::max(limits_.standstill, spec.estimate / estimate_part);
+  auto is_still = [&](const run_watch& one) {
+    return one.phase == run_phase::started &&
+           now.steady - one.moved_at > allowed;
+  };
+  if (!spec.gang) return is_still(run);
+  for (std::uint32_t i = 0; i < spec.tasks; ++i) {
+    auto member = runs_.find({ref.job, ref.occurrence, ref.step, i});
+    if (member == runs_.end() || !is_still(member->second)) return false;
+  }
+  return true;
+}
+
+auto dispatcher::has_other_progress(const worker_life& life,
+                                    const step_ref& step, moment now) const
+    -> bool {
+  auto worker = workers_.find(life.name);
+  if (worker == workers_.end()) return false;
+  return std::ranges::any_of(worker->second.runs, [&](const task_ref& ref) {
+    if (step_ref{ref.job, ref.occurrence, ref.step} == step) return false;
+    auto run = runs_.find(ref);
+    return run != runs_.end() && run->second.phase == run_phase::started &&
+           run->second.percent > run->second.base_percent &&
+           now.steady - run->second.moved_at < limits_.standstill;
+  });
+}
+
+// Stops a run that stands still, so that it starts elsewhere. The members of a
+// gang stand still together, so each worker without other progress is suspect.
+void dispatcher::restart_stalled(const fleet_tables& tables,
+                                 const task_ref& ref, moment now) {
+  const auto& job = tables.jobs.at(ref.job);
+  const auto& tasks = job.open.at(ref.occurrence).steps[ref.step].tasks;
+  step_ref step{ref.job, ref.occurrence, ref.step};
+  bool gang = job.spec.steps[ref.step].gang;
+  for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+    task_ref member{ref.job, ref.occurrence, ref.step, i};
+    auto run = runs_.find(member);
+    bool concerned = (gang || i == ref.index) && run != runs_.end();
+    if (!concerned || run->second.phase != run_phase::started) continue;
+    stop_run(member, "stands still");
+    auto worker = workers_.find(run->second.worker.name);
+    if (worker == workers_.end()) continue;
+    bool sound = has_other_progress(run->second.worker, step, now);
+    if (sound || worker->second.quarantined_until > now.steady) continue;
+    quarantine(worker->second, "a run stands still", now);
+  }
+}
+
+// How long a run will still take at its pace so far; nothing while unknown.
+auto dispatcher::time_left(const run_watch& run, moment now) const
+    -> std::optional<milliseconds> {
+  auto made = std::int64_t{run.percent} - run.base_percent;
+  auto took = run.moved_at - run.base_at;
+  if (run.base_at == time_point{} || made <= 0 || took.count() <= 0) return {};
+  auto at_last_look = took * (std::int64_t{whole_percent} - run.percent) / made;
+  return at_last_look - (now.steady - run.moved_at);
+}
+
+// Work on a worker that leaves goes on there as long as it can. What saves its
+// progress is stopped in time to save it; what cannot end there and saves
+// nothing starts elsewhere at once.
+void dispatcher::evacuate(const fleet_tables& tables,
+                          const worker_state& worker, moment now) {
+  const auto* record = find_worker(tables, worker.life);
+  if (record == nullptr || !record->draining) return;
+  auto remaining = worker.leaves_at - now.steady;
+  if (worker.leaves_at == time_point{} || remaining.count() < 0) return;
+  for (const auto& ref : worker.runs) {
+    auto run = runs_.find(ref);
+    if (run == runs_.end() || run->second.phase != run_phase::started) continue;
+    const auto& spec = tables.jobs.at(ref.job).spec.steps[ref.step];
+    auto left = time_left(run->second, now);
+    bool ends_here = !spec.lasting && left && *left < remaining;
+    bool hopeless = !spec.checkpoints && left && *left > 2 * remaining;
+    bool last_moment = spec.checkpoints && remaining < time_to_leave;
+    if (ends_here || !(spec.lasting || hopeless || last_moment)) continue;
+    stop_run(ref, "the worker leaves");
+  }
+}
+
+}  // namespace parsleyledge::fleet
--- a/src/core/fleet/dispatch_limits.h
+++ b/src/core/fleet/dispatch_limits.h
@@ -23,7 +23,7 @@
   // Until a reclaimed place that did not become free is given up.
   milliseconds reservation{2000};
   // Without progress for so long, a run counts as standing still.
-  milliseconds standstill{2500};
+  milliseconds standstill{1500};
   // First quarantine of a worker that fails; doubled while it goes on.
   milliseconds quarantine{4000};
 };
--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -47,6 +47,7 @@
   committed_.clear();
   reservations_.clear();
   reclaim_tried_.clear();
+  failed_steps_ = {};
   failing_.clear();
   ending_.clear();
   effects_.clear();
@@ -116,6 +117,7 @@
     if (!worker.clock.lapsed(now.steady)) continue;
     give_up_runs(tables, worker.life, "lease ran out", now);
   }
+  for (const auto& [name, worker] : workers_) evacuate(tables, worker, now);
   plan(tables, now);
   act(tables, now);
   return take_effects();
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -10,6 +10,7 @@
 #include "core/fleet/backlog.h"
 #include "core/fleet/dispatch_limits.h"
 #include "core/fleet/effect.h"
+#include "core/fleet/failure_log.h"
 #include "core/fleet/placer.h"
 #include "core/fleet/planning_pass.h"
 #include "core/fleet/reclaim.h"
@@ -120,7 +121,6 @@
   void note_ends(const fleet_tables& tables, worker_state& worker,
                  const order_looked& answer, moment now);
   void confirm_ends(const fleet_tables& tables, worker_state& worker);
-  void judge(worker_state& worker, run_end how, moment now);
   void give_up_runs(const fleet_tables& tables, const worker_life& life,
                     std::string_view reason, moment now);
   void end_as_lost(const task_ref& ref, run_watch& run, std::string_view reason,
@@ -131,6 +131,22 @@
             std::vector<std::pair<std::string_view, std::string>> fields);
   auto take_effects() -> std::vector<effect>;
 
+  // Sound and unsound workers, in dispatch_health.cpp.
+  void judge(worker_state& worker, const task_ref& task, run_end how,
+             moment now);
+  void absolve(const failure_verdict& verdict);
+  void quarantine(worker_state& worker, std::string_view reason, moment now);
+  auto stands_still(const fleet_tables& tables, const task_ref& ref,
+                    const run_watch& run, moment now) const -> bool;
+  auto has_other_progress(const worker_life& life, const step_ref& step,
+                          moment now) const -> bool;
+  void restart_stalled(const fleet_tables& tables, const task_ref& ref,
+                       moment now);
+  void evacuate(const fleet_tables& tables, const worker_state& worker,
+                moment now);
+  auto time_left(const run_watch& run, moment now) const
+      -> std::optional<milliseconds>;
+
   // Placement, in dispatch_plan.cpp.
   void plan(const fleet_tables& tables, moment now);
   auto begin_pass(const fleet_tables& tables, moment now) const
@@ -176,6 +192,7 @@
   std::map<step_ref, reservation> reservations_;
   std::map<step_ref, time_point> reclaim_tried_;
   speed_table speeds_;
+  failure_log failed_steps_;
   std::set<job_id> failing_;   // jobs whose end as failed is proposed
   std::set<task_ref> ending_;  // runs whose end as lost is proposed
   std::vector<effect> effects_;
--- /dev/null
+++ b/src/core/fleet/failure_log.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/fleet/ids.h"
+
+namespace parsleyledge::fleet {
+
+/// What a failed run says of workers.
+struct failure_verdict {
+  bool against_worker = false;
+  // A worker that was blamed wrongly for this step, and how often.
+  std::string absolved;
+  std::uint32_t absolved_of = 0;
+};
+
+/// Remembers on which workers the latest failing steps failed, to tell a
+/// worker that fails its tasks from a step that fails everywhere.
+class failure_log {
+ public:
+  /// Notes a failed run. It speaks against the worker until the step fails on
+  /// another one, too.
+  auto note(const step_ref& step, std::string_view worker) -> failure_verdict;
+
+ private:
+  struct entry {
+    step_ref step;
+    std::string first_worker;
+    std::uint32_t failures = 0;  // on the first worker
+    bool everywhere = false;
+  };
+
+  auto find_or_add(const step_ref& step, std::string_view worker) -> entry&;
+
+  std::vector<entry> entries_;  // a ring
+  std::size_t next_ = 0;
+};
+
+}  // namespace parsleyledge::fleet
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -1,6 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+
 #include "fakes/fleet_site.h"
 
 using namespace parsleyledge;
@@ -45,6 +47,11 @@
   CPPUNIT_TEST(a_cancelled_job_is_stopped);
   CPPUNIT_TEST(a_draining_worker_gets_no_work);
   CPPUNIT_TEST(a_worker_that_fails_everything_is_left_alone);
+  CPPUNIT_TEST(work_that_stands_still_starts_elsewhere);
+  CPPUNIT_TEST(a_gang_that_stands_still_starts_elsewhere);
+  CPPUNIT_TEST(jobs_that_always_fail_do_not_condemn_workers);
+  CPPUNIT_TEST(work_leaves_a_draining_worker_in_time);
+  CPPUNIT_TEST(work_that_ends_in_time_stays_on_a_draining_worker);
   CPPUNIT_TEST(lasting_tasks_are_started_again);
   CPPUNIT_TEST(an_end_is_acknowledged_after_its_commit_only);
   CPPUNIT_TEST(rules_hold_under_random_events);
@@ -261,6 +268,75 @@
     assert_clean(site);
   }
 
+  void work_that_stands_still_starts_elsewhere() {
+    fleet_site site(3);
+    site.work = seconds(4);
+    site.workers[0].hangs = true;
+    auto id = site.submit("q1", make_step(3, 8));
+    site.run_for(seconds(12));
+    assert_state(job_state::complete, site, id);
+    assert_clean(site);
+  }
+
+  void a_gang_that_stands_still_starts_elsewhere() {
+    fleet_site site(4);
+    site.work = seconds(4);
+    site.workers[0].hangs = true;
+    auto id = site.submit("q1", make_gang(2, 8));
+    site.run_for(seconds(10));
+    assert_state(job_state::complete, site, id);
+    assert_clean(site);
+  }
+
+  // Of one step that fails everywhere each worker sees a failure.
+  void jobs_that_always_fail_do_not_condemn_workers() {
+    fleet_site site(4);
+    site.configure(0, 0, 4);
+    for (int i = 0; i < 6; ++i) {
+      for (auto& w : site.workers) w.fails = true;
+      site.submit("q1", make_step(8, 1));
+      site.run_for(milliseconds(10));
+      for (auto& w : site.workers) w.fails = false;
+      site.run_for(milliseconds(200));
+    }
+    CPPUNIT_ASSERT(std::ranges::count_if(site.dispatcher().workers(),
+                                         [&](const auto& item) {
+                                           return item.second
+                                                      .quarantined_until >
+                                                  site.now();
+                                         }) <= 1);
+    assert_clean(site);
+  }
+
+  void work_leaves_a_draining_worker_in_time() {
+    fleet_site site(2);
+    site.work = seconds(20);
+    auto step = make_step(1, 8);
+    step.checkpoints = true;
+    auto id = site.submit("q1", step);
+    site.run_for(seconds(1));
+    int at = site.workers[0].running.empty() ? 1 : 0;
+    site.drain(at);
+    site.run_for(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.workers[at].running.size());
+    site.run_for(milliseconds(1900));
+    CPPUNIT_ASSERT(site.workers[at].running.empty());
+    CPPUNIT_ASSERT_EQUAL(1, site.running(id));
+    assert_clean(site);
+  }
+
+  void work_that_ends_in_time_stays_on_a_draining_worker() {
+    fleet_site site(2);
+    site.work = seconds(4);
+    auto id = site.submit("q1", make_step(2, 8));
+    site.run_for(seconds(2));
+    site.drain(0);
+    site.run_for(seconds(3));
+    assert_state(job_state::complete, site, id);
+    CPPUNIT_ASSERT_EQUAL(2, site.workers[0].starts + site.workers[1].starts);
+    assert_clean(site);
+  }
+
   void lasting_tasks_are_started_again() {
     fleet_site site(2);
     auto step = make_step(2, 1);
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -82,6 +82,7 @@
     said.labels = w.record.labels;
     said.capacity = w.record.capacity;
     said.draining = w.record.draining;
+    if (w.record.draining) said.remaining = w.leaves - now_;
     said.clock_ms = to_ms(now_);
     said.sequence = static_cast<std::uint64_t>(to_ms(now_));
     if (auto news = dispatcher_.report(state_.tables(), said, clock())) {
@@ -145,8 +146,10 @@
   report_all();
 }
 
-void fleet_site::drain(int worker) {
-  workers[static_cast<std::size_t>(worker)].record.draining = true;
+void fleet_site::drain(int worker, milliseconds remaining) {
+  auto& w = workers[static_cast<std::size_t>(worker)];
+  w.record.draining = true;
+  w.leaves = now_ + remaining;
   report_all();
 }
 
@@ -397,12 +400,28 @@
   for (auto next = w.running.begin(); next != w.running.end();) {
     auto item = next++;
     const auto& spec = job(item->first.job).spec.steps[item->first.step];
+    if (hangs(w, item->first)) item->second.ends += step_time;
     if (spec.lasting || item->second.ends > now_) continue;
     end(w, item->first, fleet::run_end::done);
     next = w.running.begin();
   }
 }
 
+// A gang makes progress only while all its members do.
+auto fleet_site::hangs(const fake_worker& w, const fleet::task_ref& task) const
+    -> bool {
+  if (w.hangs) return true;
+  if (!w.running.at(task).gang) return false;
+  return std::ranges::any_of(workers, [&](const fake_worker& other) {
+    return other.hangs &&
+           std::ranges::any_of(other.running, [&](const auto& item) {
+             return item.first.job == task.job &&
+                    item.first.step == task.step &&
+                    item.first.occurrence == task.occurrence;
+           });
+  });
+}
+
 void fleet_site::check_rules() {
   for (const auto& w : workers) {
     fleet::resources used;
--- a/test/fakes/fleet_site.h
+++ b/test/fakes/fleet_site.h
@@ -34,6 +34,8 @@
   bool silent = false;  // hears nothing and answers nothing
   bool mute = false;    // carries orders out and answers nothing
   bool fails = false;   // fails all that it starts
+  bool hangs = false;   // what it runs makes no progress
+  time_point leaves;    // while it drains
 };
 
 /// The dispatcher with tables, a clock and fake workers around it. Commands
@@ -64,12 +66,13 @@
 
   /// A worker starts again under its name.
   void reborn(int worker);
-  void drain(int worker);
+  void drain(int worker, milliseconds remaining = milliseconds(3000));
 
   auto job(fleet::job_id id) const -> const fleet::job_record&;
   auto state(fleet::job_id id) const -> fleet::job_state;
   auto running(fleet::job_id id) const -> int;  // tasks on all workers
   auto now() const -> time_point { return now_; }
+  auto dispatcher() const -> const fleet::dispatcher& { return dispatcher_; }
 
   /// What the dispatcher believes of every run and worker, for messages.
   auto describe() const -> std::string;
@@ -93,6 +96,7 @@
       -> fleet::order_answer;
   void advance(fake_worker& worker);
   void end(fake_worker& worker, fleet::task_ref task, fleet::run_end how);
+  auto hangs(const fake_worker& w, const fleet::task_ref& task) const -> bool;
   void check_rules();
   void remember(std::string_view what, const fleet::task_ref& task,
                 std::uint32_t run, const fake_worker& worker);
