--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -12,26 +12,38 @@
 constexpr double patient_stretch = 2.5;
 // So many tasks of a step tell the speeds of machines that nothing is known of.
 constexpr std::uint32_t tasks_to_compare = 3;
-// Beyond the guarantee an urgent step may cost others as much work as it has
-// itself: more work lost was worth less on days of both sites, and so was any
-// work that other priorities stopped.
-constexpr double urgent_worth = 1;
 // Between two searches for a step's place; a stop takes half as long.
 constexpr milliseconds reclaim_pause{100};
 // The platform counts an accelerator as so many cores.
 constexpr std::int64_t cores_an_accelerator = 8;
-// A task that saves its progress loses what came after the last snapshot.
-constexpr milliseconds unsaved{500};
+// What a stop costs beside the work that is done again: its room stands empty
+// until the stop is confirmed, and the task loads its data again.
+constexpr milliseconds stop_overhead{1000};
+// Work of a queue one priority higher is worth so much more to keep: its gangs
+// wait long for another place, while single tasks find one soon.
+// Beyond its guarantee an urgent step may cost the next priority as much work
+// as it has itself.
+constexpr std::int64_t loss_factor = 3;
 
 auto cores_of(const step_spec& spec) -> std::int64_t {
   return spec.each.cpu_milli / 1000 +
          spec.each.accelerators * cores_an_accelerator;
 }
 
-/// Core-milliseconds to be done again if a run is stopped.
+/// Core-milliseconds lost if a run is stopped. A stop saves the progress of a
+/// task that takes snapshots.
 auto loss_of(const step_spec& spec, milliseconds ran) -> std::int64_t {
-  auto lost = spec.checkpoints ? std::min(ran, unsaved) : ran;
-  return cores_of(spec) * lost.count();
+  auto lost = spec.checkpoints ? milliseconds(0) : ran;
+  return cores_of(spec) * (lost + stop_overhead).count();
+}
+
+/// The weight of a loss to a queue of this priority, relative to the lowest.
+auto loss_weight(const site& config, std::uint32_t priority) -> std::int64_t {
+  std::uint32_t lowest = priority;
+  for (const auto& q : config.queues) lowest = std::max(lowest, q.priority);
+  std::int64_t weight = 1;
+  for (; priority < lowest; ++priority) weight *= loss_factor;
+  return weight;
 }
 
 /// Tasks of this step that each worker has.
@@ -278,7 +290,9 @@
     std::vector<stoppable>& found) const {
   const auto& spec = job.spec.steps[ref.step];
   const auto& tasks = job.open.at(ref.occurrence).steps[ref.step].tasks;
-  if (spec.lasting) return;
+  const auto* where = find_queue(*site_, job.spec.queue);
+  if (spec.lasting || where == nullptr) return;
+  auto weight = loss_weight(*site_, where->priority);
   stoppable one;
   for (std::uint32_t t = 0; t < tasks.size(); ++t) {
     task_ref name{ref.job, ref.occurrence, ref.step, t};
@@ -295,7 +309,7 @@
       one.what.frees.push_back({at->second, reserved_by(spec)});
     }
     one.accelerators += spec.each.accelerators;
-    one.what.loss += loss_of(spec, now.steady - run->second.placed_at);
+    one.what.loss += weight * loss_of(spec, now.steady - run->second.placed_at);
     if (!spec.gang && !one.what.frees.empty()) found.push_back(one);
   }
   if (spec.gang && !one.what.frees.empty()) found.push_back(std::move(one));
@@ -361,8 +375,7 @@
   if (!plan || plan->stopped.empty()) return;
   auto own = cores_of(*item.spec) * item.spec->estimate.count() *
              static_cast<std::int64_t>(item.tasks.size());
-  bool worth_it = static_cast<double>(plan->loss) <=
-                  urgent_worth * static_cast<double>(own);
+  bool worth_it = plan->loss <= own * loss_factor;
   if (!guaranteed && !worth_it) return;
   auto placements = make_placements(item, plan->chosen, rows, pass);
   for (auto v : plan->stopped) {
