--- a/src/core/fleet/dispatch_answers.cpp
+++ b/src/core/fleet/dispatch_answers.cpp
@@ -188,6 +188,7 @@
     noted = end.sequence;
     if (!matches) continue;
     judge(worker, end.task, end.how, now);
+    keep_room(tables, worker, end.task, now);
     auto run = runs_.find(end.task);
     if (end.how == run_end::done && run != runs_.end()) {
       measure(tables, end.task, run->second, whole_percent, now);
@@ -206,6 +207,17 @@
   confirm_ends(tables, worker);
 }
 
+// Room that urgent work leaves is kept for the next for a while.
+void dispatcher::keep_room(const fleet_tables& tables, worker_state& worker,
+                           const task_ref& task, moment now) {
+  const auto& spec = tables.jobs.at(task.job).spec;
+  const auto* where = find_queue(*site_, spec.queue);
+  if (where == nullptr || where->priority != 0) return;
+  worker.kept.expire(now.steady);
+  worker.kept.keep(reserved_by(spec.steps[task.step]),
+                   now.steady + limits_.urgent_room);
+}
+
 // An end may be acknowledged once the tables have it.
 void dispatcher::confirm_ends(const fleet_tables& tables,
                               worker_state& worker) {
--- a/src/core/fleet/dispatch_limits.h
+++ b/src/core/fleet/dispatch_limits.h
@@ -22,6 +22,9 @@
   milliseconds gang_wait{3000};
   // Until a reclaimed place that did not become free is given up.
   milliseconds reservation{2000};
+  // Room that urgent work left is kept so long for the next. The longer, the
+  // less work it stops, and the more room stands idle.
+  milliseconds urgent_room{1000};
   // Without progress for so long, a run counts as standing still.
   milliseconds standstill{1500};
   // First quarantine of a worker that fails; doubled while it goes on.
--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -98,8 +98,9 @@
   for (const auto& [name, record] : tables.workers) {
     if (!is_usable(record, now)) continue;
     auto machine = machine_of(record);
-    pass.add({&record, record.capacity - workers_.at(name).used,
-              speeds_.speed(machine), speeds_.knows(machine)});
+    const auto& worker = workers_.at(name);
+    pass.add({&record, record.capacity - worker.used,
+              worker.kept.total(now.steady), speeds_.speed(machine), speeds_.knows(machine)});
   }
   auto subtract = [&](std::span<const placement> placements) {
     for (const auto& p : placements) {
@@ -215,7 +216,8 @@
   for (auto i : rows) {
     const auto& row = pass.row(i);
     auto taken = counts.find(row.record->life.name);
-    candidates.push_back({row.record->rack, row.room, row.record->capacity,
+    auto room = urgent ? row.room : row.room - row.kept;
+    candidates.push_back({row.record->rack, room, row.record->capacity,
                           row.speed, taken == counts.end() ? 0 : taken->second,
                           row.known});
   }
@@ -233,7 +235,13 @@
   double slowest = candidates[chosen.front().candidate].speed;
   for (const auto& c : chosen) {
     slowest = std::min(slowest, candidates[c.candidate].speed);
-    pass.take_row(rows[c.candidate], need.each * c.tasks);
+    auto amount = need.each * c.tasks;
+    if (!urgent) {
+      pass.take_row(rows[c.candidate], amount);
+      continue;
+    }
+    pass.take_kept(rows[c.candidate], amount);
+    workers_[pass.row(rows[c.candidate]).record->life.name].kept.use(amount);
   }
   note("placed",
        {{"step", fleet::to_string(item.step)},
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -120,6 +120,8 @@
                const run_watch& run, std::uint32_t percent, moment now);
   void note_ends(const fleet_tables& tables, worker_state& worker,
                  const order_looked& answer, moment now);
+  void keep_room(const fleet_tables& tables, worker_state& worker,
+                 const task_ref& task, moment now);
   void confirm_ends(const fleet_tables& tables, worker_state& worker);
   void give_up_runs(const fleet_tables& tables, const worker_life& life,
                     std::string_view reason, moment now);
--- a/src/core/fleet/planning_pass.cpp
+++ b/src/core/fleet/planning_pass.cpp
@@ -36,6 +36,15 @@
   if (it != index_.end()) rows_[it->second].room -= amount;
 }
 
+void planning_pass::take_kept(std::size_t i, const resources& amount) {
+  auto& row = rows_[i];
+  row.room -= amount;
+  row.kept -= amount;
+  row.kept.cpu_milli = std::max<std::int64_t>(row.kept.cpu_milli, 0);
+  row.kept.memory_mb = std::max<std::int64_t>(row.kept.memory_mb, 0);
+  row.kept.accelerators = std::max<std::int64_t>(row.kept.accelerators, 0);
+}
+
 auto planning_pass::room(std::string_view worker) const -> const resources* {
   auto it = index_.find(worker);
   return it == index_.end() ? nullptr : &rows_[it->second].room;
--- a/src/core/fleet/planning_pass.h
+++ b/src/core/fleet/planning_pass.h
@@ -16,6 +16,7 @@
 struct planning_row {
   const worker_record* record = nullptr;
   resources room;
+  resources kept;  // part of the room, for urgent work only
   double speed = 1;
   bool known = true;  // whether its speed was ever seen
 };
@@ -41,6 +42,9 @@
     rows_[i].room -= amount;
   }
 
+  /// Takes room for urgent work, first of what is kept for it.
+  void take_kept(std::size_t i, const resources& amount);
+
   /// Remembers that a need did not fit the workers of a service and label.
   void note_failure(std::string_view service, std::string_view label,
                     const placement_need& need);
--- a/src/core/fleet/worker_state.h
+++ b/src/core/fleet/worker_state.h
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "core/fleet/command.h"
+#include "core/fleet/kept_room.h"
 #include "core/fleet/lease_clock.h"
 
 namespace parsleyledge::fleet {
@@ -27,6 +28,7 @@
 
   std::uint32_t failures = 0;  // runs in a row
   time_point quarantined_until;
+  kept_room kept;  // for urgent work
 
   // Derived from the tables by each sweep.
   std::uint32_t holding = 0;  // tasks
