--- a/src/adapters/fleet_codec.cpp
+++ b/src/adapters/fleet_codec.cpp
@@ -167,6 +167,16 @@
           {from.ended().begin(), from.ended().end()}};
 }
 
+void write(const noted_speed& from, wire::fleet_speed& to) {
+  to.set_machine(from.machine);
+  to.set_log_speed(from.speed.log_speed);
+  to.set_weight(from.speed.weight);
+}
+
+auto read(const wire::fleet_speed& from) -> noted_speed {
+  return {from.machine(), {from.log_speed(), from.weight()}};
+}
+
 void write_command(const command& from, wire::fleet_command& to) {
   std::visit(overloaded{[&](const read_barrier&) { to.set_barrier(true); },
                         [&](const put_site& c) {
@@ -221,6 +231,12 @@
                           to.mutable_kept_up()->set_wave(c.wave);
                           to.mutable_kept_up()->set_machine(c.machine);
                           to.mutable_kept_up()->set_ended(c.ended);
+                        },
+                        [&](const note_speeds& c) {
+                          auto& notes = *to.mutable_speeds();
+                          for (const auto& one : c.speeds) {
+                            write(one, *notes.add_speeds());
+                          }
                         }},
              from);
 }
@@ -271,6 +287,13 @@
     case fleet_command::kKeptUp:
       return note_upkeep{from.kept_up().wave(), from.kept_up().machine(),
                          from.kept_up().ended()};
+    case fleet_command::kSpeeds: {
+      note_speeds notes;
+      for (const auto& one : from.speeds().speeds()) {
+        notes.speeds.push_back(read(one));
+      }
+      return notes;
+    }
     case fleet_command::WHAT_NOT_SET:
       return {};
   }
@@ -381,6 +404,9 @@
   for (const auto& [number, wave] : tables.waves) {
     write(number, wave, *message.add_waves());
   }
+  for (const auto& [machine, speed] : tables.speeds) {
+    write(noted_speed{machine, speed}, *message.add_speeds());
+  }
   return message.SerializeAsString();
 }
 
@@ -402,6 +428,9 @@
   for (const auto& wave : message.waves()) {
     tables.waves[wave.number()] = read(wave);
   }
+  for (const auto& speed : message.speeds()) {
+    tables.speeds[speed.machine()] = read(speed).speed;
+  }
   return tables;
 }
 
--- a/src/core/fleet/command.h
+++ b/src/core/fleet/command.h
@@ -96,13 +96,23 @@
   bool ended = false;
 };
 
+struct noted_speed {
+  std::string machine;
+  machine_speed speed;
+};
+
+/// Notes what was learned of machines' speeds, for leaders to come.
+struct note_speeds {
+  std::vector<noted_speed> speeds;
+};
+
 /// Changes nothing. Once it is committed, the tables hold all that was
 /// acknowledged before it was proposed.
 struct read_barrier {};
 
 using command = std::variant<read_barrier, put_site, add_job, cancel_job,
                              fail_job, place_tasks, end_runs, note_worker,
-                             drop_worker, add_wave, note_upkeep>;
+                             drop_worker, add_wave, note_upkeep, note_speeds>;
 
 /// What a command did.
 enum class command_outcome {
--- a/src/core/fleet/dispatch_limits.h
+++ b/src/core/fleet/dispatch_limits.h
@@ -25,6 +25,9 @@
   // Room that urgent work left is kept so long for the next. The longer, the
   // less work it stops, and the more room stands idle.
   milliseconds urgent_room{1000};
+  // Between two notes of what was learned of machines' speeds, so that they
+  // cost one small command.
+  milliseconds speed_notes{1000};
   // Without progress for so long, a run counts as standing still.
   milliseconds standstill{1500};
   // First quarantine of a worker that fails; doubled while it goes on.
--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -31,6 +31,9 @@
     worker.clock.assume_granted_until(now.steady +
                                       limits_.longest_lease * 100 / 98);
   }
+  for (const auto& [machine, speed] : tables.speeds) {
+    speeds_.restore(machine, speed);
+  }
   sweep(tables, now);
   for (auto& [ref, run] : runs_) run.phase = run_phase::inherited;
   note("leading", {{"fence", std::to_string(fence)},
@@ -118,11 +121,19 @@
     give_up_runs(tables, worker.life, "lease ran out", now);
   }
   for (const auto& [name, worker] : workers_) evacuate(tables, worker, now);
+  note_speeds_learned(now);
   plan(tables, now);
   act(tables, now);
   return take_effects();
 }
 
+void dispatcher::note_speeds_learned(moment now) {
+  if (now.steady - speeds_noted_at_ < limits_.speed_notes) return;
+  speeds_noted_at_ = now.steady;
+  auto news = speeds_.take_news();
+  if (!news.empty()) propose_command(note_speeds{std::move(news)});
+}
+
 // Brings the watches of runs and the use of workers in line with the tables.
 void dispatcher::sweep(const fleet_tables& tables, moment now) {
   for (auto& [name, worker] : workers_) {
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -128,6 +128,7 @@
   void end_as_lost(const task_ref& ref, run_watch& run, std::string_view reason,
                    moment now);
   void fail_hopeless_jobs(const fleet_tables& tables, moment now);
+  void note_speeds_learned(moment now);
   auto propose_command(command what) -> std::uint64_t;
   void note(std::string_view event,
             std::vector<std::pair<std::string_view, std::string>> fields);
@@ -194,6 +195,7 @@
   std::map<step_ref, reservation> reservations_;
   std::map<step_ref, time_point> reclaim_tried_;
   speed_table speeds_;
+  time_point speeds_noted_at_;
   failure_log failed_steps_;
   std::set<job_id> failing_;   // jobs whose end as failed is proposed
   std::set<task_ref> ending_;  // runs whose end as lost is proposed
--- a/src/core/fleet/fleet_state.cpp
+++ b/src/core/fleet/fleet_state.cpp
@@ -256,4 +256,9 @@
   return command_outcome::done;
 }
 
+auto fleet_state::apply_one(const note_speeds& what) -> command_outcome {
+  for (const auto& one : what.speeds) tables_.speeds[one.machine] = one.speed;
+  return command_outcome::done;
+}
+
 }  // namespace parsleyledge::fleet
--- a/src/core/fleet/fleet_state.h
+++ b/src/core/fleet/fleet_state.h
@@ -26,6 +26,7 @@
   auto apply_one(const drop_worker& what) -> command_outcome;
   auto apply_one(const add_wave& what) -> command_outcome;
   auto apply_one(const note_upkeep& what) -> command_outcome;
+  auto apply_one(const note_speeds& what) -> command_outcome;
 
   void place(const placement& one);
   void end_run(const ended_run& end, time_point at);
--- a/src/core/fleet/records.h
+++ b/src/core/fleet/records.h
@@ -74,6 +74,15 @@
   std::vector<std::string> ended;
 };
 
+/// How fast a machine is, as a logarithm relative to the others, and how much
+/// that rests on.
+struct machine_speed {
+  double log_speed = 0;
+  double weight = 0;
+
+  auto operator==(const machine_speed&) const -> bool = default;
+};
+
 /// The replicated tables: the same on every replica after the same commands.
 struct fleet_tables {
   std::uint64_t site_version = 0;
@@ -82,6 +91,7 @@
   std::deque<job_id> ended;  // oldest first
   std::map<std::string, worker_record, std::less<>> workers;
   std::map<std::uint64_t, wave_record> waves;
+  std::map<std::string, machine_speed, std::less<>> speeds;  // by machine
 };
 
 /// The task, or null if its job or occurrence is no longer open.
--- a/src/core/fleet/speed_table.cpp
+++ b/src/core/fleet/speed_table.cpp
@@ -13,6 +13,8 @@
 constexpr double most_weight = 6;
 // Doubts a first sample, which may be of an uncommonly large task.
 constexpr double first_doubt = 0.5;
+// A smaller change of the logarithm is not worth a command.
+constexpr double noticeable = 0.1;
 
 }  // namespace
 
@@ -39,12 +41,12 @@
   for (const auto& s : samples) {
     if (s.machine == machine) continue;
     auto it = machines_.find(s.machine);
-    auto log_speed = it == machines_.end() ? 0 : it->second.log_speed;
+    auto log_speed = it == machines_.end() ? 0 : it->second.now.log_speed;
     work += log_speed - s.log_rate;
     ++others;
   }
   samples.push_back({std::string(machine), log_rate});
-  auto& known = machines_[std::string(machine)];
+  auto& known = machines_[std::string(machine)].now;
   if (others == 0) return;
   auto seen = log_rate + work / others;
   auto weight = known.weight + first_doubt;
@@ -54,12 +56,32 @@
 
 auto speed_table::speed(std::string_view machine) const -> double {
   auto it = machines_.find(machine);
-  return it == machines_.end() ? 1 : std::exp(it->second.log_speed);
+  return it == machines_.end() ? 1 : std::exp(it->second.now.log_speed);
+}
+
+void speed_table::restore(std::string_view machine,
+                          const machine_speed& speed) {
+  auto& known = machines_[std::string(machine)];
+  known.noted = speed;
+  if (known.now.weight < speed.weight) known.now = speed;
+}
+
+auto speed_table::take_news() -> std::vector<noted_speed> {
+  std::vector<noted_speed> news;
+  for (auto& [machine, known] : machines_) {
+    if (known.now.weight == 0) continue;
+    bool fresh = known.noted.weight == 0;
+    auto change = std::abs(known.now.log_speed - known.noted.log_speed);
+    if (!fresh && change < noticeable) continue;
+    known.noted = known.now;
+    news.push_back({machine, known.now});
+  }
+  return news;
 }
 
 auto speed_table::knows(std::string_view machine) const -> bool {
   auto it = machines_.find(machine);
-  return it != machines_.end() && it->second.weight > 0;
+  return it != machines_.end() && it->second.now.weight > 0;
 }
 
 }  // namespace parsleyledge::fleet
--- a/src/core/fleet/speed_table.h
+++ b/src/core/fleet/speed_table.h
@@ -5,7 +5,7 @@
 #include <string_view>
 #include <vector>
 
-#include "core/fleet/ids.h"
+#include "core/fleet/command.h"
 
 namespace parsleyledge::fleet {
 
@@ -20,13 +20,20 @@
   /// The speed of a machine; 1 until something is known.
   auto speed(std::string_view machine) const -> double;
 
+  /// Takes over what an earlier leader learned, unless more is known here.
+  void restore(std::string_view machine, const machine_speed& speed);
+
+  /// What has changed noticeably since it was last taken, to be noted for
+  /// leaders to come.
+  auto take_news() -> std::vector<noted_speed>;
+
   /// Whether a machine has been compared with others.
   auto knows(std::string_view machine) const -> bool;
 
  private:
   struct learned {
-    double log_speed = 0;
-    double weight = 0;
+    machine_speed now;
+    machine_speed noted;
   };
   struct sample {
     std::string machine;
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -44,6 +44,8 @@
   CPPUNIT_TEST(a_new_life_of_a_worker_frees_its_work_at_once);
   CPPUNIT_TEST(a_new_leader_takes_over_running_work);
   CPPUNIT_TEST(a_new_leader_starts_what_was_only_placed);
+  CPPUNIT_TEST(a_new_leader_knows_the_speeds_of_machines);
+  CPPUNIT_TEST(urgent_work_leaves_its_room_to_the_next);
   CPPUNIT_TEST(a_cancelled_job_is_stopped);
   CPPUNIT_TEST(a_draining_worker_gets_no_work);
   CPPUNIT_TEST(a_worker_that_fails_everything_is_left_alone);
@@ -229,6 +231,45 @@
     assert_clean(site);
   }
 
+  void a_new_leader_knows_the_speeds_of_machines() {
+    fleet_site site(4);
+    site.workers[0].slowness = 4;
+    for (int i = 0; i < 4; ++i) {
+      site.submit("q2", make_step(16, 2));
+      site.run_for(seconds(5));
+    }
+    auto speed = [&](const std::string& machine) {
+      return site.dispatcher().speeds().speed(machine);
+    };
+    CPPUNIT_ASSERT(speed("m0") < speed("m1") / 2);
+    site.replace_leader();
+    CPPUNIT_ASSERT(speed("m0") < speed("m1") / 2);
+    assert_clean(site);
+  }
+
+  // A pattern of heavy days: urgent gangs one after the other on a full site.
+  void urgent_work_leaves_its_room_to_the_next() {
+    fleet_site site(4);
+    site.configure(16);
+    site.work = milliseconds(700);
+    auto stops = [&] {
+      return std::ranges::count_if(site.history, [](const std::string& line) {
+        return line.find(" reclaim ") != std::string::npos;
+      });
+    };
+    for (int i = 0; i < 20; ++i) site.submit("q2", make_step(32, 1));
+    site.run_for(milliseconds(200));
+    for (int i = 0; i < 6; ++i) {
+      auto id = site.submit("q0", make_gang(2, 8));
+      site.run_for(seconds(1));
+      assert_state(job_state::complete, site, id);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, stops());
+    site.run_for(seconds(20));
+    CPPUNIT_ASSERT_EQUAL(0, site.running({1}));
+    assert_clean(site);
+  }
+
   void a_cancelled_job_is_stopped() {
     fleet_site site(2);
     site.work = seconds(30);
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -67,6 +67,7 @@
   }
   site->customers["a"] = {"a", guaranteed_a};
   site->customers["b"] = {"b", guaranteed_b};
+  site_ = site;
   dispatcher_.adopt(site);
 }
 
@@ -126,6 +127,12 @@
   report_all();
 }
 
+void fleet_site::replace_leader() {
+  dispatcher_ = fleet::dispatcher(fleet::dispatch_limits{});
+  dispatcher_.adopt(site_);
+  change_leader();
+}
+
 void fleet_site::reborn(int worker) {
   auto& w = workers[static_cast<std::size_t>(worker)];
   ++w.record.life.born_ms;
@@ -334,7 +341,7 @@
   if (w.record.draining) broken_rules.insert("start on a draining worker");
   const auto& spec = job(o.task.job).spec.steps[o.task.step];
   remember("starts", o.task, o.run, w);
-  w.running[o.task] = {o.run, now_ + work, spec.gang};
+  w.running[o.task] = {o.run, now_ + work * w.slowness, spec.gang};
   ++w.starts;
   if (w.fails) end(w, o.task, fleet::run_end::failed);
   return fleet::order_accepted{to_ms(now_)};
@@ -355,7 +362,8 @@
       to_ms(now_), w.record.life.born_ms, {}, {w.ended.begin(), w.ended.end()}};
   for (const auto& [task, run] : w.running) {
     auto left = std::max<std::int64_t>((run.ends - now_).count(), 0);
-    auto percent = 100 - left * 100 / std::max<std::int64_t>(work.count(), 1);
+    auto whole = std::max<std::int64_t>((work * w.slowness).count(), 1);
+    auto percent = 100 - left * 100 / whole;
     said.running.push_back(
         {task, run.run, "", static_cast<std::uint32_t>(percent), 0});
   }
--- a/test/fakes/fleet_site.h
+++ b/test/fakes/fleet_site.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -34,6 +35,7 @@
   bool silent = false;  // hears nothing and answers nothing
   bool mute = false;    // carries orders out and answers nothing
   bool fails = false;   // fails all that it starts
+  int slowness = 1;     // tasks take so many times as long
   bool hangs = false;   // what it runs makes no progress
   time_point leaves;    // while it drains
 };
@@ -64,6 +66,9 @@
   /// Another leader takes over with the tables alone.
   void change_leader();
 
+  /// The same, but the new leader is another process.
+  void replace_leader();
+
   /// A worker starts again under its name.
   void reborn(int worker);
   void drain(int worker, milliseconds remaining = milliseconds(3000));
@@ -113,6 +118,7 @@
   time_point now_ = at_ms(1'000'000);
   fleet::fleet_state state_;
   fleet::dispatcher dispatcher_;
+  std::shared_ptr<const fleet::site> site_;
   std::uint64_t fence_ = 1;
   std::uint64_t next_job_ = 1;
   std::vector<waiting_look> looks_;
