--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -4,6 +4,7 @@
 
 #include "adapters/operator_client.h"
 #include "adapters/settings.h"
+#include "fleet_bench.h"
 #include "job_bench.h"
 #include "state_bench.h"
 
@@ -16,6 +17,9 @@
 ABSL_FLAG(int, seeds, 5, "number of seeds");
 ABSL_FLAG(int, threads, 5, "replays at the same time");
 ABSL_FLAG(std::string, policy, "", "jobs: only this policy");
+ABSL_FLAG(std::string, shape, "batch_grown",
+          "fleet: fridge, batch, fridge_grown or batch_grown");
+ABSL_FLAG(int, seconds, 30, "fleet: simulated time");
 ABSL_FLAG(std::string, folder, "/tmp", "state: folder on the disk to measure");
 ABSL_FLAG(int, records, 1000000, "state: most records to recover");
 ABSL_FLAG(bool, json, false, "print JSON lines in place of a table");
@@ -24,6 +28,7 @@
 
 constexpr std::string_view usage =
     "parsleyledge-bench jobs: replays a seeded list against the decisions\n"
+    "parsleyledge-bench fleet: times the dispatcher on simulated workers\n"
     "parsleyledge-bench state: measures the journal and its recovery";
 
 void run_jobs() {
@@ -41,6 +46,19 @@
   bench::run_job_bench(settings);
 }
 
+void run_fleet() {
+  bench::fleet_bench_settings settings;
+  if (!bench::parse_fleet_shape(absl::GetFlag(FLAGS_shape), settings.shape)) {
+    refuse_setting("shape",
+                   "expected fridge, batch, fridge_grown or batch_grown");
+  }
+  settings.load = absl::GetFlag(FLAGS_load);
+  settings.first_seed = static_cast<std::uint64_t>(absl::GetFlag(FLAGS_seed));
+  settings.seeds = static_cast<std::size_t>(absl::GetFlag(FLAGS_seeds));
+  settings.seconds = static_cast<std::uint32_t>(absl::GetFlag(FLAGS_seconds));
+  bench::run_fleet_bench(settings);
+}
+
 }  // namespace
 
 auto main(int argc, char** argv) -> int {
@@ -49,6 +67,10 @@
     run_jobs();
     return 0;
   }
+  if (words.size() == 1 && words[0] == "fleet") {
+    run_fleet();
+    return 0;
+  }
   if (words.size() == 1 && words[0] == "state") {
     bench::run_state_bench(
         absl::GetFlag(FLAGS_folder),
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -1,6 +1,7 @@
 #include "fakes/fleet_site.h"
 
 #include <algorithm>
+#include <chrono>
 
 #include "core/fleet/task_name.h"
 #include "core/overloaded.h"
@@ -12,7 +13,6 @@
 constexpr milliseconds step_time{10};
 constexpr milliseconds tick_time{100};
 constexpr milliseconds report_time{1500};
-constexpr std::int64_t accelerators_a_worker = 8;
 
 }  // namespace
 
@@ -32,7 +32,7 @@
   return step;
 }
 
-fleet_site::fleet_site(int count, int a_rack)
+fleet_site::fleet_site(int count, int a_rack, fleet::resources capacity)
     : dispatcher_(fleet::dispatch_limits{}) {
   for (int i = 0; i < count; ++i) {
     fake_worker w;
@@ -42,7 +42,7 @@
     w.record.service = "s";
     w.record.rack = "r" + std::to_string(i / a_rack);
     w.record.labels = {"a", w.record.rack};
-    w.record.capacity = {64'000, 64'000, accelerators_a_worker};
+    w.record.capacity = capacity;
     workers.push_back(w);
   }
   configure(0);
@@ -179,6 +179,7 @@
 
 void fleet_site::remember(std::string_view what, const fleet::task_ref& task,
                           std::uint32_t run, const fake_worker& worker) {
+  if (!keeps_history) return;
   history.push_back(std::to_string(to_ms(now_)) + " " +
                     worker.record.life.name + " " + std::string(what) + " " +
                     fleet::to_string(task) + " run " + std::to_string(run));
@@ -201,6 +202,13 @@
   return all;
 }
 
+auto fleet_site::work_of(const fake_worker& w,
+                         const fleet::task_ref& task) const -> milliseconds {
+  auto each = work.count() > 0 ? work
+                               : job(task.job).spec.steps[task.step].estimate;
+  return each * w.slowness;
+}
+
 auto fleet_site::find(const std::string& name) -> fake_worker& {
   return *std::ranges::find(
       workers, name, [](const fake_worker& w) { return w.record.life.name; });
@@ -223,8 +231,7 @@
       if (w.silent) {
         unanswered_.emplace_back(l.id, l.until);
       } else if (news || now_ >= l.until) {
-        carry_out(dispatcher_.answered(state_.tables(), l.id, look(w, l.order),
-                                       clock()));
+        answered(l.id, look(w, l.order));
       } else {
         looks_.push_back(l);
       }
@@ -234,16 +241,48 @@
       if (now_ < at) {
         unanswered_.emplace_back(id, at);
       } else {
-        carry_out(dispatcher_.answered(state_.tables(), id,
-                                       fleet::order_unanswered{}, clock()));
+        answered(id, fleet::order_unanswered{});
       }
     }
     if (to_ms(now_) % tick_time.count() == 0) {
-      carry_out(dispatcher_.tick(state_.tables(), clock()));
+      ticked();
     }
   }
 }
 
+namespace {
+
+/// Runs a decision and notes how many microseconds it took.
+template <typename Decide>
+auto timed(std::vector<double>& times, Decide decide) {
+  auto begun = std::chrono::steady_clock::now();
+  auto effects = decide();
+  times.push_back(std::chrono::duration<double, std::micro>(
+                      std::chrono::steady_clock::now() - begun)
+                      .count());
+  return effects;
+}
+
+}  // namespace
+
+void fleet_site::answered(std::uint64_t id, const fleet::order_answer& answer) {
+  carry_out(timed(times.answered, [&] {
+    return dispatcher_.answered(state_.tables(), id, answer, clock());
+  }));
+}
+
+void fleet_site::changed() {
+  carry_out(timed(times.changed, [&] {
+    return dispatcher_.changed(state_.tables(), clock());
+  }));
+}
+
+void fleet_site::ticked() {
+  carry_out(timed(times.ticked, [&] {
+    return dispatcher_.tick(state_.tables(), clock());
+  }));
+}
+
 void fleet_site::apply(const fleet::command& what, std::uint64_t token) {
   if (!commits) {
     held_back_.emplace_back(what, token);
@@ -252,8 +291,8 @@
   state_.apply(what);
   if (token != 0) dispatcher_.committed(token);
   // Another worker of the pool may let time pass before the change is seen.
-  carry_out(dispatcher_.tick(state_.tables(), clock()));
-  carry_out(dispatcher_.changed(state_.tables(), clock()));
+  ticked();
+  changed();
 }
 
 void fleet_site::carry_out(std::vector<fleet::effect> effects) {
@@ -261,6 +300,7 @@
     std::visit(overloaded{[&](fleet::propose& p) { apply(p.what, p.token); },
                           [&](fleet::send_order& o) { give(o); },
                           [&](fleet::decision& d) {
+                            if (!keeps_history) return;
                             auto line = std::to_string(to_ms(now_)) + " " +
                                         std::string(d.event);
                             for (const auto& [key, value] : d.fields) {
@@ -291,7 +331,7 @@
     unanswered_.emplace_back(order.id, now_ + order.timeout);
     return;
   }
-  carry_out(dispatcher_.answered(state_.tables(), order.id, said, clock()));
+  answered(order.id, said);
 }
 
 auto fleet_site::answer(fake_worker& w, const fleet::send_order& order)
@@ -341,7 +381,7 @@
   if (w.record.draining) broken_rules.insert("start on a draining worker");
   const auto& spec = job(o.task.job).spec.steps[o.task.step];
   remember("starts", o.task, o.run, w);
-  w.running[o.task] = {o.run, now_ + work * w.slowness, spec.gang};
+  w.running[o.task] = {o.run, now_ + work_of(w, o.task), spec.gang};
   ++w.starts;
   if (w.fails) end(w, o.task, fleet::run_end::failed);
   return fleet::order_accepted{to_ms(now_)};
@@ -362,7 +402,7 @@
       to_ms(now_), w.record.life.born_ms, {}, {w.ended.begin(), w.ended.end()}};
   for (const auto& [task, run] : w.running) {
     auto left = std::max<std::int64_t>((run.ends - now_).count(), 0);
-    auto whole = std::max<std::int64_t>((work * w.slowness).count(), 1);
+    auto whole = std::max<std::int64_t>(work_of(w, task).count(), 1);
     auto percent = 100 - left * 100 / whole;
     said.running.push_back(
         {task, run.run, "", static_cast<std::uint32_t>(percent), 0});
--- a/test/fakes/fleet_site.h
+++ b/test/fakes/fleet_site.h
@@ -40,11 +40,19 @@
   time_point leaves;    // while it drains
 };
 
+/// How long decisions took, in microseconds.
+struct decision_times {
+  std::vector<double> answered;
+  std::vector<double> changed;
+  std::vector<double> ticked;
+};
+
 /// The dispatcher with tables, a clock and fake workers around it. Commands
 /// are committed at once unless the test holds them back.
 class fleet_site {
  public:
-  explicit fleet_site(int workers, int a_rack = 4);
+  explicit fleet_site(int workers, int a_rack = 4,
+                      fleet::resources capacity = {64'000, 64'000, 8});
 
   /// A configuration with one service and queues q0, q1 and q2 of these
   /// priorities, and customers "a" and "b" with so many accelerators each.
@@ -83,13 +91,18 @@
   auto describe() const -> std::string;
 
   std::vector<fake_worker> workers;
-  milliseconds work{1000};  // of every task
+  milliseconds work{1000};  // of every task; 0: as long as estimated
+  decision_times times;
+  bool keeps_history = true;
   bool commits = true;      // false holds proposals back
   std::set<std::string> broken_rules;
   std::vector<std::string> history;  // of decisions and starts, for messages
 
  private:
   void report_all();
+  void answered(std::uint64_t id, const fleet::order_answer& answer);
+  void changed();
+  void ticked();
   void carry_out(std::vector<fleet::effect> effects);
   void apply(const fleet::command& what, std::uint64_t token);
   void give(const fleet::send_order& order);
@@ -105,6 +118,8 @@
   void check_rules();
   void remember(std::string_view what, const fleet::task_ref& task,
                 std::uint32_t run, const fake_worker& worker);
+  auto work_of(const fake_worker& w, const fleet::task_ref& task) const
+      -> milliseconds;
   auto find(const std::string& name) -> fake_worker&;
   auto clock() const -> fleet::moment { return {now_, now_}; }
 
