Ask policies for advice, run waves of upkeep, pace what fills workers

Three contracts that were read and not served: starts on queues with advice were refused for want of a ticket, waves stayed open for ever, and filling tasks were never slowed. A start that was refused after an unanswered one is stopped before it is given up, or the late order would run it a second time. Tests: contracts_test, 11 cases on the fake site.

--- a/src/adapters/fleet_codec.cpp
+++ b/src/adapters/fleet_codec.cpp
@@ -154,17 +154,25 @@
   to.set_duration_ms(from.duration.count());
   to.set_at_once(from.at_once);
   to.set_asked_at(to_ms(from.asked_at));
-  for (const auto& m : from.begun) to.add_begun(m);
+  for (const auto& m : from.begun) {
+    auto& one = *to.add_begun();
+    one.set_machine(m.machine);
+    one.set_born_ms(m.born_ms);
+  }
   for (const auto& m : from.ended) to.add_ended(m);
 }
 
 auto read(const wire::fleet_wave& from) -> wave_record {
-  return {{from.machines().begin(), from.machines().end()},
-          milliseconds(from.duration_ms()),
-          from.at_once(),
-          at_ms(from.asked_at()),
-          {from.begun().begin(), from.begun().end()},
-          {from.ended().begin(), from.ended().end()}};
+  wave_record to{{from.machines().begin(), from.machines().end()},
+                 milliseconds(from.duration_ms()),
+                 from.at_once(),
+                 at_ms(from.asked_at()),
+                 {},
+                 {from.ended().begin(), from.ended().end()}};
+  for (const auto& m : from.begun()) {
+    to.begun.push_back({m.machine(), m.born_ms()});
+  }
+  return to;
 }
 
 void write(const noted_speed& from, wire::fleet_speed& to) {
@@ -231,6 +239,7 @@
                           to.mutable_kept_up()->set_wave(c.wave);
                           to.mutable_kept_up()->set_machine(c.machine);
                           to.mutable_kept_up()->set_ended(c.ended);
+                          to.mutable_kept_up()->set_born_ms(c.born_ms);
                         },
                         [&](const note_speeds& c) {
                           auto& notes = *to.mutable_speeds();
@@ -286,7 +295,7 @@
       return add_wave{from.wave().number(), read(from.wave())};
     case fleet_command::kKeptUp:
       return note_upkeep{from.kept_up().wave(), from.kept_up().machine(),
-                         from.kept_up().ended()};
+                         from.kept_up().ended(), from.kept_up().born_ms()};
     case fleet_command::kSpeeds: {
       note_speeds notes;
       for (const auto& one : from.speeds().speeds()) {
--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -268,6 +268,16 @@
                  asio::detached);
 }
 
+void fleet_control_node::carry_out_one(fleet::ask_advice& what) {
+  asio::co_spawn(asio::make_strand(pool_), seek_advice(std::move(what)),
+                 asio::detached);
+}
+
+void fleet_control_node::carry_out_one(fleet::send_machine_order& what) {
+  asio::co_spawn(asio::make_strand(pool_), order_machine(std::move(what)),
+                 asio::detached);
+}
+
 void fleet_control_node::carry_out_one(fleet::decision& what) {
   log_decision(what.event, what.fields);
 }
@@ -282,6 +292,26 @@
   });
 }
 
+auto fleet_control_node::seek_advice(fleet::ask_advice what)
+    -> asio::awaitable<void> {
+  auto id = what.id;
+  auto answer = co_await platform_.advise(std::move(what));
+  if (stopped_) co_return;
+  decide([&](const fleet::fleet_tables& tables) {
+    return dispatcher_.advised(tables, id, answer, now_both());
+  });
+}
+
+auto fleet_control_node::order_machine(fleet::send_machine_order what)
+    -> asio::awaitable<void> {
+  auto id = what.id;
+  auto answer = co_await platform_.order_machine(std::move(what));
+  if (stopped_) co_return;
+  decide([&](const fleet::fleet_tables& tables) {
+    return dispatcher_.machine_answered(tables, id, answer, now_both());
+  });
+}
+
 void fleet_control_node::receive(std::string_view from,
                                  wire::envelope message) {
   if (message.has_agreement()) {
@@ -545,7 +575,7 @@
     std::optional<bool> result;
     auto it = state.tables().waves.find(what.number);
     if (it == state.tables().waves.end()) return result;
-    result = it->second.ended.size() == it->second.machines.size();
+    result = is_complete(it->second);
     return result;
   });
   if (!complete) return done(refusal(reply_status::gone, "no such wave"));
--- a/src/adapters/fleet_control_node.h
+++ b/src/adapters/fleet_control_node.h
@@ -108,8 +108,13 @@
   void carry_out(std::vector<fleet::effect> effects);
   void carry_out_one(fleet::propose& what);
   void carry_out_one(fleet::send_order& what);
+  void carry_out_one(fleet::ask_advice& what);
+  void carry_out_one(fleet::send_machine_order& what);
   void carry_out_one(fleet::decision& what);
   auto give_order(fleet::send_order what) -> boost::asio::awaitable<void>;
+  auto seek_advice(fleet::ask_advice what) -> boost::asio::awaitable<void>;
+  auto order_machine(fleet::send_machine_order what)
+      -> boost::asio::awaitable<void>;
 
   /// Runs a decision on the tables and the dispatcher, then its effects.
   template <typename Decide>
--- a/src/apps/fleet_control.cpp
+++ b/src/apps/fleet_control.cpp
@@ -87,11 +87,18 @@
             {{"entries", static_cast<std::int64_t>(recovered.entries.size())}});
 
   boost::asio::thread_pool pool(node_file.cores + extra_threads);
-  platform::worker_client workers;
+  platform::worker_client workers(
+      {node_file.advice_address, node_file.machines_address, node_file.node});
   fleet::platform_port port{
       [&workers](fleet::send_order what) {
         return workers.give(std::move(what));
       },
+      [&workers](fleet::ask_advice what) {
+        return workers.advise(std::move(what));
+      },
+      [&workers](fleet::send_machine_order what) {
+        return workers.order_machine(std::move(what));
+      },
       [](std::string_view document) -> std::optional<fleet::site> {
         auto parsed = platform::parse_site(document);
         if (auto* site = std::get_if<fleet::site>(&parsed)) return *site;
--- a/src/core/fleet/command.h
+++ b/src/core/fleet/command.h
@@ -94,6 +94,7 @@
   std::uint64_t wave = 0;
   std::string machine;
   bool ended = false;
+  std::int64_t born_ms = 0;  // of the life that it ends
 };
 
 struct noted_speed {
--- a/src/core/fleet/dispatch_answers.cpp
+++ b/src/core/fleet/dispatch_answers.cpp
@@ -83,6 +83,10 @@
     run->phase = run_phase::stopped;
     run->settled_at = now.steady;
   }
+  if (const auto* pace = std::get_if<pace_order>(&asked.what)) {
+    run->pace = pace->percent;
+    run->pace_out = false;
+  }
 }
 
 void dispatcher::handle(const fleet_tables& tables, const pending_order& asked,
@@ -95,6 +99,7 @@
   const auto& look = std::get<look_order>(asked.what);
   worker.told = std::max(worker.told, look.acknowledged);
   note_running(tables, worker, answer, asked.sent_at, now);
+  pace_fillers(tables, worker, answer, now);
   note_ends(tables, worker, answer, now);
 }
 
@@ -234,10 +239,11 @@
   worker.unanswered = 0;
   worker.answered_at = now.steady;
   auto* run = ordered_run(asked.what);
-  if (run == nullptr) {
+  if (std::holds_alternative<look_order>(asked.what)) {
     worker.next_look = now.steady + fence_pause;
-    return;
   }
+  if (run == nullptr) return;
+  run->pace_out = false;
   if (std::holds_alternative<stop_order>(asked.what)) {
     if (run->phase != run_phase::stopping) return;
     bool fenced = answer.why == rejection::fence;
@@ -263,14 +269,16 @@
       break;
     case rejection::no_room:
       worker.quarantined_until = now.steady + fence_pause;
-      end_as_lost(start->task, *run, "no room", now);
+      give_up_start(*run, "no room", now);
       break;
     case rejection::no_ticket:
-      end_as_lost(start->task, *run, "no valid ticket", now);
+      tickets_.drop({start->task.job, start->task.occurrence, start->task.step},
+                    run->worker);
+      give_up_start(*run, "no valid ticket", now);
       break;
     case rejection::invalid:
       judge(worker, start->task, run_end::failed, now);
-      end_as_lost(start->task, *run, "refused as invalid", now);
+      give_up_start(*run, "refused as invalid", now);
       break;
   }
 }
@@ -291,10 +299,11 @@
   worker.next_look = now.steady + unwell_pause;
   auto* run = ordered_run(asked.what);
   if (run == nullptr) return;
+  run->pace_out = false;
   if (const auto* start = std::get_if<start_order>(&asked.what)) {
     if (run->phase != run_phase::starting) return;
     judge(worker, start->task, run_end::failed, now);
-    end_as_lost(start->task, *run, "the worker is unwell", now);
+    give_up_start(*run, "the worker is unwell", now);
   } else if (run->phase == run_phase::stopping) {
     run->phase = run_phase::to_stop;
     run->next_try = now.steady + unwell_pause;
@@ -309,11 +318,13 @@
       now.steady + (worker.runs.empty() ? probe_pause : unwell_pause);
   auto* run = ordered_run(asked.what);
   if (run == nullptr) return;
+  run->pace_out = false;
   if (run->phase == run_phase::stopping) run->phase = run_phase::to_stop;
   run->next_try = now.steady + (answer.sent ? retry_pause : unwell_pause);
   const auto* start = std::get_if<start_order>(&asked.what);
   if (start == nullptr || run->phase != run_phase::starting) return;
   run->phase = run_phase::to_start;
+  run->unanswered = run->unanswered || answer.sent;
   bool gang = tables.jobs.contains(start->task.job) &&
               tables.jobs.at(start->task.job).spec.steps[start->task.step].gang;
   bool too_late = now.steady - run->placed_at >
@@ -321,6 +332,14 @@
   if (too_late && gang) stop_run(*run, "no answer to its start");
 }
 
+// An earlier order without an answer may still start the run, so it has to be
+// stopped first: a worker starts no run that it was told to stop.
+void dispatcher::give_up_start(run_watch& run, std::string_view reason,
+                               moment now) {
+  if (run.unanswered) return stop_run(run, reason);
+  end_as_lost(run.task, run, reason, now);
+}
+
 void dispatcher::end_as_lost(const task_ref& ref, run_watch& run,
                              std::string_view reason, moment now) {
   if (!ending_.insert(ref).second) return;
--- a/src/core/fleet/dispatch_health.cpp
+++ b/src/core/fleet/dispatch_health.cpp
@@ -69,7 +69,7 @@
   }
   const auto& job = tables.jobs.at(ref.job);
   const auto& spec = job.spec.steps[ref.step];
-  if (spec.lasting || is_ended(job)) return false;
+  if (spec.lasting || is_ended(job) || run.pace < whole_percent) return false;
   auto allowed = std::max(limits_.standstill, spec.estimate / estimate_part);
   auto is_still = [&](const run_watch& one) {
     return one.phase == run_phase::started &&
--- a/src/core/fleet/dispatch_limits.h
+++ b/src/core/fleet/dispatch_limits.h
@@ -16,6 +16,9 @@
   milliseconds order_timeout{500};
   // A look waits so long for an end, so that an idle look costs little.
   milliseconds look_wait{1800};
+  // The same where filling tasks may disturb serving ones: several looks within
+  // the time that a serving task may be over its target.
+  milliseconds pace_look{500};
   // Three heartbeats, by the site's settings.
   milliseconds report_silence{4500};
   // The members of a gang wait so long for each other.
--- /dev/null
+++ b/src/core/fleet/dispatch_pace.cpp
@@ -0,0 +1,76 @@
+#include <algorithm>
+
+#include "core/fleet/dispatcher.h"
+#include "core/fleet/task_name.h"
+
+namespace parsleyledge::fleet {
+
+namespace {
+
+constexpr std::uint32_t at_work = 100;  // per cent of a lasting task
+
+auto serves(const step_spec& spec) -> bool {
+  return spec.target.count() > 0;
+}
+
+}  // namespace
+
+// Whether tasks that fill run beside tasks that serve.
+auto dispatcher::shares_processors(const fleet_tables& tables,
+                                   const worker_state& worker) const -> bool {
+  bool any_fills = false;
+  bool any_serves = false;
+  for (const auto* run : worker.runs) {
+    const auto& spec = tables.jobs.at(run->task.job).spec.steps[run->task.step];
+    any_fills = any_fills || spec.fills;
+    any_serves = any_serves || serves(spec);
+  }
+  return any_fills && any_serves;
+}
+
+// Sets the pace of what fills a worker by how those that serve there fare. A
+// serving task that is still starting tells nothing.
+void dispatcher::pace_fillers(const fleet_tables& tables, worker_state& worker,
+                              const order_looked& answer, moment now) {
+  bool fills = std::ranges::any_of(worker.runs, [&](const run_watch* run) {
+    return tables.jobs.at(run->task.job).spec.steps[run->task.step].fills;
+  });
+  if (!fills) return worker.pace.release();
+  double worst = 0;
+  bool serving = false;
+  for (const auto& running : answer.running) {
+    auto job = tables.jobs.find(running.task.job);
+    if (job == tables.jobs.end()) continue;
+    if (running.task.step >= job->second.spec.steps.size()) continue;
+    const auto& spec = job->second.spec.steps[running.task.step];
+    if (!serves(spec)) continue;
+    serving = true;
+    if (running.percent < at_work) continue;
+    worst = std::max(worst, static_cast<double>(running.load) /
+                                static_cast<double>(spec.target.count()));
+  }
+  auto before = worker.pace.percent();
+  if (serving) {
+    worker.pace.observe(worst, now.steady);
+  } else {
+    worker.pace.release();
+  }
+  auto percent = worker.pace.percent();
+  if (percent != before) {
+    note("pace", {{"worker", worker.life.name},
+                  {"percent", std::to_string(percent)},
+                  {"worst_ratio", std::to_string(worst)}});
+  }
+  const auto* record = find_worker(tables, worker.life);
+  if (record == nullptr) return;
+  for (auto* run : worker.runs) {
+    const auto& spec = tables.jobs.at(run->task.job).spec.steps[run->task.step];
+    if (!spec.fills || run->phase != run_phase::started) continue;
+    if (run->pace == percent || run->pace_out) continue;
+    run->pace_out = true;
+    send(*record, pace_order{run->task, run->run, percent},
+         limits_.order_timeout, now.steady);
+  }
+}
+
+}  // namespace parsleyledge::fleet
--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -59,6 +59,12 @@
   return counts;
 }
 
+auto placed_tasks(std::span<const choice> chosen) -> std::uint32_t {
+  std::uint32_t sum = 0;
+  for (const auto& c : chosen) sum += c.tasks;
+  return sum;
+}
+
 auto fits_one_rack(std::span<const candidate> workers,
                    const placement_need& need, std::string_view only) -> bool {
   std::map<std::string_view, std::vector<candidate>> racks;
@@ -74,7 +80,9 @@
 auto dispatcher::is_usable(const worker_record& record,
                            const worker_state& worker, moment now) const
     -> bool {
-  if (record.draining || worker.life != record.life) return false;
+  if (record.draining || worker.closing || worker.life != record.life) {
+    return false;
+  }
   if (worker.quarantined_until > now.steady || worker.unanswered > 0) {
     return false;
   }
@@ -213,6 +221,13 @@
   bool hopeless = pass.has_failed(service, label, need);
   if (hopeless && !urgent) return;
   auto rows = pass.rows_of(service, label);
+  auto all = rows;
+  if (item.where->advice) {
+    std::erase_if(rows, [&](std::size_t i) {
+      return permission_of(item, pass.row(i).record->life, now) !=
+             permission::allowed;
+    });
+  }
   std::vector<candidate> candidates;
   candidates.reserve(rows.size());
   auto counts = tasks_by_worker(item);
@@ -229,8 +244,11 @@
     need.any_rack = !fits_one_rack(candidates, need, need.data_rack);
   }
   auto chosen = choose_workers(candidates, need);
+  if (item.where->advice && placed_tasks(chosen) < need.tasks) {
+    ask_for_advice(item, all, pass, now);
+  }
   if (chosen.empty()) {
-    pass.note_failure(service, label, need);
+    if (!item.where->advice) pass.note_failure(service, label, need);
     reclaim(item, tables, candidates, rows, need, pass, now);
     return;
   }
--- a/src/core/fleet/dispatch_watch.cpp
+++ b/src/core/fleet/dispatch_watch.cpp
@@ -47,12 +47,16 @@
     auto job = tables.jobs.find(item.first.job);
     return job == tables.jobs.end() || is_ended(job->second);
   });
+  std::erase_if(failing_, [&](job_id id) { return !tables.jobs.contains(id); });
+  tickets_.forget_unless([&](job_id id) {
+    auto job = tables.jobs.find(id);
+    return job != tables.jobs.end() && !is_ended(job->second);
+  });
   std::erase_if(ending_,
                 [&](const task_ref& ref) { return !runs_.contains(ref); });
   std::erase_if(workers_, [&](const auto& item) {
     const auto& worker = item.second;
-    return find_worker(tables, worker.life) == nullptr &&
-           worker.runs.empty() &&
+    return find_worker(tables, worker.life) == nullptr && worker.runs.empty() &&
            now.steady - worker.reported_at > limits_.report_silence;
   });
 }
--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -52,6 +52,11 @@
   reservations_.clear();
   reclaim_tried_.clear();
   failed_steps_ = {};
+  tickets_ = {};
+  asked_.reset();
+  advice_after_ = {};
+  closing_.clear();
+  listing_ = 0;
   failing_.clear();
   ending_.clear();
   effects_.clear();
@@ -123,6 +128,7 @@
   }
   for (const auto& [name, worker] : workers_) evacuate(tables, worker, now);
   note_speeds_learned(now);
+  keep_up(tables, now);
   plan(tables, now);
   act(tables, now);
   return take_effects();
@@ -153,7 +159,7 @@
   for (auto* run : worker.runs) {
     if (waits(run)) act_on_run(tables, *record, worker, *run, now);
   }
-  if (wants_look(worker, now)) act_on_worker(*record, worker, now);
+  if (wants_look(worker, now)) act_on_worker(tables, *record, worker, now);
 }
 
 void dispatcher::act_on_run(const fleet_tables& tables,
@@ -172,9 +178,18 @@
   const auto& snapshot = job.spec.steps[ref.step].gang
                              ? step.snapshot
                              : step.tasks[ref.index].snapshot;
+  const auto* where = find_queue(*site_, job.spec.queue);
+  std::string_view ticket;
+  if (where != nullptr && where->advice) {
+    ticket = tickets_.ticket({ref.job, ref.occurrence, ref.step}, run.worker,
+                             now.steady);
+    if (ticket.empty()) return give_up_start(run, "no valid ticket", now);
+  }
   run.phase = run_phase::starting;
   worker.clock.granted(lease);
-  send(record, start_order{ref, run.run, job.spec.text, lease, snapshot, {}},
+  send(record,
+       start_order{ref, run.run, job.spec.text, lease, snapshot,
+                   std::string(ticket)},
        limits_.order_timeout, now.steady);
 }
 
@@ -203,15 +218,16 @@
          now.steady - worker.answered_at >= renewal_pause;
 }
 
-void dispatcher::act_on_worker(const worker_record& record,
+void dispatcher::act_on_worker(const fleet_tables& tables,
+                               const worker_record& record,
                                worker_state& worker, moment now) {
-  bool unsettled =
-      std::ranges::any_of(worker.runs, [](const run_watch* run) {
-        return needs_a_look(run->phase);
-      });
-  auto wait = worker.runs.empty() ? milliseconds(0)
-              : unsettled         ? settle_wait
-                                  : limits_.look_wait;
+  bool unsettled = std::ranges::any_of(worker.runs, [](const run_watch* run) {
+    return needs_a_look(run->phase);
+  });
+  auto wait = worker.runs.empty()                 ? milliseconds(0)
+              : unsettled                         ? settle_wait
+              : shares_processors(tables, worker) ? limits_.pace_look
+                                                  : limits_.look_wait;
   auto lease = lease_for(worker, now);
   worker.clock.granted(lease);
   worker.look_out = true;
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -17,6 +17,7 @@
 #include "core/fleet/reclaim.h"
 #include "core/fleet/run_watch.h"
 #include "core/fleet/speed_table.h"
+#include "core/fleet/ticket_book.h"
 #include "core/fleet/worker_state.h"
 
 namespace parsleyledge::fleet {
@@ -58,6 +59,15 @@
   auto answered(const fleet_tables& tables, std::uint64_t id,
                 const order_answer& answer, moment now) -> std::vector<effect>;
 
+  /// Takes in the answer of a queue's policy.
+  auto advised(const fleet_tables& tables, std::uint64_t id,
+               const advice_answer& answer, moment now) -> std::vector<effect>;
+
+  /// Takes in the answer of the platform of the machines.
+  auto machine_answered(const fleet_tables& tables, std::uint64_t id,
+                        const machine_answer& answer, moment now)
+      -> std::vector<effect>;
+
   /// A proposal is committed; changed() follows.
   void committed(std::uint64_t token) { committed_.push_back(token); }
 
@@ -93,6 +103,23 @@
     time_point until;
   };
 
+  struct asked_advice {
+    ask_advice what;
+    milliseconds validity{0};  // of tickets, by the configuration
+    time_point sent_at;
+  };
+
+  /// A machine on its way down for upkeep, or down.
+  struct closing_machine {
+    std::uint64_t wave = 0;
+    time_point since;
+    std::uint64_t order = 0;  // that is out; 0 if none
+    time_point next_try;
+    bool begun = false;
+    bool over = false;  // its end is proposed
+    worker_life life;   // that the upkeep ends
+  };
+
   struct stoppable {
     std::vector<task_ref> tasks;
     victim what;
@@ -117,8 +144,8 @@
   void act_on_run(const fleet_tables& tables, const worker_record& record,
                   worker_state& worker, run_watch& run, moment now);
   auto wants_look(const worker_state& worker, moment now) const -> bool;
-  void act_on_worker(const worker_record& record, worker_state& worker,
-                     moment now);
+  void act_on_worker(const fleet_tables& tables, const worker_record& record,
+                     worker_state& worker, moment now);
   auto lease_for(const worker_state& worker, moment now) const -> std::int64_t;
   void send(const worker_record& to, order what, milliseconds timeout,
             time_point now);
@@ -146,6 +173,7 @@
   void confirm_ends(const fleet_tables& tables, worker_state& worker);
   void give_up_runs(const fleet_tables& tables, const worker_life& life,
                     std::string_view reason, moment now);
+  void give_up_start(run_watch& run, std::string_view reason, moment now);
   void end_as_lost(const task_ref& ref, run_watch& run, std::string_view reason,
                    moment now);
   void note_speeds_learned(moment now);
@@ -170,6 +198,38 @@
   auto time_left(const run_watch& run, moment now) const
       -> std::optional<milliseconds>;
 
+  // Advice, in dispatch_advice.cpp.
+  auto permission_of(const backlog_item& item, const worker_life& worker,
+                     moment now) const -> permission;
+  void ask_for_advice(const backlog_item& item,
+                      std::span<const std::size_t> rows,
+                      const planning_pass& pass, moment now);
+
+  // The pace of filling tasks, in dispatch_pace.cpp.
+  void pace_fillers(const fleet_tables& tables, worker_state& worker,
+                    const order_looked& answer, moment now);
+  auto shares_processors(const fleet_tables& tables,
+                         const worker_state& worker) const -> bool;
+
+  // Waves of upkeep, in dispatch_upkeep.cpp.
+  using workers_by_machine = std::map<std::string_view, const worker_record*>;
+  void keep_up(const fleet_tables& tables, moment now);
+  void note_returns(std::uint64_t number, const wave_record& wave,
+                    const workers_by_machine& by_machine, moment now);
+  void choose_machines(std::uint64_t number, const wave_record& wave,
+                       const workers_by_machine& by_machine, moment now);
+  void empty_machine(const fleet_tables& tables, std::string_view machine,
+                     closing_machine& closing, const worker_record* record,
+                     moment now);
+  auto may_miss_one(const fleet_tables& tables, const task_ref& task) const
+      -> bool;
+  void end_upkeep(std::string_view machine, closing_machine& closing,
+                  std::string_view reason);
+  void refuse_upkeep(std::string_view machine, closing_machine& closing,
+                     machine_refusal why, moment now);
+  void ask_for_machines(moment now);
+  void note_listed(const machines_listed& listed);
+
   // Placement, in dispatch_plan.cpp.
   void plan(const fleet_tables& tables, moment now);
   auto begin_pass(const fleet_tables& tables, moment now) const
@@ -221,6 +281,12 @@
   speed_table speeds_;
   time_point speeds_noted_at_;
   failure_log failed_steps_;
+  ticket_book tickets_;
+  std::optional<asked_advice> asked_;
+  time_point advice_after_;  // the policy is busy until then
+  std::map<std::string, closing_machine, std::less<>> closing_;  // by machine
+  std::uint64_t listing_ = 0;  // the list of machines that is asked for
+  time_point listed_at_;
   std::set<job_id> failing_;   // jobs whose end as failed is proposed
   std::set<task_ref> ending_;  // runs whose end as lost is proposed
   std::vector<effect> effects_;
--- a/src/core/fleet/effect.h
+++ b/src/core/fleet/effect.h
@@ -6,6 +6,8 @@
 #include <variant>
 #include <vector>
 
+#include "core/fleet/advice.h"
+#include "core/fleet/machine_order.h"
 #include "core/fleet/order.h"
 
 namespace parsleyledge::fleet {
@@ -32,6 +34,7 @@
   std::vector<std::pair<std::string_view, std::string>> fields;
 };
 
-using effect = std::variant<propose, send_order, decision>;
+using effect =
+    std::variant<propose, send_order, ask_advice, send_machine_order, decision>;
 
 }  // namespace parsleyledge::fleet
--- a/src/core/fleet/fleet_state.cpp
+++ b/src/core/fleet/fleet_state.cpp
@@ -231,9 +231,24 @@
     drop_runs_of(known.life);
   }
   known = what.worker;
+  drop_earlier_lives(what.worker);
   return command_outcome::done;
 }
 
+// A machine runs one worker at a time, so an earlier one of it is over even if
+// it went without a word.
+void fleet_state::drop_earlier_lives(const worker_record& latest) {
+  if (latest.machine.empty()) return;
+  std::vector<worker_life> over;
+  for (const auto& [name, other] : tables_.workers) {
+    if (other.machine == latest.machine && name != latest.life.name &&
+        other.life.born_ms < latest.life.born_ms) {
+      over.push_back(other.life);
+    }
+  }
+  for (const auto& life : over) apply_one(drop_worker{life});
+}
+
 auto fleet_state::apply_one(const drop_worker& what) -> command_outcome {
   auto it = tables_.workers.find(what.life.name);
   if (it == tables_.workers.end() || it->second.life != what.life) {
@@ -252,11 +267,19 @@
 auto fleet_state::apply_one(const note_upkeep& what) -> command_outcome {
   auto it = tables_.waves.find(what.wave);
   if (it == tables_.waves.end()) return command_outcome::unknown;
-  auto& list = what.ended ? it->second.ended : it->second.begun;
-  if (std::ranges::find(list, what.machine) != list.end()) {
-    return command_outcome::repeated;
+  auto& wave = it->second;
+  if (what.ended) {
+    if (std::ranges::find(wave.ended, what.machine) != wave.ended.end()) {
+      return command_outcome::repeated;
+    }
+    wave.ended.push_back(what.machine);
+    return command_outcome::done;
   }
-  list.push_back(what.machine);
+  bool known = std::ranges::any_of(wave.begun, [&](const upkeep_begun& one) {
+    return one.machine == what.machine;
+  });
+  if (known) return command_outcome::repeated;
+  wave.begun.push_back({what.machine, what.born_ms});
   return command_outcome::done;
 }
 
--- a/src/core/fleet/records.h
+++ b/src/core/fleet/records.h
@@ -65,13 +65,22 @@
 /// The machine that a worker is a life of; the worker itself if it did not say.
 auto machine_of(const worker_record& worker) -> std::string_view;
 
+/// A machine whose upkeep has begun, and the birth of the life that it ended:
+/// a later life says that the machine is back.
+struct upkeep_begun {
+  std::string machine;
+  std::int64_t born_ms = 0;
+
+  auto operator==(const upkeep_begun&) const -> bool = default;
+};
+
 /// Machines whose upkeep an operator asked for.
 struct wave_record {
   std::vector<std::string> machines;
   milliseconds duration{0};
   std::uint32_t at_once = 1;
   time_point asked_at;  // wall clock
-  std::vector<std::string> begun;
+  std::vector<upkeep_begun> begun;
   std::vector<std::string> ended;
 };
 
@@ -113,6 +122,9 @@
 /// Whether a step has ended.
 auto is_done(const step_spec& spec, const step_record& step) -> bool;
 
+/// Whether every machine of the wave had its upkeep, or is gone.
+auto is_complete(const wave_record& wave) -> bool;
+
 /// The state's name in dumps and logs.
 auto to_string(job_state state) -> std::string_view;
 
--- /dev/null
+++ b/src/core/fleet/ticket_book.cpp
@@ -0,0 +1,51 @@
+#include "core/fleet/ticket_book.h"
+
+#include <algorithm>
+
+namespace parsleyledge::fleet {
+
+void ticket_book::note(const step_ref& step, std::span<const worker_life> asked,
+                       const advice_given& answer, time_point until) {
+  auto& known = steps_[step];
+  for (const auto& worker : asked) {
+    auto it =
+        std::ranges::find(answer.allowed, worker.name, &allowed_worker::name);
+    bool allowed = it != answer.allowed.end();
+    known[worker.name] = {worker, allowed ? it->ticket : std::string(), until};
+  }
+}
+
+auto ticket_book::find_entry(const step_ref& step,
+                             const worker_life& worker) const -> const entry* {
+  auto known = steps_.find(step);
+  if (known == steps_.end()) return nullptr;
+  auto it = known->second.find(worker.name);
+  if (it == known->second.end() || it->second.life != worker) return nullptr;
+  return &it->second;
+}
+
+auto ticket_book::find(const step_ref& step, const worker_life& worker,
+                       time_point when) const -> permission {
+  const auto* known = find_entry(step, worker);
+  if (known == nullptr) return permission::unknown;
+  if (known->ticket.empty()) return permission::denied;
+  return known->until > when ? permission::allowed : permission::unknown;
+}
+
+auto ticket_book::ticket(const step_ref& step, const worker_life& worker,
+                         time_point when) const -> std::string_view {
+  const auto* known = find_entry(step, worker);
+  if (known == nullptr || known->until <= when) return {};
+  return known->ticket;
+}
+
+void ticket_book::drop(const step_ref& step, const worker_life& worker) {
+  auto known = steps_.find(step);
+  if (known == steps_.end()) return;
+  auto it = known->second.find(worker.name);
+  if (it != known->second.end() && it->second.life == worker) {
+    known->second.erase(it);
+  }
+}
+
+}  // namespace parsleyledge::fleet
--- /dev/null
+++ b/test/contracts_test.cpp
@@ -0,0 +1,205 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+#include "core/fleet/pacer.h"
+#include "core/fleet/ticket_book.h"
+#include "fakes/fleet_site.h"
+
+using namespace parsleyledge;
+using fakes::fleet_site;
+using fakes::make_gang;
+using fakes::make_step;
+using fleet::job_state;
+using std::chrono::seconds;
+
+namespace {
+
+void assert_clean(const fleet_site& site) {
+  std::string all;
+  for (const auto& rule : site.broken_rules) all += rule + "; ";
+  CPPUNIT_ASSERT_EQUAL(std::string(), all);
+}
+
+auto lasting(std::uint32_t tasks, std::uint32_t may_miss) -> fleet::step_spec {
+  auto step = make_step(tasks, 1);
+  step.lasting = true;
+  step.may_miss = may_miss;
+  return step;
+}
+
+/// The most tasks of a job that were not at work at any time of the run.
+auto most_away(fleet_site& site, fleet::job_id id, int tasks, milliseconds time)
+    -> int {
+  int most = 0;
+  for (auto t = milliseconds(0); t < time; t += milliseconds(50)) {
+    site.run_for(milliseconds(50));
+    most = std::max(most, tasks - site.running(id));
+  }
+  return most;
+}
+
+}  // namespace
+
+/// Advice, waves of upkeep and the pace of filling tasks.
+class contracts_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(contracts_test);
+  CPPUNIT_TEST(work_runs_only_where_the_policy_allows_it);
+  CPPUNIT_TEST(tickets_that_ran_out_are_asked_for_again);
+  CPPUNIT_TEST(a_new_leader_asks_for_tickets_again);
+  CPPUNIT_TEST(a_life_is_asked_about_anew);
+  CPPUNIT_TEST(a_wave_takes_no_more_machines_than_it_may);
+  CPPUNIT_TEST(a_wave_ends_in_time_on_a_busy_site);
+  CPPUNIT_TEST(a_wave_keeps_lasting_work_available);
+  CPPUNIT_TEST(a_wave_outlives_its_leader);
+  CPPUNIT_TEST(a_wave_passes_over_machines_that_are_gone);
+  CPPUNIT_TEST(filling_work_gives_way_to_serving_work);
+  CPPUNIT_TEST(the_pace_rises_again_while_there_is_slack);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void work_runs_only_where_the_policy_allows_it() {
+    fleet_site site(40);
+    site.advise({"w7", "w31", "w36"}, seconds(30));
+    auto id = site.submit("q1", make_gang(3, 8));
+    site.run_for(seconds(3));
+    CPPUNIT_ASSERT(site.state(id) == job_state::complete);
+    CPPUNIT_ASSERT_EQUAL(3, site.workers[7].starts + site.workers[31].starts +
+                                site.workers[36].starts);
+    CPPUNIT_ASSERT(site.advice_calls <= 2);
+    assert_clean(site);
+  }
+
+  void tickets_that_ran_out_are_asked_for_again() {
+    fleet_site site(2);
+    site.advise({"w0"}, seconds(1));
+    auto id = site.submit("q1", make_step(3, 8));
+    site.run_for(seconds(6));
+    CPPUNIT_ASSERT(site.state(id) == job_state::complete);
+    CPPUNIT_ASSERT_EQUAL(0, site.workers[1].starts);
+    CPPUNIT_ASSERT(site.advice_calls > 1);
+    assert_clean(site);
+  }
+
+  void a_new_leader_asks_for_tickets_again() {
+    fleet_site site(3);
+    site.advise({"w2"}, seconds(30));
+    auto id = site.submit("q1", make_step(4, 8));
+    site.run_for(milliseconds(1500));
+    site.replace_leader();
+    site.run_for(seconds(8));
+    CPPUNIT_ASSERT(site.state(id) == job_state::complete);
+    CPPUNIT_ASSERT_EQUAL(4, site.workers[2].starts);
+    assert_clean(site);
+  }
+
+  void a_life_is_asked_about_anew() {
+    fleet::ticket_book book;
+    fleet::step_ref step{{1}, 0, 0};
+    fleet::worker_life first{"w", 1};
+    fleet::worker_life second{"w", 2};
+    book.note(step, std::vector{first}, {{{"w", "t"}}, seconds(1)}, at_ms(50));
+    CPPUNIT_ASSERT(book.find(step, first, at_ms(10)) ==
+                   fleet::permission::allowed);
+    CPPUNIT_ASSERT(book.find(step, second, at_ms(10)) ==
+                   fleet::permission::unknown);
+    CPPUNIT_ASSERT(book.find(step, first, at_ms(60)) ==
+                   fleet::permission::unknown);
+    book.note(step, std::vector{second}, {{}, seconds(1)}, at_ms(50));
+    CPPUNIT_ASSERT(book.find(step, second, at_ms(60)) ==
+                   fleet::permission::denied);
+  }
+
+  void a_wave_takes_no_more_machines_than_it_may() {
+    fleet_site site(6);
+    site.start_wave(1, {0, 1, 2, 3, 4}, 2, seconds(30));
+    site.run_for(seconds(12));
+    CPPUNIT_ASSERT(is_complete(site.wave(1)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, site.wave(1).begun.size());
+    assert_clean(site);
+  }
+
+  void a_wave_ends_in_time_on_a_busy_site() {
+    fleet_site site(4);
+    site.work = seconds(20);
+    auto step = make_step(4, 8);
+    auto id = site.submit("q1", step);
+    site.run_for(seconds(1));
+    site.start_wave(1, {0, 1, 2, 3}, 1, seconds(20));
+    site.run_for(seconds(20));
+    CPPUNIT_ASSERT(is_complete(site.wave(1)));
+    site.run_for(seconds(45));
+    CPPUNIT_ASSERT(site.state(id) == job_state::complete);
+    assert_clean(site);
+  }
+
+  void a_wave_keeps_lasting_work_available() {
+    fleet_site site(6);
+    auto id = site.submit("q1", lasting(12, 1));
+    site.run_for(seconds(3));
+    CPPUNIT_ASSERT_EQUAL(12, site.running(id));
+    site.start_wave(1, {0, 1, 2}, 2, seconds(60));
+    CPPUNIT_ASSERT(most_away(site, id, 12, seconds(50)) <= 1);
+    CPPUNIT_ASSERT(is_complete(site.wave(1)));
+    assert_clean(site);
+  }
+
+  void a_wave_outlives_its_leader() {
+    fleet_site site(4);
+    site.start_wave(1, {0, 1, 2, 3}, 1, seconds(30));
+    for (int i = 0; i < 6; ++i) {
+      site.run_for(milliseconds(1700));
+      site.replace_leader();
+    }
+    site.run_for(seconds(10));
+    CPPUNIT_ASSERT(is_complete(site.wave(1)));
+    assert_clean(site);
+  }
+
+  void a_wave_passes_over_machines_that_are_gone() {
+    fleet_site site(2);
+    site.start_wave(1, {0, 17}, 1, seconds(30));
+    site.run_for(seconds(8));
+    CPPUNIT_ASSERT(is_complete(site.wave(1)));
+    assert_clean(site);
+  }
+
+  void filling_work_gives_way_to_serving_work() {
+    fleet_site site(1);
+    site.work = seconds(60);
+    site.tail_ms = [](std::uint32_t beside) {
+      return std::int64_t{20} + beside;
+    };
+    auto serving = lasting(1, 0);
+    serving.target = milliseconds(60);
+    auto filling = make_step(1, 1);
+    filling.fills = true;
+    auto served = site.submit("q1", serving);
+    site.run_for(seconds(1));
+    auto filler = site.submit("q2", filling);
+    site.run_for(seconds(4));
+    CPPUNIT_ASSERT_EQUAL(1, site.running(served));
+    CPPUNIT_ASSERT_EQUAL(1, site.running(filler));
+    for (const auto& [task, run] : site.workers[0].running) {
+      if (task.job == filler) CPPUNIT_ASSERT(run.pace <= 40);
+    }
+    site.run_for(seconds(10));
+    for (const auto& [task, run] : site.workers[0].running) {
+      if (task.job == filler) CPPUNIT_ASSERT(run.pace > 0 && run.pace <= 40);
+    }
+  }
+
+  void the_pace_rises_again_while_there_is_slack() {
+    fleet::pacer pace;
+    auto now = at_ms(10'000);
+    pace.observe(1.5, now);
+    CPPUNIT_ASSERT(pace.percent() < 50);
+    auto low = pace.percent();
+    pace.observe(1.5, now + milliseconds(100));  // a figure from before
+    CPPUNIT_ASSERT_EQUAL(low, pace.percent());
+    for (int i = 1; i <= 20; ++i) pace.observe(0.3, now + seconds(i));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{100}, pace.percent());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(contracts_test);
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -92,6 +92,29 @@
   }
 }
 
+void fleet_site::advise(std::set<std::string> allowed, milliseconds validity) {
+  allowed_ = std::move(allowed);
+  auto site = std::make_shared<fleet::site>(*site_);
+  site->queues[1].advice =
+      fleet::advice_terms{milliseconds(20), milliseconds(2), validity};
+  site_ = site;
+  dispatcher_.adopt(site_);
+}
+
+void fleet_site::start_wave(std::uint64_t number, std::vector<int> which,
+                            std::uint32_t at_once, milliseconds duration) {
+  fleet::wave_record wave;
+  for (auto i : which) wave.machines.push_back("m" + std::to_string(i));
+  wave.at_once = most_at_once_ = at_once;
+  wave.duration = duration;
+  wave.asked_at = now_;
+  apply(fleet::add_wave{number, wave}, 0);
+}
+
+auto fleet_site::wave(std::uint64_t number) const -> const fleet::wave_record& {
+  return state_.tables().waves.at(number);
+}
+
 auto fleet_site::submit(const std::string& queue, fleet::step_spec step,
                         const std::string& customer) -> fleet::job_id {
   return submit(queue, std::vector{std::move(step)}, customer);
@@ -204,8 +227,8 @@
 
 auto fleet_site::work_of(const fake_worker& w,
                          const fleet::task_ref& task) const -> milliseconds {
-  auto each = work.count() > 0 ? work
-                               : job(task.job).spec.steps[task.step].estimate;
+  auto each =
+      work.count() > 0 ? work : job(task.job).spec.steps[task.step].estimate;
   return each * w.slowness;
 }
 
@@ -217,6 +240,14 @@
 void fleet_site::run_for(milliseconds time) {
   for (auto until = now_ + time; now_ < until;) {
     now_ += step_time;
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+      if (workers[i].up_again == time_point{} || workers[i].up_again > now_) {
+        continue;
+      }
+      workers[i].up_again = {};
+      under_upkeep_.erase(workers[i].record.machine);
+      reborn(static_cast<int>(i));
+    }
     for (auto& w : workers) advance(w);
     check_rules();
     if (to_ms(now_) % report_time.count() == 0) report_all();
@@ -278,9 +309,8 @@
 }
 
 void fleet_site::ticked() {
-  carry_out(timed(times.ticked, [&] {
-    return dispatcher_.tick(state_.tables(), clock());
-  }));
+  carry_out(timed(times.ticked,
+                  [&] { return dispatcher_.tick(state_.tables(), clock()); }));
 }
 
 void fleet_site::apply(const fleet::command& what, std::uint64_t token) {
@@ -299,6 +329,8 @@
   for (auto& e : effects) {
     std::visit(overloaded{[&](fleet::propose& p) { apply(p.what, p.token); },
                           [&](fleet::send_order& o) { give(o); },
+                          [&](fleet::ask_advice& a) { give(a); },
+                          [&](fleet::send_machine_order& o) { give(o); },
                           [&](fleet::decision& d) {
                             if (!keeps_history) return;
                             auto line = std::to_string(to_ms(now_)) + " " +
@@ -312,6 +344,49 @@
   }
 }
 
+// The policy answers at once; its time is the queue's terms.
+void fleet_site::give(const fleet::ask_advice& ask) {
+  ++advice_calls;
+  fleet::advice_given given;
+  given.validity = milliseconds(0);
+  for (const auto& worker : ask.workers) {
+    advised_workers.insert(worker.name);
+    if (!allowed_.contains(worker.name)) continue;
+    auto ticket = worker.name + "/" + fleet::to_string(ask.step) + "/" +
+                  std::to_string(advice_calls);
+    tickets_[ticket] = now_ + site_->queues[1].advice->validity;
+    given.allowed.push_back({worker.name, ticket});
+  }
+  carry_out(dispatcher_.advised(state_.tables(), ask.id, given, clock()));
+}
+
+void fleet_site::give(const fleet::send_machine_order& order) {
+  const auto* upkeep = std::get_if<fleet::begin_upkeep>(&order.what);
+  fleet::machine_answer answer = fleet::machines_listed{};
+  if (upkeep != nullptr) answer = begin_upkeep(*upkeep);
+  carry_out(
+      dispatcher_.machine_answered(state_.tables(), order.id, answer, clock()));
+}
+
+auto fleet_site::begin_upkeep(const fleet::begin_upkeep& order)
+    -> fleet::machine_answer {
+  auto it = std::ranges::find_if(workers, [&](const fake_worker& w) {
+    return w.record.machine == order.machine;
+  });
+  if (it == workers.end()) {
+    return fleet::machine_refused{fleet::machine_refusal::unknown};
+  }
+  under_upkeep_.insert(order.machine);
+  if (under_upkeep_.size() > most_at_once_)
+    broken_rules.insert("too many down");
+  if (!it->running.empty())
+    remember("loses", it->running.begin()->first, 0, *it);
+  it->running.clear();
+  it->silent = true;
+  it->up_again = now_ + milliseconds(2000);
+  return fleet::machine_accepted{};
+}
+
 void fleet_site::give(const fleet::send_order& order) {
   auto& w = find(order.worker.name);
   if (w.silent) {
@@ -353,7 +428,9 @@
                    return fleet::order_accepted{to_ms(now_)};
                  },
                  [&](const fleet::look_order& o) { return look(w, o); },
-                 [&](const fleet::pace_order&) -> fleet::order_answer {
+                 [&](const fleet::pace_order& o) -> fleet::order_answer {
+                   auto it = w.running.find(o.task);
+                   if (it != w.running.end()) it->second.pace = o.percent;
                    return fleet::order_accepted{to_ms(now_)};
                  }},
       order.what);
@@ -381,7 +458,15 @@
   if (w.record.draining) broken_rules.insert("start on a draining worker");
   const auto& spec = job(o.task.job).spec.steps[o.task.step];
   remember("starts", o.task, o.run, w);
-  w.running[o.task] = {o.run, now_ + work_of(w, o.task), spec.gang};
+  const auto* where = find_queue(*site_, job(o.task.job).spec.queue);
+  if (where != nullptr && where->advice) {
+    auto ticket = tickets_.find(o.ticket);
+    if (ticket == tickets_.end() || ticket->second < now_ ||
+        !o.ticket.starts_with(w.record.life.name + "/")) {
+      return fleet::order_rejected{rejection::no_ticket, to_ms(now_)};
+    }
+  }
+  w.running[o.task] = {o.run, now_ + work_of(w, o.task), spec.gang, 100, now_};
   ++w.starts;
   if (w.fails) end(w, o.task, fleet::run_end::failed);
   return fleet::order_accepted{to_ms(now_)};
@@ -404,12 +489,25 @@
     auto left = std::max<std::int64_t>((run.ends - now_).count(), 0);
     auto whole = std::max<std::int64_t>(work_of(w, task).count(), 1);
     auto percent = 100 - left * 100 / whole;
-    said.running.push_back(
-        {task, run.run, "", static_cast<std::uint32_t>(percent), 0});
+    bool lasting = job(task.job).spec.steps[task.step].lasting;
+    if (lasting) percent = now_ - run.begun > milliseconds(300) ? 100 : 0;
+    said.running.push_back({task, run.run, "",
+                            static_cast<std::uint32_t>(percent),
+                            load_of(w, task)});
   }
   return said;
 }
 
+auto fleet_site::load_of(const fake_worker& w,
+                         const fleet::task_ref& task) const -> std::int64_t {
+  if (job(task.job).spec.steps[task.step].target.count() == 0) return 0;
+  std::uint32_t beside = 0;
+  for (const auto& [other, run] : w.running) {
+    if (job(other.job).spec.steps[other.step].fills) beside += run.pace;
+  }
+  return tail_ms(beside);
+}
+
 // Takes the task by value: it may name a run that is removed here.
 void fleet_site::end(fake_worker& w, fleet::task_ref task, fleet::run_end how) {
   auto it = w.running.find(task);
@@ -474,7 +572,7 @@
   for (const auto& w : workers) {
     fleet::resources used;
     for (const auto& [task, run] : w.running) {
-      used += job(task.job).spec.steps[task.step].each;
+      used += reserved_by(job(task.job).spec.steps[task.step]);
     }
     auto left = w.record.capacity - used;
     if (left.cpu_milli < 0 || left.memory_mb < 0 || left.accelerators < 0) {
--- a/test/fakes/fleet_site.h
+++ b/test/fakes/fleet_site.h
@@ -18,6 +18,8 @@
   std::uint32_t run = 0;
   time_point ends;
   bool gang = false;
+  std::uint32_t pace = 100;
+  time_point begun;
 };
 
 /// A worker that follows the rules of the platform, on the test's clock.
@@ -35,6 +37,7 @@
   bool silent = false;  // hears nothing and answers nothing
   bool mute = false;    // carries orders out and answers nothing
   bool fails = false;   // fails all that it starts
+  time_point up_again;  // of its machine, after upkeep
   int slowness = 1;     // tasks take so many times as long
   bool hangs = false;   // what it runs makes no progress
   time_point leaves;    // while it drains
@@ -59,6 +62,14 @@
   void configure(std::int64_t guaranteed_a, std::int64_t guaranteed_b = 0,
                  std::uint32_t attempts = 2);
 
+  /// The same, with a policy for queue q1: it allows these workers only.
+  void advise(std::set<std::string> allowed, milliseconds validity);
+
+  /// Asks for the upkeep of these workers' machines.
+  void start_wave(std::uint64_t number, std::vector<int> which,
+                  std::uint32_t at_once, milliseconds duration);
+  auto wave(std::uint64_t number) const -> const fleet::wave_record&;
+
   /// Hands in a job of one step and returns its id.
   auto submit(const std::string& queue, fleet::step_spec step,
               const std::string& customer = "a") -> fleet::job_id;
@@ -91,10 +102,16 @@
   auto describe() const -> std::string;
 
   std::vector<fake_worker> workers;
+  int advice_calls = 0;
+  std::set<std::string> advised_workers;  // that were asked about
+  // A serving task's response time with this share of filling work beside it.
+  std::function<std::int64_t(std::uint32_t)> tail_ms = [](std::uint32_t) {
+    return 0;
+  };
   milliseconds work{1000};  // of every task; 0: as long as estimated
   decision_times times;
   bool keeps_history = true;
-  bool commits = true;      // false holds proposals back
+  bool commits = true;  // false holds proposals back
   std::set<std::string> broken_rules;
   std::vector<std::string> history;  // of decisions and starts, for messages
 
@@ -106,6 +123,11 @@
   void carry_out(std::vector<fleet::effect> effects);
   void apply(const fleet::command& what, std::uint64_t token);
   void give(const fleet::send_order& order);
+  void give(const fleet::ask_advice& ask);
+  void give(const fleet::send_machine_order& order);
+  auto begin_upkeep(const fleet::begin_upkeep& order) -> fleet::machine_answer;
+  auto load_of(const fake_worker& worker, const fleet::task_ref& task) const
+      -> std::int64_t;
   auto answer(fake_worker& worker, const fleet::send_order& order)
       -> fleet::order_answer;
   auto look(fake_worker& worker, const fleet::look_order& order)
@@ -137,6 +159,10 @@
   std::uint64_t fence_ = 1;
   std::uint64_t next_job_ = 1;
   std::vector<waiting_look> looks_;
+  std::set<std::string> allowed_;
+  std::map<std::string, time_point> tickets_;  // until when
+  std::set<std::string> under_upkeep_;
+  std::uint32_t most_at_once_ = 0;
   std::vector<std::pair<std::uint64_t, time_point>> unanswered_;
   std::vector<std::pair<fleet::command, std::uint64_t>> held_back_;
   std::set<fleet::task_ref> acknowledged_done_;
