Write log lines from a thread of their own; test the front's contract

Lines were flushed one by one under the caller, and a standard output that nobody read stopped the process. They go through a bounded buffer now, written in batches; lost lines are counted and said; a flood of one kind is folded.

--- a/src/adapters/app.cpp
+++ b/src/adapters/app.cpp
@@ -57,6 +57,7 @@
 
 void stop_at_once(std::string_view event, std::string_view detail) {
   log_event(log_level::error, event, {{"detail", detail}});
+  flush_log();
   std::_Exit(failure_status);
 }
 
--- a/src/adapters/log.cpp
+++ b/src/adapters/log.cpp
@@ -1,18 +1,23 @@
 #include "adapters/log.h"
 
+#include <unistd.h>
 #include <array>
 #include <boost/json.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/smart_ptr/make_shared_object.hpp>
 #include <chrono>
 #include <ctime>
-#include <iostream>
+#include <memory>
+#include <optional>
+
+#include "adapters/log_budget.h"
+#include "adapters/log_writer.h"
 
 namespace parsleyledge {
 
@@ -24,6 +29,34 @@
     std::string_view("debug"), std::string_view("info"),
     std::string_view("warning"), std::string_view("error")};
 
+// Some seconds of the busiest lines; a reader that pauses longer loses some.
+constexpr std::size_t waiting_bytes = std::size_t{1} << 20;
+// Of one kind. The largest site of today logs about as many ends of runs.
+constexpr double lines_per_second = 400;
+constexpr double lines_at_once = 1000;
+// A process that ends waits so long for its last lines to be read.
+constexpr std::chrono::milliseconds last_lines{200};
+
+/// Hands formatted lines to the writer.
+class writer_backend : public logging::sinks::basic_formatted_sink_backend<
+                           char, logging::sinks::concurrent_feeding> {
+ public:
+  explicit writer_backend(std::shared_ptr<log_writer> writer)
+      : writer_(std::move(writer)) {}
+
+  void consume(const logging::record_view&, const std::string& line) {
+    writer_->write(line);
+  }
+
+ private:
+  std::shared_ptr<log_writer> writer_;
+};
+
+auto the_writer() -> std::shared_ptr<log_writer>& {
+  static std::shared_ptr<log_writer> writer;
+  return writer;
+}
+
 auto process_name() -> std::string& {
   static std::string name;
   return name;
@@ -60,6 +93,17 @@
   return line;
 }
 
+/// Starts a line, unless its kind is over its budget.
+auto admit(log_level level, std::string_view event)
+    -> std::optional<boost::json::object> {
+  static log_budget budget(lines_per_second, lines_at_once);
+  auto verdict = budget.admit(event, log_budget::clock::now());
+  if (!verdict.passes) return {};
+  auto line = begin_line(level, event);
+  if (verdict.folded > 0) line["folded"] = verdict.folded;
+  return line;
+}
+
 void write_line(log_level level, const boost::json::object& line) {
   thread_local logging::sources::severity_logger<int> logger;
   BOOST_LOG_SEV(logger, static_cast<int>(level))
@@ -71,13 +115,11 @@
 void start_log(log_level lowest, std::string_view process, log_stream stream) {
   process_name() = process;
   lowest_level() = lowest;
-  using backend = logging::sinks::text_ostream_backend;
-  auto out = boost::make_shared<backend>();
-  auto& to = stream == log_stream::standard_output ? std::cout : std::cerr;
-  out->add_stream(boost::shared_ptr<std::ostream>(&to, [](auto*) {}));
-  out->auto_flush(true);
-  auto sink =
-      boost::make_shared<logging::sinks::synchronous_sink<backend>>(out);
+  int descriptor =
+      stream == log_stream::standard_output ? STDOUT_FILENO : STDERR_FILENO;
+  the_writer() = std::make_shared<log_writer>(descriptor, waiting_bytes);
+  auto sink = boost::make_shared<logging::sinks::unlocked_sink<writer_backend>>(
+      boost::make_shared<writer_backend>(the_writer()));
   sink->set_formatter(logging::expressions::stream
                       << logging::expressions::smessage);
   logging::core::get()->remove_all_sinks();
@@ -86,20 +128,31 @@
 
 void log_event(log_level level, std::string_view event, log_fields fields) {
   if (level < lowest_level()) return;
-  auto line = begin_line(level, event);
+  auto line = admit(level, event);
+  if (!line) return;
   for (const auto& [key, value] : fields) {
-    std::visit([&, k = key](const auto& v) { line[k] = v; }, value);
+    std::visit([&, k = key](const auto& v) { (*line)[k] = v; }, value);
   }
-  write_line(level, line);
+  write_line(level, *line);
 }
 
 void log_decision(
     std::string_view event,
     std::span<const std::pair<std::string_view, std::string>> fields) {
   if (log_level::info < lowest_level()) return;
-  auto line = begin_line(log_level::info, event);
-  for (const auto& [key, value] : fields) line[key] = value;
-  write_line(log_level::info, line);
+  auto line = admit(log_level::info, event);
+  if (!line) return;
+  for (const auto& [key, value] : fields) (*line)[key] = value;
+  write_line(log_level::info, *line);
+}
+
+void flush_log() {
+  if (auto writer = the_writer()) writer->flush(last_lines);
+}
+
+auto log_lines_dropped() -> std::uint64_t {
+  auto writer = the_writer();
+  return writer == nullptr ? 0 : writer->dropped();
 }
 
 auto parse_log_level(std::string_view name, log_level& level) -> bool {
--- a/src/adapters/log.h
+++ b/src/adapters/log.h
@@ -21,7 +21,8 @@
 enum class log_stream { standard_error, standard_output };
 
 /// Sends log lines of this level and above to a stream, as JSON, one an event.
-/// `process` is this process's name.
+/// Lines are written by a thread of their own and never block; what a reader
+/// does not take is dropped and counted. `process` is this process's name.
 void start_log(log_level lowest, std::string_view process,
                log_stream stream = log_stream::standard_error);
 
@@ -33,6 +34,12 @@
     std::string_view event,
     std::span<const std::pair<std::string_view, std::string>> fields);
 
+/// Waits a moment for the lines so far to be written. For the end of a process.
+void flush_log();
+
+/// Lines lost because nobody read them.
+auto log_lines_dropped() -> std::uint64_t;
+
 /// Reads a level's name: debug, info, warning or error.
 auto parse_log_level(std::string_view name, log_level& level) -> bool;
 
--- /dev/null
+++ b/test/front_test.cpp
@@ -0,0 +1,349 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio.hpp>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "adapters/http_client.h"
+#include "adapters/http_server.h"
+#include "platform/front.h"
+
+using namespace parsleyledge;
+namespace asio = boost::asio;
+using fleet::reply;
+using fleet::reply_status;
+
+namespace {
+
+constexpr std::string_view good_job =
+    R"({"spec":"x","steps":[{"count":2,"cpu":500,"memMb":64,"estMs":900}]})";
+constexpr std::string_view good_report =
+    R"({"service":"s","addr":"10.0.0.1:80","zone":"z","slots":8,)"
+    R"("state":"ready","seq":4,"born":17,"clockMs":5,)"
+    R"("capacity":{"cpu":1000,"memMb":64,"gpu":1},"labels":["a","r1"]})";
+constexpr std::string_view good_config =
+    R"({"version":7,"routes":[],"services":[],"tenants":[]})";
+constexpr std::string_view good_wave =
+    R"({"wave":1,"machines":["m-1"],"durationS":20,"maxCount":1})";
+
+/// The product behind the adapter: remembers what it was asked and answers as
+/// the test says.
+struct fake_product {
+  reply answer{reply_status::done, {}, 0, {}};
+  std::vector<fleet::request> asked;
+  milliseconds limit{0};
+
+  auto server() -> platform::request_server {
+    return [this](fleet::request what,
+                  milliseconds time) -> asio::awaitable<reply> {
+      asked.push_back(std::move(what));
+      limit = time;
+      co_return answer;
+    };
+  }
+};
+
+auto make_request(std::string_view method, std::string_view target,
+                  std::string_view body = {},
+                  std::vector<http_header> headers = {}) -> http_request {
+  headers.emplace_back("Host", "q.example:8521");
+  return {std::string(method), std::string(target), std::move(headers),
+          std::string(body)};
+}
+
+auto run(asio::awaitable<http_response> work) -> http_response {
+  asio::io_context context;
+  std::optional<http_response> result;
+  asio::co_spawn(context, std::move(work),
+                 [&](std::exception_ptr error, http_response response) {
+                   CPPUNIT_ASSERT(error == nullptr);
+                   result = std::move(response);
+                 });
+  context.run();
+  return *result;
+}
+
+auto call(fake_product& product, http_request request) -> http_response {
+  return run(platform::serve_caller(std::move(request), product.server()));
+}
+
+auto control(fake_product& product, http_request request,
+             std::string beat_address = {}) -> http_response {
+  return run(platform::serve_control(std::move(request), product.server(),
+                                     std::move(beat_address)));
+}
+
+/// A request that must be refused with a status and must not get through.
+struct refusal_case {
+  std::string_view method;
+  std::string_view target;
+  std::string_view body;
+  int status;
+};
+
+}  // namespace
+
+/// The calls that callers, workers and operators make, with their faults.
+class front_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(front_test);
+  CPPUNIT_TEST(answers_in_the_words_of_the_product);
+  CPPUNIT_TEST(a_refusal_says_when_to_come_back);
+  CPPUNIT_TEST(decodes_callers_calls);
+  CPPUNIT_TEST(refuses_callers_faults);
+  CPPUNIT_TEST(decodes_calls_to_control);
+  CPPUNIT_TEST(refuses_faults_of_calls_to_control);
+  CPPUNIT_TEST(names_the_leader_to_workers);
+  CPPUNIT_TEST(answers_that_cross_find_their_callers);
+  CPPUNIT_TEST(a_body_over_the_limit_is_refused);
+  CPPUNIT_TEST(a_body_that_is_cut_off_never_gets_through);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void answers_in_the_words_of_the_product() {
+    constexpr std::pair<reply_status, int> table[] = {
+        {reply_status::done, 200},         {reply_status::invalid, 400},
+        {reply_status::unauthorized, 401}, {reply_status::no_queue, 404},
+        {reply_status::gone, 410},         {reply_status::busy, 429},
+        {reply_status::unavailable, 503},  {reply_status::unknown, 504}};
+    for (auto [status, number] : table) {
+      fake_product product;
+      product.answer.status = status;
+      CPPUNIT_ASSERT_EQUAL(
+          number, call(product, make_request("GET", "/p/00ff")).status);
+    }
+    fake_product product;
+    product.answer.text = "running";
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"running"})"),
+                         call(product, make_request("GET", "/p/00ff")).body);
+    product.answer = {reply_status::done, {}, 12, {}};
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"pending":12})"),
+                         call(product, make_request("GET", "/p/")).body);
+  }
+
+  void a_refusal_says_when_to_come_back() {
+    fake_product product;
+    product.answer = {reply_status::unavailable, "no leader", 0,
+                      milliseconds(1200)};
+    auto response = call(product, make_request("POST", "/p/00ff", good_job));
+    CPPUNIT_ASSERT_EQUAL(503, response.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("2"),
+                         std::string(response.header("Retry-After")));
+    CPPUNIT_ASSERT(response.body.find("no leader") != std::string::npos);
+  }
+
+  void decodes_callers_calls() {
+    fake_product product;
+    std::vector<http_header> headers = {{"authorization", "Token k1"},
+                                        {"X-Deadline-Ms", "700"}};
+    call(product, make_request("POST", "/p/00ff?x=1", good_job, headers));
+    const auto& submit = std::get<fleet::submit_request>(product.asked.at(0));
+    CPPUNIT_ASSERT_EQUAL(std::string("q.example"), submit.where.host);
+    CPPUNIT_ASSERT_EQUAL(std::string("/p/00ff"), submit.where.path);
+    CPPUNIT_ASSERT_EQUAL(std::string("k1"), submit.where.key);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, submit.spec.steps.at(0).tasks);
+    CPPUNIT_ASSERT(product.limit == milliseconds(700));
+    call(product, make_request("GET", "/p/00ff"));
+    CPPUNIT_ASSERT(
+        std::holds_alternative<fleet::read_request>(product.asked.at(1)));
+    CPPUNIT_ASSERT(product.limit > milliseconds(0));
+    call(product,
+         make_request("DELETE", "/p/00ff", {}, {{"X-Deadline-Ms", "-5"}}));
+    CPPUNIT_ASSERT(
+        std::holds_alternative<fleet::cancel_request>(product.asked.at(2)));
+    CPPUNIT_ASSERT(product.limit > milliseconds(0));
+  }
+
+  void refuses_callers_faults() {
+    constexpr refusal_case table[] = {
+        {"POST", "/p/00ff", "", 400},
+        {"POST", "/p/00ff", "{\"spec\":\"x\",\"steps\":[{\"cou", 400},
+        {"POST", "/p/00ff", "[1]", 400},
+        {"POST", "/p/00ff", R"({"spec":"x"})", 400},
+        {"POST", "/p/00ff", R"({"spec":"x","steps":[]})", 400},
+        {"POST", "/p/00ff", R"({"spec":"x","steps":[{"count":0}]})", 400},
+        {"POST", "/p/00ff", R"({"spec":7,"steps":[{"count":1}]})", 400},
+        {"POST", "/p/00ff", R"({"spec":"x","steps":[{"count":"2"}]})", 400},
+        {"PUT", "/p/00ff", good_job, 405},
+        {"PATCH", "/p/00ff", good_job, 405}};
+    for (const auto& one : table) {
+      fake_product product;
+      auto response =
+          call(product, make_request(one.method, one.target, one.body));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(one.body), one.status,
+                                   response.status);
+      CPPUNIT_ASSERT(product.asked.empty());
+      CPPUNIT_ASSERT(response.body.find("error") != std::string::npos);
+    }
+  }
+
+  void decodes_calls_to_control() {
+    fake_product product;
+    auto ask = [&](std::string_view method, std::string_view target,
+                   std::string_view body) -> const fleet::request& {
+      auto response = control(product, make_request(method, target, body));
+      CPPUNIT_ASSERT_EQUAL(200, response.status);
+      return product.asked.back();
+    };
+    const auto& put = ask("PUT", "/api/config", good_config);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7},
+                         std::get<fleet::put_site_request>(put).version);
+    CPPUNIT_ASSERT(std::holds_alternative<fleet::read_site_request>(
+        ask("GET", "/api/config", "")));
+    const auto& said = ask("PUT", "/api/instances/i-1", good_report);
+    const auto& report = std::get<fleet::report_request>(said).report;
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), report.life.name);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{17}, report.life.born_ms);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, report.sequence);
+    const auto& gone = ask("DELETE", "/api/instances/i-1", R"({"born":17})");
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{17},
+                         std::get<fleet::leave_request>(gone).life.born_ms);
+    CPPUNIT_ASSERT(std::holds_alternative<fleet::start_wave_request>(
+        ask("POST", "/api/wave-start", good_wave)));
+    const auto& wave = ask("GET", "/api/wave-get/3", "");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3},
+                         std::get<fleet::read_wave_request>(wave).number);
+  }
+
+  void refuses_faults_of_calls_to_control() {
+    constexpr refusal_case table[] = {
+        {"PUT", "/api/config", "", 400},
+        {"PUT", "/api/config", R"({"version":7,"routes":[)", 400},
+        {"PUT", "/api/config", R"({"version":"7","routes":[],"services":[]})",
+         400},
+        {"PUT", "/api/config",
+         R"({"version":7,"services":[],"routes":[{"name":"r","host":"h",)"
+         R"("prefix":"/p/","timeoutMs":3000,"service":"none"}]})",
+         400},
+        {"PUT", "/api/config",
+         R"({"version":7,"services":[{"name":"s"}],"routes":[{"name":"r",)"
+         R"("host":"h","prefix":"/p/","timeoutMs":0,"service":"s"}]})",
+         400},
+        {"DELETE", "/api/config", "", 405},
+        {"PUT", "/api/instances/i-1", "", 400},
+        {"PUT", "/api/instances/i-1", "\xff\xfe", 400},
+        {"PUT", "/api/instances/i-1", R"({"service":"s","addr":"a"})", 400},
+        {"PUT", "/api/instances/i-1",
+         R"({"service":"s","addr":"a","state":"asleep","seq":1})", 400},
+        {"PUT", "/api/instances/i-1",
+         R"({"service":4,"addr":"a","state":"ready","seq":1})", 400},
+        {"GET", "/api/instances/i-1", "", 405},
+        {"POST", "/api/wave-start", "{}", 400},
+        {"PUT", "/api/wave-start", good_wave, 404},
+        {"GET", "/api/other", "", 404}};
+    for (const auto& one : table) {
+      fake_product product;
+      auto response =
+          control(product, make_request(one.method, one.target, one.body));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          std::string(one.target) + " " + std::string(one.body), one.status,
+          response.status);
+      CPPUNIT_ASSERT(product.asked.empty());
+    }
+  }
+
+  void names_the_leader_to_workers() {
+    fake_product product;
+    auto report = make_request("PUT", "/api/instances/i-1", good_report);
+    CPPUNIT_ASSERT_EQUAL(std::string("{}"), control(product, report).body);
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"beatAddr":"10.0.0.4:8526"})"),
+                         control(product, report, "10.0.0.4:8526").body);
+    product.answer.status = reply_status::unavailable;
+    CPPUNIT_ASSERT_EQUAL(503, control(product, report, "10.0.0.4:8526").status);
+  }
+
+  // The later call is answered first.
+  void answers_that_cross_find_their_callers() {
+    asio::thread_pool pool(2);
+    http_server server(pool, {});
+    auto slow_first = [&](fleet::request what,
+                          milliseconds) -> asio::awaitable<reply> {
+      auto path = std::get<fleet::read_request>(what).where.path;
+      bool slow = path.ends_with("1");
+      asio::steady_timer timer(pool, milliseconds(slow ? 300 : 1));
+      co_await timer.async_wait(asio::use_awaitable);
+      co_return reply{reply_status::done, path, 0, {}};
+    };
+    auto error = server.listen(address, [&](http_request request) {
+      return platform::serve_caller(std::move(request), slow_first);
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string(), error);
+    http_client client;
+    std::vector<std::future<exchange_result>> results;
+    std::vector<http_request> requests;
+    for (int i = 1; i <= 4; ++i) {
+      requests.push_back(make_request("GET", "/p/" + std::to_string(i)));
+    }
+    for (const auto& request : requests) {
+      results.push_back(asio::co_spawn(asio::make_strand(pool),
+                                       client.exchange(address, request, {}),
+                                       asio::use_future));
+    }
+    for (std::size_t i = 0; i < results.size(); ++i) {
+      auto result = results[i].get();
+      const auto& answered = std::get<exchange_answered>(result);
+      CPPUNIT_ASSERT_EQUAL("{\"state\":\"" + requests[i].target + "\"}",
+                           answered.response.body);
+    }
+    server.close_idle();
+    pool.stop();
+    pool.join();
+  }
+
+  void a_body_over_the_limit_is_refused() {
+    asio::thread_pool pool(2);
+    fake_product product;
+    http_limits limits;
+    limits.body_bytes = 1000;
+    http_server server(pool, limits);
+    auto error = server.listen(address, [&](http_request request) {
+      return platform::serve_caller(std::move(request), product.server());
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string(), error);
+    http_client client;
+    auto request = make_request("POST", "/p/00ff", std::string(5000, 'x'));
+    auto result =
+        asio::co_spawn(asio::make_strand(pool),
+                       client.exchange(address, request, {}), asio::use_future)
+            .get();
+    CPPUNIT_ASSERT_EQUAL(413,
+                         std::get<exchange_answered>(result).response.status);
+    CPPUNIT_ASSERT(product.asked.empty());
+    server.close_idle();
+    pool.stop();
+    pool.join();
+  }
+
+  void a_body_that_is_cut_off_never_gets_through() {
+    asio::thread_pool pool(2);
+    fake_product product;
+    http_server server(pool, {});
+    auto error = server.listen(address, [&](http_request request) {
+      return platform::serve_caller(std::move(request), product.server());
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string(), error);
+    using asio::ip::tcp;
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::write(socket, asio::buffer(std::string(
+                            "POST /p/00ff HTTP/1.1\r\nHost: q.example\r\n"
+                            "Content-Length: 500\r\n\r\n{\"spec\":")));
+    socket.shutdown(tcp::socket::shutdown_send);
+    boost::system::error_code ec;
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), ec);
+    CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 400 "));
+    CPPUNIT_ASSERT(product.asked.empty());
+    server.close_idle();
+    pool.stop();
+    pool.join();
+  }
+
+ private:
+  static constexpr std::uint16_t port = 18'911;
+  static constexpr std::string_view address = "127.0.0.1:18911";
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(front_test);
