--- a/src/adapters/app.cpp
+++ b/src/adapters/app.cpp
@@ -1,6 +1,7 @@
 #include "adapters/app.h"
 
 #include <boost/leaf/handle_errors.hpp>
+#include <cerrno>
 #include <condition_variable>
 #include <csignal>
 #include <cstdlib>
@@ -33,12 +34,22 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-void wait_for_signal(const std::function<void()>& reload) {
+void wait_for_signal(const std::function<void()>& reload,
+                     std::chrono::milliseconds interval) {
   auto set = signal_set();
-  int which = SIGHUP;
-  while (which == SIGHUP) {
-    sigwait(&set, &which);
-    if (which == SIGHUP && reload) reload();
+  auto seconds = std::chrono::floor<std::chrono::seconds>(interval);
+  timespec limit{seconds.count(),
+                 std::chrono::nanoseconds(interval - seconds).count()};
+  while (true) {
+    int which = 0;
+    if (interval.count() > 0) {
+      which = sigtimedwait(&set, nullptr, &limit);
+    } else if (sigwait(&set, &which) != 0) {
+      continue;
+    }
+    if (which == SIGTERM || which == SIGINT) return;
+    bool due = which == SIGHUP || (which < 0 && errno == EAGAIN);
+    if (due && reload) reload();
   }
 }
 
--- a/src/adapters/app.h
+++ b/src/adapters/app.h
@@ -18,8 +18,13 @@
 /// Blocks SIGTERM, SIGINT and SIGHUP for this thread and those made later.
 void block_signals();
 
-/// Waits until SIGTERM or SIGINT. Calls `reload` at each SIGHUP before.
-void wait_for_signal(const std::function<void()>& reload = {});
+/// How often a settings file is looked at that may change without a signal.
+constexpr std::chrono::milliseconds settings_interval{2000};
+
+/// Waits until SIGTERM or SIGINT. Calls `reload` at each SIGHUP before and,
+/// with an interval, that often besides.
+void wait_for_signal(const std::function<void()>& reload = {},
+                     std::chrono::milliseconds interval = {});
 
 /// Waits until the server has no request left, at most this long. Returns
 /// whether it has none.
--- a/src/apps/fleet_control.cpp
+++ b/src/apps/fleet_control.cpp
@@ -14,6 +14,7 @@
 #include "platform/bodies.h"
 #include "platform/front.h"
 #include "platform/node_settings.h"
+#include "platform/settings_follower.h"
 #include "platform/worker_client.h"
 
 using namespace parsleyledge;
@@ -72,6 +73,7 @@
                 "parsleyledge-fleet-control: a replica of the fleet's state");
   auto path = absl::GetFlag(FLAGS_node_file);
   auto node_file = platform::load_or_refuse(path);
+  platform::settings_follower follower(path);
   start_log_from_flag(absl::GetFlag(FLAGS_log_level), node_file.node,
                       log_stream::standard_output);
   block_signals();
@@ -141,17 +143,10 @@
              {"disk", settings.has_disk},
              {"seeds", absl::StrJoin(node_file.seeds, ",")}});
 
-  wait_for_signal([&] {
-    auto loaded = platform::load_settings(path);
-    if (const auto* wrong = std::get_if<platform::settings_error>(&loaded)) {
-      log_event(log_level::error, "reload_refused",
-                {{"detail", to_string(*wrong)}});
-      return;
-    }
-    node.use_control(
-        platform::control_peers(std::get<platform::node_settings>(loaded)));
-    log_event(log_level::info, "reloaded");
-  });
+  auto use = [&](const platform::node_settings& changed) {
+    node.use_control(platform::control_peers(changed));
+  };
+  wait_for_signal([&] { follower.follow(use); }, settings_interval);
   log_event(log_level::info, "handing_over");
   auto until = steady_now() + transfer_limit;
   node.transfer();
--- a/src/apps/fleet_entry.cpp
+++ b/src/apps/fleet_entry.cpp
@@ -9,6 +9,7 @@
 #include "adapters/settings.h"
 #include "platform/front.h"
 #include "platform/node_settings.h"
+#include "platform/settings_follower.h"
 
 using namespace parsleyledge;
 
@@ -28,6 +29,7 @@
   read_settings(argc, argv, "parsleyledge-fleet-entry: callers' way in");
   auto path = absl::GetFlag(FLAGS_node_file);
   auto node_file = platform::load_or_refuse(path);
+  platform::settings_follower follower(path);
   start_log_from_flag(absl::GetFlag(FLAGS_log_level), node_file.node,
                       log_stream::standard_output);
   block_signals();
@@ -67,17 +69,10 @@
   if (!error.empty()) stop_at_once("start_failed", error);
   log_event(log_level::info, "started");
 
-  wait_for_signal([&] {
-    auto loaded = platform::load_settings(path);
-    if (const auto* wrong = std::get_if<platform::settings_error>(&loaded)) {
-      log_event(log_level::error, "reload_refused",
-                {{"detail", to_string(*wrong)}});
-      return;
-    }
-    node.use_control(
-        platform::control_peers(std::get<platform::node_settings>(loaded)));
-    log_event(log_level::info, "reloaded");
-  });
+  auto use = [&](const platform::node_settings& changed) {
+    node.use_control(platform::control_peers(changed));
+  };
+  wait_for_signal([&] { follower.follow(use); }, settings_interval);
   log_event(log_level::info, "draining");
   node.begin_drain();
   front.drain();
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -1,10 +1,17 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "platform/bodies.h"
 #include "platform/node_settings.h"
+#include "platform/services.h"
+#include "platform/settings_follower.h"
 
 using namespace parsleyledge;
 using platform::body_error;
@@ -66,6 +73,10 @@
   CPPUNIT_TEST(reads_settings);
   CPPUNIT_TEST(refuses_bad_settings);
   CPPUNIT_TEST(reads_waves);
+  CPPUNIT_TEST(follows_a_settings_file);
+  CPPUNIT_TEST(asks_policies_and_reads_their_answers);
+  CPPUNIT_TEST(orders_upkeep_and_reads_the_answers);
+  CPPUNIT_TEST(reads_lists_of_machines_page_by_page);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -289,6 +300,102 @@
     CPPUNIT_ASSERT(refused(platform::parse_wave(R"({"wave":1})")));
     CPPUNIT_ASSERT(refused(platform::parse_wave("")));
   }
+
+  void follows_a_settings_file() {
+    std::string path =
+        "/tmp/parsleyledge-follower-" + std::to_string(::getpid()) + ".conf";
+    auto write = [&](const std::string& text) {
+      std::ofstream(path, std::ios::trunc) << text;
+    };
+    const std::string good = "node=n\nip=10.0.0.1\nportRange=7000,7015\n";
+    write(good);
+    platform::settings_follower follower(path);
+    std::vector<std::string> seeds;
+    int used = 0;
+    auto use = [&](const platform::node_settings& changed) {
+      ++used;
+      seeds = changed.seeds;
+    };
+    follower.follow(use);
+    CPPUNIT_ASSERT_EQUAL(0, used);
+    write(good + "seeds=10.0.0.2:8526\n");
+    follower.follow(use);
+    follower.follow(use);
+    CPPUNIT_ASSERT_EQUAL(1, used);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2:8526"), seeds.at(0));
+    write("node=n\nportRange=no\n");
+    follower.follow(use);
+    std::remove(path.c_str());
+    follower.follow(use);
+    CPPUNIT_ASSERT_EQUAL(1, used);
+  }
+
+  void asks_policies_and_reads_their_answers() {
+    auto call = platform::write_advice_call(
+        {1, {{0xff}, 0, 1}, {{"i-1", 5}, {"i-2", 6}}, {}});
+    CPPUNIT_ASSERT_EQUAL(std::string("/api/advise"), call.path);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(
+            R"({"step":"00000000000000ff.0.1","workers":["i-1","i-2"]})"),
+        call.body);
+    using namespace fleet;
+    auto read = [](int status, std::string_view body) {
+      return platform::parse_advice(status, body);
+    };
+    auto given = std::get<advice_given>(
+        read(200, R"({"allowed":[["i-1","t"],["i-3"],7],"validMs":3000})"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, given.allowed.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("t"), given.allowed[0].ticket);
+    CPPUNIT_ASSERT(given.validity == milliseconds(3000));
+    CPPUNIT_ASSERT(std::holds_alternative<advice_busy>(read(429, "")));
+    for (const auto* body : {"", "{}", R"({"allowed":3})", R"({"allow)"}) {
+      CPPUNIT_ASSERT(std::holds_alternative<advice_missing>(read(200, body)));
+    }
+    CPPUNIT_ASSERT(std::holds_alternative<advice_missing>(read(500, "{}")));
+  }
+
+  void orders_upkeep_and_reads_the_answers() {
+    auto call = platform::write_upkeep_call({"m-1", 4});
+    CPPUNIT_ASSERT_EQUAL(std::string("/api/machine-upkeep"), call.path);
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"machine":"m-1","wave":4})"),
+                         call.body);
+    using fleet::machine_refusal;
+    using fleet::machine_refused;
+    CPPUNIT_ASSERT(std::holds_alternative<fleet::machine_accepted>(
+        platform::parse_upkeep(200, "")));
+    constexpr std::tuple<int, std::string_view, machine_refusal> table[] = {
+        {400, "{}", machine_refusal::unknown},
+        {409, R"({"reason":"fence"})", machine_refusal::fence},
+        {409, R"({"reason":"busy"})", machine_refusal::busy},
+        {409, R"({"reason":"wave"})", machine_refusal::wave},
+        {429, "", machine_refusal::later},
+        {503, "", machine_refusal::later}};
+    for (const auto& [status, body, why] : table) {
+      auto answer = platform::parse_upkeep(status, body);
+      CPPUNIT_ASSERT(std::get<machine_refused>(answer).why == why);
+    }
+    CPPUNIT_ASSERT(std::holds_alternative<fleet::machine_silent>(
+        platform::parse_upkeep(409, "cut")));
+  }
+
+  void reads_lists_of_machines_page_by_page() {
+    std::vector<fleet::listed_machine> machines;
+    std::string next;
+    CPPUNIT_ASSERT(platform::parse_machines(
+        R"({"machines":[{"machine":"m-1","state":"up"},{"state":"up"},3,)"
+        R"({"machine":"m-2","state":"upkeep"}],"nextToken":"p2"})",
+        machines, next));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, machines.size());
+    CPPUNIT_ASSERT(machines[1].state == fleet::machine_state::upkeep);
+    CPPUNIT_ASSERT_EQUAL(std::string("/api/machines?pageToken=p2"),
+                         platform::machines_path(next));
+    CPPUNIT_ASSERT(platform::parse_machines(
+        R"({"machines":[],"nextToken":null})", machines, next));
+    CPPUNIT_ASSERT_EQUAL(std::string("/api/machines"),
+                         platform::machines_path(next));
+    CPPUNIT_ASSERT(
+        !platform::parse_machines(R"({"machines":4})", machines, next));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(platform_test);
