--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -137,8 +137,12 @@
 void dispatcher::note_speeds_learned(moment now) {
   if (now.steady - speeds_noted_at_ < limits_.speed_notes) return;
   speeds_noted_at_ = now.steady;
+  speeds_.update();
   auto news = speeds_.take_news();
-  if (!news.empty()) propose_command(note_speeds{std::move(news)});
+  if (news.empty()) return;
+  note("speeds_learned", {{"machines", std::to_string(news.size())},
+                          {"known", std::to_string(speeds_.known())}});
+  propose_command(note_speeds{std::move(news)});
 }
 
 void dispatcher::act(const fleet_tables& tables, moment now) {
--- a/test/fleet_units_test.cpp
+++ b/test/fleet_units_test.cpp
@@ -153,6 +153,7 @@
                        100 * true_speed(m) / (work * uneven(random)));
       }
     }
+    speeds.update();
     for (int fast = 0; fast < 12; fast += 3) {
       for (int slow = 1; slow < 12; slow += 3) {
         auto ratio = speeds.speed("m" + std::to_string(fast)) /
