--- a/src/apps/ctl.cpp
+++ b/src/apps/ctl.cpp
@@ -3,11 +3,13 @@
 
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
+#include <filesystem>
 #include <functional>
 #include <iostream>
 #include <random>
 #include <span>
 
+#include "adapters/log_story.h"
 #include "adapters/operator_client.h"
 #include "adapters/settings.h"
 #include "adapters/table.h"
@@ -68,6 +70,31 @@
   return exit_code::done;
 }
 
+/// Prints what the log files of a folder say of one request, in order.
+auto explain_request(operator_client&, arguments args) -> exit_code {
+  std::error_code ec;
+  std::vector<std::string> logs;
+  for (const auto& entry : std::filesystem::directory_iterator(args[1], ec)) {
+    if (entry.is_regular_file())
+      logs.push_back(read_text(entry.path().c_str()));
+  }
+  if (ec) give_up(exit_code::refused, args[1] + ": " + ec.message());
+  auto story = read_story(logs, args[0]);
+  if (story.unreadable > 0) {
+    std::cerr << story.unreadable << " lines that name it are no JSON\n";
+  }
+  if (story.moments.empty()) {
+    give_up(exit_code::refused, "no log line names " + args[0]);
+  }
+  text_table table{{"time", "process", "event", "details"}, {}};
+  for (const auto& m : story.moments) {
+    if (absl::GetFlag(FLAGS_json)) std::cout << m.line << "\n";
+    table.rows.push_back({m.time, m.process, m.event, m.details});
+  }
+  if (!absl::GetFlag(FLAGS_json)) std::cout << table.print();
+  return exit_code::done;
+}
+
 auto check_directory(std::string_view path)
     -> std::map<std::string, std::string> {
   auto files = read_directory(path);
@@ -321,6 +348,8 @@
        [](auto& client, arguments args) {
          return put_or_delete(client, "/v1/replicas/" + args[0], true, "");
        }},
+      {"explain", 2, "ID FOLDER: a request's story from the logs in a folder",
+       explain_request},
       {"dump", 1, "ip:port: the state of one process", dump}};
 }
 
@@ -348,7 +377,8 @@
                                         std::string(c.words) + " " +
                                         std::string(c.help));
     }
-    bool local = c.words == "config check" || c.words == "dump";
+    bool local =
+        c.words == "config check" || c.words == "dump" || c.words == "explain";
     auto entries = absl::GetFlag(FLAGS_entry).addresses;
     if (entries.empty() && !local) {
       give_up(exit_code::bad_usage, "--entry ip:port is required");
--- a/src/core/fleet/dispatch_upkeep.cpp
+++ b/src/core/fleet/dispatch_upkeep.cpp
@@ -213,7 +213,8 @@
   auto it = std::ranges::find_if(
       closing_, [&](const auto& item) { return item.second.order == id; });
   if (it == closing_.end()) return {};
-  auto& [machine, closing] = *it;
+  const auto& machine = it->first;
+  auto& closing = it->second;
   closing.order = 0;
   std::visit(
       overloaded{
--- a/test/log_test.cpp
+++ b/test/log_test.cpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "adapters/log_budget.h"
+#include "adapters/log_story.h"
 #include "adapters/log_writer.h"
 
 using namespace parsleyledge;
@@ -67,6 +68,7 @@
   CPPUNIT_TEST(a_reader_that_does_not_read_costs_lines_only);
   CPPUNIT_TEST(an_end_does_not_wait_for_a_reader_for_ever);
   CPPUNIT_TEST(a_flood_of_one_kind_is_folded);
+  CPPUNIT_TEST(a_story_is_told_in_order);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -109,6 +111,25 @@
     for (int i = 0; i < 500; ++i) writer.write(line);
   }  // the writer ends although nobody reads
 
+  void a_story_is_told_in_order() {
+    std::vector<std::string> logs = {
+        R"({"time":"2026-01-01T00:00:02.000Z","process":"b","event":"ended",)"
+        R"("task":"00ff.0.0.1","how":"done"})"
+        "\nnoise 00ff {cut\n",
+        "7.1 a/control "
+        R"({"time":"2026-01-01T00:00:01.000Z","level":"info","process":"a",)"
+        R"("event":"job_submitted","job":"00ff","steps":1})"
+        "\n"
+        R"({"time":"2026-01-01T00:00:00.000Z","event":"other","job":"01"})"};
+    auto story = read_story(logs, "00ff");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, story.moments.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, story.unreadable);
+    CPPUNIT_ASSERT_EQUAL(std::string("job_submitted"), story.moments[0].event);
+    CPPUNIT_ASSERT_EQUAL(std::string("job=00ff steps=1"),
+                         story.moments[0].details);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), story.moments[1].process);
+  }
+
   void a_flood_of_one_kind_is_folded() {
     log_budget budget(10, 20);
     auto now = log_budget::clock::now();
