--- a/src/adapters/agreement_codec.cpp
+++ b/src/adapters/agreement_codec.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <iterator>
+#include <vector>
 
 #include "adapters/codec.h"
 #include "wire.pb.h"
@@ -10,17 +12,11 @@
 // Internal functions are static, not in an unnamed namespace, which would
 // hide the public overloads.
 
-/// Writes a range of rows into a repeated field.
-template <typename Rows, typename Field>
-static void write_all(const Rows& rows, Field& field) {
-  for (const auto& row : rows) write(row, *field.Add());
-}
-
-/// Reads a repeated field into a container of rows.
-template <typename Rows, typename Field>
-static auto read_all(const Field& field) -> Rows {
-  Rows rows;
-  for (const auto& row : field) rows.push_back(read(row));
+template <typename Row, typename Field>
+static auto read_rows(const Field& field) -> std::vector<Row> {
+  std::vector<Row> rows;
+  std::ranges::transform(field, std::back_inserter(rows),
+                         [](const auto& row) { return read(row); });
   return rows;
 }
 
@@ -49,7 +45,7 @@
   auto& append = *to.mutable_append();
   append.set_previous_term(from.previous.term.value);
   append.set_previous_index(from.previous.index.value);
-  write_all(from.entries, *append.mutable_entries());
+  for (const auto& row : from.entries) write(row, *append.add_entries());
   append.set_commit(from.commit.value);
   append.set_sent_at(to_ms(from.sent_at));
 }
@@ -67,7 +63,7 @@
   auto& chunk = *to.mutable_chunk();
   chunk.set_last_term(from.last.term.value);
   chunk.set_last_index(from.last.index.value);
-  write_all(from.members, *chunk.mutable_members());
+  for (const auto& row : from.members) write(row, *chunk.add_members());
   chunk.set_offset(from.offset);
   chunk.set_bytes(from.bytes);
   chunk.set_done(from.done);
@@ -110,7 +106,7 @@
       const auto& append = from.append();
       return ag::append_request{
           {{append.previous_term()}, {append.previous_index()}},
-          read_all<std::vector<ag::log_entry>>(append.entries()),
+          read_rows<ag::log_entry>(append.entries()),
           {append.commit()},
           at_ms(append.sent_at())};
     }
@@ -121,13 +117,12 @@
     }
     case body::kChunk: {
       const auto& chunk = from.chunk();
-      return ag::snapshot_chunk{
-          {{chunk.last_term()}, {chunk.last_index()}},
-          read_all<std::vector<ag::member>>(chunk.members()),
-          chunk.offset(),
-          chunk.bytes(),
-          chunk.done(),
-          at_ms(chunk.sent_at())};
+      return ag::snapshot_chunk{{{chunk.last_term()}, {chunk.last_index()}},
+                                read_rows<ag::member>(chunk.members()),
+                                chunk.offset(),
+                                chunk.bytes(),
+                                chunk.done(),
+                                at_ms(chunk.sent_at())};
     }
     case body::kChunkReply: {
       const auto& reply = from.chunk_reply();
@@ -163,14 +158,14 @@
   to.set_index(from.position.index.value);
   to.set_kind(static_cast<std::uint32_t>(from.kind));
   to.set_payload(from.payload);
-  write_all(from.members, *to.mutable_members());
+  for (const auto& row : from.members) write(row, *to.add_members());
 }
 
 auto read(const wire::log_entry& from) -> ag::log_entry {
   return {{{from.term()}, {from.index()}},
           static_cast<ag::entry_kind>(from.kind()),
           from.payload(),
-          read_all<std::vector<ag::member>>(from.members())};
+          read_rows<ag::member>(from.members())};
 }
 
 void write(const ag::message& from, wire::agreement_message& to) {
--- a/test/contracts_test.cpp
+++ b/test/contracts_test.cpp
@@ -16,9 +16,7 @@
 namespace {
 
 void assert_clean(const fleet_site& site) {
-  std::string all;
-  for (const auto& rule : site.broken_rules) all += rule + "; ";
-  CPPUNIT_ASSERT_EQUAL(std::string(), all);
+  CPPUNIT_ASSERT_EQUAL(std::string(), site.broken());
 }
 
 auto lasting(std::uint32_t tasks, std::uint32_t may_miss) -> fleet::step_spec {
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -17,9 +17,7 @@
 constexpr milliseconds reclaim_bound{2700};
 
 void assert_clean(const fleet_site& site) {
-  std::string all;
-  for (const auto& rule : site.broken_rules) all += rule + "; ";
-  CPPUNIT_ASSERT_EQUAL(std::string(), all);
+  CPPUNIT_ASSERT_EQUAL(std::string(), site.broken());
 }
 
 void assert_state(job_state wanted, const fleet_site& site, fleet::job_id id) {
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -208,6 +208,12 @@
                     fleet::to_string(task) + " run " + std::to_string(run));
 }
 
+auto fleet_site::broken() const -> std::string {
+  std::string all;
+  for (const auto& rule : broken_rules) all += rule + "; ";
+  return all;
+}
+
 auto fleet_site::describe() const -> std::string {
   std::string all;
   for (const auto& [ref, run] : dispatcher_.runs()) {
--- a/test/fakes/fleet_site.h
+++ b/test/fakes/fleet_site.h
@@ -98,6 +98,9 @@
   auto now() const -> time_point { return now_; }
   auto dispatcher() const -> const fleet::dispatcher& { return dispatcher_; }
 
+  /// The rules broken so far, in one line; empty if none was.
+  auto broken() const -> std::string;
+
   /// What the dispatcher believes of every run and worker, for messages.
   auto describe() const -> std::string;
 
