--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -41,20 +41,36 @@
 // Figures of the operators' sites: rates of their heavy days, sizes, and
 // durations on a sound machine.
 constexpr std::array plans = {
-    shape_plan{"fridge", 48, 8, {128'000, 524'288, 8}, 60,
+    shape_plan{"fridge",
+               48,
+               8,
+               {128'000, 524'288, 8},
+               60,
                {{{"q0", 2.9, 3.4, 21, 2500, .5, 15'000, 61'000, true, true},
                  {"q1", .6, 5, 30, 11'000, .3, 52'000, 210'000, true, true},
                  {"q2", .9, 21, 94, 6100, .3, 11'000, 59'000, false, false}}}},
-    shape_plan{"batch", 48, 8, {64'000, 262'144, 8}, 60,
+    shape_plan{"batch",
+               48,
+               8,
+               {64'000, 262'144, 8},
+               60,
                {{{"q0", 2.9, 3, 18, 2500, .5, 7'500, 31'000, true, true},
                  {"q1", .8, 4, 24, 11'000, .3, 26'000, 140'000, true, true},
                  {"q2", 1.3, 16, 72, 6100, .3, 5'600, 23'000, false, false}}}},
-    shape_plan{"fridge_grown", 350, 12, {128'000, 524'288, 8}, 400,
-               {{{"q0", 8.2, 5.4, 32, 2500, .5, 15'000, 61'000, true, true},
-                 {"q1", 1.2, 13, 78, 11'000, .3, 52'000, 210'000, true, true},
-                 {"q2", 1.9, 50, 230, 6100, .3, 11'000, 59'000, false,
-                  false}}}},
-    shape_plan{"batch_grown", 350, 20, {64'000, 262'144, 8}, 400,
+    shape_plan{
+        "fridge_grown",
+        350,
+        12,
+        {128'000, 524'288, 8},
+        400,
+        {{{"q0", 8.2, 5.4, 32, 2500, .5, 15'000, 61'000, true, true},
+          {"q1", 1.2, 13, 78, 11'000, .3, 52'000, 210'000, true, true},
+          {"q2", 1.9, 50, 230, 6100, .3, 11'000, 59'000, false, false}}}},
+    shape_plan{"batch_grown",
+               350,
+               20,
+               {64'000, 262'144, 8},
+               400,
                {{{"q0", 12, 4.7, 28, 2500, .5, 7'500, 31'000, true, true},
                  {"q1", 2.6, 10, 60, 11'000, .3, 26'000, 140'000, true, true},
                  {"q2", 4, 39, 180, 6100, .3, 5'600, 23'000, false, false}}}}};
@@ -68,8 +84,8 @@
 
 /// A log-normal draw of this mean.
 auto draw(random_source& random, double mean, double spread) -> double {
-  std::lognormal_distribution<double> d(
-      std::log(mean) - spread * spread / 2, spread);
+  std::lognormal_distribution<double> d(std::log(mean) - spread * spread / 2,
+                                        spread);
   return d(random);
 }
 
@@ -121,9 +137,9 @@
           kind.per_second * settings.load * static_cast<double>(beat.count()) /
           1000);
       for (int n = arrivals(random); n > 0; --n) {
-        jobs.at(k).push_back(
-            site.submit(std::string(kind.queue), draw_step(random, kind),
-                        random() % 2 == 0 ? "a" : "b"));
+        jobs.at(k).push_back(site.submit(std::string(kind.queue),
+                                         draw_step(random, kind),
+                                         random() % 2 == 0 ? "a" : "b"));
       }
     }
     site.run_for(beat);
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -338,12 +338,10 @@
       for (auto& w : site.workers) w.fails = false;
       site.run_for(milliseconds(200));
     }
-    CPPUNIT_ASSERT(std::ranges::count_if(site.dispatcher().workers(),
-                                         [&](const auto& item) {
-                                           return item.second
-                                                      .quarantined_until >
-                                                  site.now();
-                                         }) <= 1);
+    CPPUNIT_ASSERT(std::ranges::count_if(
+                       site.dispatcher().workers(), [&](const auto& item) {
+                         return item.second.quarantined_until > site.now();
+                       }) <= 1);
     assert_clean(site);
   }
 
