Hold room back for gangs that wait; leave signals to the program

Gangs: beside a stream of small tasks no place for a gang ever became free at once. Test red without it.

The thread blocks all signals now. Test: log_test::signals_are_left_to_the_program, red before.

--- a/src/adapters/log_writer.cpp
+++ b/src/adapters/log_writer.cpp
@@ -6,6 +6,7 @@
 
 #include <cerrno>
 #include <chrono>
+#include <csignal>
 
 namespace parsleyledge {
 
@@ -21,7 +22,13 @@
 
 log_writer::log_writer(int descriptor, std::size_t capacity)
     : descriptor_(descriptor), capacity_(capacity) {
+  // The thread takes no signals: they are the program's to wait for.
+  sigset_t all;
+  sigset_t before;
+  sigfillset(&all);
+  pthread_sigmask(SIG_SETMASK, &all, &before);
   thread_ = std::thread([this] { run(); });
+  pthread_sigmask(SIG_SETMASK, &before, nullptr);
 }
 
 log_writer::~log_writer() {
--- /dev/null
+++ b/src/core/fleet/dispatch_hold.cpp
@@ -0,0 +1,132 @@
+#include <algorithm>
+
+#include "core/fleet/dispatcher.h"
+#include "core/fleet/task_name.h"
+
+namespace parsleyledge::fleet {
+
+namespace {
+
+// More would keep too much of a small site idle while its tasks end.
+constexpr std::size_t most_held = 2;
+
+/// Tasks of this step that each worker has.
+auto tasks_by_worker(const backlog_item& item)
+    -> std::map<std::string_view, std::uint32_t> {
+  std::map<std::string_view, std::uint32_t> counts;
+  auto open = item.job->open.find(item.step.occurrence);
+  if (open == item.job->open.end()) return counts;
+  for (const auto& task : open->second.steps[item.step.step].tasks) {
+    if (task.holding) ++counts[task.worker.name];
+  }
+  return counts;
+}
+
+/// Whether a step has no task on any worker and its job goes on.
+auto waits_whole(const fleet_tables& tables, const step_ref& step) -> bool {
+  auto job = tables.jobs.find(step.job);
+  if (job == tables.jobs.end() || is_ended(job->second)) return false;
+  auto open = job->second.open.find(step.occurrence);
+  if (open == job->second.open.end()) return true;
+  const auto& record = open->second.steps[step.step];
+  return record.done == 0 &&
+         std::ranges::none_of(record.tasks, &task_record::holding);
+}
+
+}  // namespace
+
+// The workers as one step sees them: without the room that is kept for urgent
+// work or held for other gangs, unless the step is urgent itself.
+auto dispatcher::candidates_for(const backlog_item& item,
+                                std::span<const std::size_t> rows,
+                                const planning_pass& pass) const
+    -> std::vector<candidate> {
+  std::vector<candidate> candidates;
+  candidates.reserve(rows.size());
+  auto counts = tasks_by_worker(item);
+  bool urgent = item.where->priority == 0;
+  auto own = held_.find(item.step);
+  for (auto i : rows) {
+    const auto& row = pass.row(i);
+    const auto& name = row.record->life.name;
+    auto room = urgent ? row.room : row.room - row.kept - row.held;
+    if (!urgent && own != held_.end()) {
+      for (const auto& [worker, amount] : own->second.rooms) {
+        if (worker == name) room += amount;
+      }
+    }
+    auto taken = counts.find(name);
+    candidates.push_back({row.record->rack, room, row.record->capacity,
+                          row.speed, taken == counts.end() ? 0 : taken->second,
+                          row.known});
+  }
+  return candidates;
+}
+
+// Holds go with their gangs, and are chosen anew when the room does not come.
+void dispatcher::renew_holds(const fleet_tables& tables, planning_pass& pass,
+                             moment now) {
+  std::erase_if(held_, [&](const auto& item) {
+    return now.steady - item.second.since > limits_.longest_hold ||
+           !waits_whole(tables, item.first);
+  });
+  for (const auto& [step, place] : held_) {
+    for (const auto& [worker, amount] : place.rooms) pass.hold(worker, amount);
+  }
+}
+
+// What a worker would have free without its runs of lower priorities.
+auto dispatcher::room_without_lower(const fleet_tables& tables,
+                                    const worker_record& record,
+                                    std::uint32_t priority) const -> resources {
+  auto room = record.capacity;
+  auto worker = workers_.find(record.life.name);
+  if (worker == workers_.end()) return room;
+  for (const auto* run : worker->second.runs) {
+    const auto& spec = tables.jobs.at(run->task.job).spec;
+    const auto& step = spec.steps[run->task.step];
+    const auto* where = find_queue(*site_, spec.queue);
+    bool lower = where != nullptr && where->priority > priority;
+    if (!lower || step.lasting) room -= reserved_by(step);
+  }
+  return room;
+}
+
+// Chooses where a gang that has waited will fit once less urgent tasks there
+// have ended, and keeps others from taking that room meanwhile. Nothing is
+// stopped for it.
+void dispatcher::hold_place(const backlog_item& item,
+                            const fleet_tables& tables,
+                            std::span<const candidate> candidates,
+                            std::span<const std::size_t> rows,
+                            const placement_need& need, planning_pass& pass,
+                            moment now) {
+  bool waited = now.wall - item.due > limits_.gang_patience;
+  bool wants = need.together && waited && !item.hopeless &&
+               item.where->priority != 0 && !item.where->advice;
+  if (!wants || held_.contains(item.step) || held_.size() >= most_held) return;
+  std::vector<candidate> emptied(candidates.begin(), candidates.end());
+  for (std::size_t i = 0; i < rows.size(); ++i) {
+    const auto& row = pass.row(rows[i]);
+    emptied[i].free =
+        room_without_lower(tables, *row.record, item.where->priority) -
+        row.kept - row.held;
+  }
+  auto chosen = choose_workers(emptied, need);
+  if (chosen.empty()) return;
+  held_place place{{}, now.steady};
+  for (const auto& c : chosen) {
+    const auto& name = pass.row(rows[c.candidate]).record->life.name;
+    auto amount = need.each * c.tasks;
+    place.rooms.emplace_back(name, amount);
+    pass.hold(name, amount);
+  }
+  note("place_held",
+       {{"step", fleet::to_string(item.step)},
+        {"workers", std::to_string(chosen.size())},
+        {"tasks", std::to_string(need.tasks)},
+        {"waited_ms", std::to_string((now.wall - item.due).count())}});
+  held_[item.step] = std::move(place);
+}
+
+}  // namespace parsleyledge::fleet
--- a/src/core/fleet/dispatch_limits.h
+++ b/src/core/fleet/dispatch_limits.h
@@ -31,6 +31,12 @@
   // Between two notes of what was learned of machines' speeds, so that they
   // cost one small command.
   milliseconds speed_notes{1000};
+  // A gang that waits longer has room held back for it, so that small tasks do
+  // not take every place that becomes free.
+  milliseconds gang_patience{4000};
+  // Until held room that did not become free is chosen anew: the usual task of
+  // the least urgent queue has ended by then.
+  milliseconds longest_hold{6000};
   // Without progress for so long, a run counts as standing still.
   milliseconds standstill{1500};
   // First quarantine of a worker that fails; doubled while it goes on.
--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -47,18 +47,6 @@
   return weight;
 }
 
-/// Tasks of this step that each worker has.
-auto tasks_by_worker(const backlog_item& item)
-    -> std::map<std::string_view, std::uint32_t> {
-  std::map<std::string_view, std::uint32_t> counts;
-  auto open = item.job->open.find(item.step.occurrence);
-  if (open == item.job->open.end()) return counts;
-  for (const auto& task : open->second.steps[item.step.step].tasks) {
-    if (task.holding) ++counts[task.worker.name];
-  }
-  return counts;
-}
-
 auto placed_tasks(std::span<const choice> chosen) -> std::uint32_t {
   std::uint32_t sum = 0;
   for (const auto& c : chosen) sum += c.tasks;
@@ -109,8 +97,11 @@
     const auto& worker = state->second;
     if (state->first != name || !is_usable(record, worker, now)) continue;
     auto speed = speeds_.learned(machine_of(record));
-    pass.add({&record, record.capacity - worker.used,
-              worker.kept.total(now.steady), std::exp(speed.log_speed),
+    pass.add({&record,
+              record.capacity - worker.used,
+              worker.kept.total(now.steady),
+              {},
+              std::exp(speed.log_speed),
               speed.weight > 0});
   }
   auto subtract = [&](std::span<const placement> placements) {
@@ -131,6 +122,7 @@
   auto backlog = collect_backlog(tables, *site_, now.wall);
   if (backlog.empty()) return;
   auto pass = begin_pass(tables, now);
+  renew_holds(tables, pass, now);
   for (const auto& item : backlog) {
     if (!is_planned(item.step)) place(item, tables, pass, now);
   }
@@ -219,7 +211,7 @@
   const auto& label = item.spec->label;
   bool urgent = item.where->priority == 0;
   bool hopeless = pass.has_failed(service, label, need);
-  if (hopeless && !urgent) return;
+  if (hopeless && !urgent && !held_.contains(item.step)) return;
   auto rows = pass.rows_of(service, label);
   auto all = rows;
   if (item.where->advice) {
@@ -228,17 +220,7 @@
              permission::allowed;
     });
   }
-  std::vector<candidate> candidates;
-  candidates.reserve(rows.size());
-  auto counts = tasks_by_worker(item);
-  for (auto i : rows) {
-    const auto& row = pass.row(i);
-    auto taken = counts.find(row.record->life.name);
-    auto room = urgent ? row.room : row.room - row.kept;
-    candidates.push_back({row.record->rack, room, row.record->capacity,
-                          row.speed, taken == counts.end() ? 0 : taken->second,
-                          row.known});
-  }
+  auto candidates = candidates_for(item, rows, pass);
   bool bound = need.same_rack || !need.data_rack.empty();
   if (bound && !need.any_rack) {
     need.any_rack = !fits_one_rack(candidates, need, need.data_rack);
@@ -250,8 +232,10 @@
   if (chosen.empty()) {
     if (!item.where->advice) pass.note_failure(service, label, need);
     reclaim(item, tables, candidates, rows, need, pass, now);
+    hold_place(item, tables, candidates, rows, need, pass, now);
     return;
   }
+  held_.erase(item.step);
   auto placements = make_placements(item, chosen, rows, pass);
   double slowest = candidates[chosen.front().candidate].speed;
   for (const auto& c : chosen) {
--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -51,6 +51,7 @@
   committed_.clear();
   reservations_.clear();
   reclaim_tried_.clear();
+  held_.clear();
   failed_steps_ = {};
   tickets_ = {};
   asked_.reset();
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -120,6 +120,12 @@
     worker_life life;   // that the upkeep ends
   };
 
+  /// Room held back for a gang, by worker.
+  struct held_place {
+    std::vector<std::pair<std::string, resources>> rooms;
+    time_point since;
+  };
+
   struct stoppable {
     std::vector<task_ref> tasks;
     victim what;
@@ -236,6 +242,18 @@
       -> planning_pass;
   void settle_reservations(const fleet_tables& tables, moment now);
   auto is_planned(const step_ref& step) const -> bool;
+  void renew_holds(const fleet_tables& tables, planning_pass& pass, moment now);
+  void hold_place(const backlog_item& item, const fleet_tables& tables,
+                  std::span<const candidate> candidates,
+                  std::span<const std::size_t> rows, const placement_need& need,
+                  planning_pass& pass, moment now);
+  auto room_without_lower(const fleet_tables& tables,
+                          const worker_record& record,
+                          std::uint32_t priority) const -> resources;
+  auto candidates_for(const backlog_item& item,
+                      std::span<const std::size_t> rows,
+                      const planning_pass& pass) const
+      -> std::vector<candidate>;
   auto need_of(const backlog_item& item, moment now) const -> placement_need;
   void place(const backlog_item& item, const fleet_tables& tables,
              planning_pass& pass, moment now);
@@ -278,6 +296,7 @@
   std::vector<std::uint64_t> committed_;
   std::map<step_ref, reservation> reservations_;
   std::map<step_ref, time_point> reclaim_tried_;
+  std::map<step_ref, held_place> held_;
   speed_table speeds_;
   time_point speeds_noted_at_;
   failure_log failed_steps_;
--- a/src/core/fleet/planning_pass.cpp
+++ b/src/core/fleet/planning_pass.cpp
@@ -36,6 +36,11 @@
   if (it != index_.end()) rows_[it->second].room -= amount;
 }
 
+void planning_pass::hold(std::string_view worker, const resources& amount) {
+  auto it = index_.find(worker);
+  if (it != index_.end()) rows_[it->second].held += amount;
+}
+
 void planning_pass::take_kept(std::size_t i, const resources& amount) {
   auto& row = rows_[i];
   row.room -= amount;
--- a/src/core/fleet/planning_pass.h
+++ b/src/core/fleet/planning_pass.h
@@ -17,6 +17,7 @@
   const worker_record* record = nullptr;
   resources room;
   resources kept;  // part of the room, for urgent work only
+  resources held;  // for gangs that wait; it may not be free yet
   double speed = 1;
   bool known = true;  // whether its speed was ever seen
 };
@@ -42,6 +43,9 @@
     rows_[i].room -= amount;
   }
 
+  /// Holds room on a worker back for a gang, if the worker takes part.
+  void hold(std::string_view worker, const resources& amount);
+
   /// Takes room for urgent work, first of what is kept for it.
   void take_kept(std::size_t i, const resources& amount);
 
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(a_new_leader_starts_what_was_only_placed);
   CPPUNIT_TEST(a_new_leader_knows_the_speeds_of_machines);
   CPPUNIT_TEST(urgent_work_leaves_its_room_to_the_next);
+  CPPUNIT_TEST(a_gang_gets_room_beside_a_stream_of_small_tasks);
   CPPUNIT_TEST(a_cancelled_job_is_stopped);
   CPPUNIT_TEST(a_draining_worker_gets_no_work);
   CPPUNIT_TEST(a_worker_that_fails_everything_is_left_alone);
@@ -268,6 +269,29 @@
     assert_clean(site);
   }
 
+  // A pattern of heavy days: small tasks take each place as it becomes free.
+  void a_gang_gets_room_beside_a_stream_of_small_tasks() {
+    fleet_site site(4);
+    site.work = milliseconds(0);
+    auto small = make_step(8, 1);
+    for (int i = 0; i < 8; ++i) {
+      small.estimate = milliseconds(1700 + 90 * i);
+      site.submit("q2", small);
+    }
+    site.run_for(milliseconds(200));
+    auto gang = make_gang(2, 8);
+    gang.estimate = milliseconds(2000);
+    auto id = site.submit("q1", gang);
+    for (int i = 0; i < 90; ++i) {
+      small.estimate = milliseconds(1700 + 90 * (i % 8));
+      site.submit("q2", small);
+      site.run_for(milliseconds(100));
+    }
+    CPPUNIT_ASSERT(site.running(id) == 2 ||
+                   site.state(id) == job_state::complete);
+    assert_clean(site);
+  }
+
   void a_cancelled_job_is_stopped() {
     fleet_site site(2);
     site.work = seconds(30);
--- a/test/log_test.cpp
+++ b/test/log_test.cpp
@@ -4,6 +4,10 @@
 
 #include <array>
 #include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <map>
 #include <string>
 
 #include "adapters/log_budget.h"
@@ -51,6 +55,23 @@
   int write_end = -1;
 };
 
+/// The signals that each thread of this process blocks, as bits.
+auto blocked_signals() -> std::map<std::string, std::uint64_t> {
+  std::map<std::string, std::uint64_t> threads;
+  for (const auto& thread :
+       std::filesystem::directory_iterator("/proc/self/task")) {
+    std::ifstream status(thread.path() / "status");
+    for (std::string line; std::getline(status, line);) {
+      constexpr std::string_view field = "SigBlk:";
+      if (!line.starts_with(field)) continue;
+      constexpr int hex = 16;
+      threads[thread.path().filename().string()] =
+          std::stoull(line.substr(field.size()), nullptr, hex);
+    }
+  }
+  return threads;
+}
+
 auto count(const std::string& text, std::string_view what) -> std::size_t {
   std::size_t n = 0;
   for (auto at = text.find(what); at != std::string::npos;
@@ -69,6 +90,7 @@
   CPPUNIT_TEST(an_end_does_not_wait_for_a_reader_for_ever);
   CPPUNIT_TEST(a_flood_of_one_kind_is_folded);
   CPPUNIT_TEST(a_story_is_told_in_order);
+  CPPUNIT_TEST(signals_are_left_to_the_program);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -130,6 +152,25 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b"), story.moments[1].process);
   }
 
+  // Seen on the bench, sarza-ke: a reload during the shutdown ended an entry,
+  // for the writer's thread had the signal's default action.
+  void signals_are_left_to_the_program() {
+    quiet_pipe pipe;
+    auto before = blocked_signals();
+    log_writer writer(pipe.write_end, 1 << 16);
+    // A thread blocks everything until it has begun to run.
+    CPPUNIT_ASSERT(writer.write("begun"));
+    writer.flush(seconds(10));
+    auto after = blocked_signals();
+    CPPUNIT_ASSERT_EQUAL(before.size() + 1, after.size());
+    for (const auto& [thread, blocked] : after) {
+      if (before.contains(thread)) continue;
+      for (int signal : {SIGHUP, SIGTERM, SIGINT}) {
+        CPPUNIT_ASSERT((blocked >> (signal - 1) & 1) != 0);
+      }
+    }
+  }
+
   void a_flood_of_one_kind_is_folded() {
     log_budget budget(10, 20);
     auto now = log_budget::clock::now();
