--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -259,7 +259,7 @@
 auto fleet_control_node::seek_advice(fleet::ask_advice what)
     -> asio::awaitable<void> {
   auto id = what.id;
-  auto answer = co_await platform_.advise(std::move(what));
+  auto answer = co_await platform_.ask_policy(std::move(what));
   if (stopped_) co_return;
   decide([&](const fleet::fleet_tables& tables) {
     return dispatcher_.advised(tables, id, answer, now_both());
--- a/src/apps/fleet_control.cpp
+++ b/src/apps/fleet_control.cpp
@@ -96,7 +96,7 @@
         return workers.give(std::move(what));
       },
       [&workers](fleet::ask_advice what) {
-        return workers.advise(std::move(what));
+        return workers.ask_policy(std::move(what));
       },
       [&workers](fleet::send_machine_order what) {
         return workers.order_machine(std::move(what));
--- a/src/ports/fleet.h
+++ b/src/ports/fleet.h
@@ -16,7 +16,7 @@
   std::function<boost::asio::awaitable<order_answer>(send_order)> order;
 
   /// Asks the policy of a queue which workers may run a step.
-  std::function<boost::asio::awaitable<advice_answer>(ask_advice)> advise;
+  std::function<boost::asio::awaitable<advice_answer>(ask_advice)> ask_policy;
 
   /// Carries an order to the platform of the machines.
   std::function<boost::asio::awaitable<machine_answer>(send_machine_order)>
