Give up machines that are of no wave; find queues by their sorted names

A machine that the platform refused for good stayed closed: its worker was never used again, and the refusal was asked for again without end. After an order without an answer the life that reports may be the one after the upkeep: it is no longer dropped then.

--- a/src/core/fleet/dispatch_upkeep.cpp
+++ b/src/core/fleet/dispatch_upkeep.cpp
@@ -56,10 +56,12 @@
 void dispatcher::keep_up(const fleet_tables& tables, moment now) {
   bool open = std::ranges::any_of(
       tables.waves, [](const auto& item) { return !is_complete(item.second); });
-  if (!open) {
-    closing_.clear();
-    return;
-  }
+  if (!open && closing_.empty()) return;
+  for (auto& [name, worker] : workers_) worker.closing = false;
+  std::erase_if(closing_, [&](const auto& item) {
+    auto wave = tables.waves.find(item.second.wave);
+    return wave == tables.waves.end() || has_ended(wave->second, item.first);
+  });
   workers_by_machine by_machine;
   for (const auto& [name, record] : tables.workers) {
     by_machine[machine_of(record)] = &record;
@@ -70,7 +72,7 @@
     choose_machines(number, wave, by_machine, now);
   }
   for (auto& [machine, closing] : closing_) {
-    if (closing.begun) continue;
+    if (closing.begun || closing.over) continue;
     auto it = by_machine.find(machine);
     const auto* record = it == by_machine.end() ? nullptr : it->second;
     empty_machine(tables, machine, closing, record, now);
@@ -82,13 +84,12 @@
                               const workers_by_machine& by_machine,
                               moment now) {
   for (const auto& one : wave.begun) {
-    if (has_ended(wave, one.machine)) {
-      closing_.erase(one.machine);
-      continue;
-    }
+    if (has_ended(wave, one.machine)) continue;
     auto& closing = closing_[one.machine];
     if (!closing.begun) {
-      closing = {number, now.steady, 0, {}, true, false, {}};
+      closing.wave = number;
+      closing.since = now.steady;
+      closing.begun = true;
     }
     if (closing.over) continue;
     auto it = by_machine.find(one.machine);
@@ -141,7 +142,9 @@
       least = busy;
     }
     if (best == nullptr) return;
-    closing_[*best] = {number, now.steady, 0, {}, false, false, {}};
+    auto& closing = closing_[*best];
+    closing.wave = number;
+    closing.since = now.steady;
     ++away;
     note("upkeep_chosen", {{"machine", *best},
                            {"wave", std::to_string(number)},
@@ -195,7 +198,12 @@
   }
   if (closing.order != 0 || closing.next_try > now.steady) return;
   closing.order = next_id_++;
-  closing.life = record == nullptr ? worker_life{} : record->life;
+  auto life = record == nullptr ? worker_life{} : record->life;
+  // After an order without an answer another life may be that of before the
+  // upkeep or of after it: only the platform's list tells.
+  closing.life_is_sure = !closing.tried || closing.life == life;
+  closing.life = life;
+  closing.tried = true;
   effects_.emplace_back(send_machine_order{
       closing.order, fence_, begin_upkeep{std::string(machine), closing.wave}});
 }
@@ -225,7 +233,7 @@
                                   {"wave", std::to_string(closing.wave)}});
             propose_command(note_upkeep{closing.wave, machine, false,
                                         closing.life.born_ms});
-            if (!closing.life.name.empty()) {
+            if (closing.life_is_sure && !closing.life.name.empty()) {
               propose_command(drop_worker{closing.life});
             }
           },
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -117,7 +117,9 @@
     time_point next_try;
     bool begun = false;
     bool over = false;  // its end is proposed
-    worker_life life;   // that the upkeep ends
+    bool tried = false;
+    worker_life life;  // that the upkeep ends, unless an order got no answer
+    bool life_is_sure = true;
   };
 
   /// Room held back for a gang, by worker.
--- a/src/core/fleet/site.cpp
+++ b/src/core/fleet/site.cpp
@@ -15,8 +15,8 @@
 }
 
 auto find_queue(const site& where, std::string_view name) -> const queue* {
-  auto it = std::ranges::find(where.queues, name, &queue::name);
-  return it == where.queues.end() ? nullptr : &*it;
+  auto it = std::ranges::lower_bound(where.queues, name, {}, &queue::name);
+  return it == where.queues.end() || it->name != name ? nullptr : &*it;
 }
 
 }  // namespace parsleyledge::fleet
--- a/src/core/fleet/site.h
+++ b/src/core/fleet/site.h
@@ -48,7 +48,7 @@
 /// The configuration in force.
 struct site {
   std::uint64_t version = 0;
-  std::vector<queue> queues;
+  std::vector<queue> queues;  // sorted by name
   std::map<std::string, service, std::less<>> services;
   std::map<std::string, customer, std::less<>> customers;
   std::map<std::string, std::string, std::less<>> customer_by_key;
--- a/test/contracts_test.cpp
+++ b/test/contracts_test.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(a_wave_keeps_lasting_work_available);
   CPPUNIT_TEST(a_wave_outlives_its_leader);
   CPPUNIT_TEST(a_wave_passes_over_machines_that_are_gone);
+  CPPUNIT_TEST(a_worker_whose_machine_is_of_no_wave_is_used_again);
   CPPUNIT_TEST(filling_work_gives_way_to_serving_work);
   CPPUNIT_TEST(the_pace_rises_again_while_there_is_slack);
   CPPUNIT_TEST_SUITE_END();
@@ -156,9 +157,24 @@
 
   void a_wave_passes_over_machines_that_are_gone() {
     fleet_site site(2);
-    site.start_wave(1, {0, 17}, 1, seconds(30));
-    site.run_for(seconds(8));
+    site.start_wave(1, {17, 0, 18}, 1, seconds(30));
+    site.run_for(seconds(10));
+    CPPUNIT_ASSERT(is_complete(site.wave(1)));
+    auto id = site.submit("q1", make_step(2, 8));
+    site.run_for(seconds(2));
+    CPPUNIT_ASSERT(site.state(id) == job_state::complete);
+    assert_clean(site);
+  }
+
+  void a_worker_whose_machine_is_of_no_wave_is_used_again() {
+    fleet_site site(1);
+    site.refuses_upkeep = fleet::machine_refusal::wave;
+    site.start_wave(1, {0}, 1, seconds(30));
+    site.run_for(seconds(1));
     CPPUNIT_ASSERT(is_complete(site.wave(1)));
+    auto id = site.submit("q1", make_step(1, 8));
+    site.run_for(seconds(2));
+    CPPUNIT_ASSERT(site.state(id) == job_state::complete);
     assert_clean(site);
   }
 
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -382,6 +382,7 @@
   if (it == workers.end()) {
     return fleet::machine_refused{fleet::machine_refusal::unknown};
   }
+  if (refuses_upkeep) return fleet::machine_refused{*refuses_upkeep};
   under_upkeep_.insert(order.machine);
   if (under_upkeep_.size() > most_at_once_)
     broken_rules.insert("too many down");
--- a/test/fakes/fleet_site.h
+++ b/test/fakes/fleet_site.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -105,6 +106,7 @@
   auto describe() const -> std::string;
 
   std::vector<fake_worker> workers;
+  std::optional<fleet::machine_refusal> refuses_upkeep;
   int advice_calls = 0;
   std::set<std::string> advised_workers;  // that were asked about
   // A serving task's response time with this share of filling work beside it.
