--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -88,21 +88,26 @@
   }
 
  private:
+  /// An order whose answer has not come.
   struct pending_order {
     worker_life worker;
     order what;
     time_point sent_at;
   };
+
   /// The runs of a job that are watched, as of a revision of its record.
   struct watched_job {
     std::optional<std::uint64_t> revision;  // none: to be watched anew
     std::vector<task_ref> runs;
   };
+
+  /// Places that are being freed for a step by stopping others.
   struct reservation {
     std::vector<placement> placements;
     time_point until;
   };
 
+  /// The call to a policy that is out.
   struct asked_advice {
     ask_advice what;
     milliseconds validity{0};  // of tickets, by the configuration
@@ -128,6 +133,7 @@
     time_point since;
   };
 
+  /// Runs that can only be stopped together, and what that would free.
   struct stoppable {
     std::vector<task_ref> tasks;
     victim what;
@@ -144,6 +150,7 @@
   void watch_run(const step_spec& spec, const task_record& task,
                  const task_ref& name, moment now);
   void unwatch(run_watch& run, const resources& need);
+  void stop_run(run_watch& run, std::string_view reason);
   void fail_if_hopeless(const job_record& job, moment now);
 
   // Orders, in dispatcher.cpp; what comes of them, in dispatch_answers.cpp.
@@ -238,12 +245,7 @@
   void ask_for_machines(moment now);
   void note_listed(const machines_listed& listed);
 
-  // Placement, in dispatch_plan.cpp.
-  void plan(const fleet_tables& tables, moment now);
-  auto begin_pass(const fleet_tables& tables, moment now) const
-      -> planning_pass;
-  void settle_reservations(const fleet_tables& tables, moment now);
-  auto is_planned(const step_ref& step) const -> bool;
+  // Room held for gangs that wait, in dispatch_hold.cpp.
   void renew_holds(const fleet_tables& tables, planning_pass& pass, moment now);
   void hold_place(const backlog_item& item, const fleet_tables& tables,
                   std::span<const candidate> candidates,
@@ -256,6 +258,13 @@
                       std::span<const std::size_t> rows,
                       const planning_pass& pass) const
       -> std::vector<candidate>;
+
+  // Placement, in dispatch_plan.cpp.
+  void plan(const fleet_tables& tables, moment now);
+  auto begin_pass(const fleet_tables& tables, moment now) const
+      -> planning_pass;
+  void settle_reservations(const fleet_tables& tables, moment now);
+  auto is_planned(const step_ref& step) const -> bool;
   auto need_of(const backlog_item& item, moment now) const -> placement_need;
   void place(const backlog_item& item, const fleet_tables& tables,
              planning_pass& pass, moment now);
@@ -281,7 +290,6 @@
                        std::span<const std::size_t> rows,
                        const planning_pass& pass) const
       -> std::vector<placement>;
-  void stop_run(run_watch& run, std::string_view reason);
 
   dispatch_limits limits_;
   std::shared_ptr<const site> site_ = std::make_shared<site>();
