--- a/src/apps/fleet_entry.cpp
+++ b/src/apps/fleet_entry.cpp
@@ -85,6 +85,13 @@
   timer.wait();
   caller_server.close_idle();
   bool clean = wait_until_idle(caller_server, response_drain_timeout / 2);
+  if (!clean) {
+    log_event(log_level::error, "requests_aborted",
+              {{"requests",
+                static_cast<std::int64_t>(caller_server.active_requests())},
+               {"connections",
+                static_cast<std::int64_t>(caller_server.connections())}});
+  }
   node.stop();
   pool.stop();
   pool.join();
