Test that a stopping entry answers every request it has read

Both cases fail: the process exits 750 ms after the end of its drain, while a request may wait for the leader for as long as its caller allows.

--- a/test/fakes/process_site.cpp
+++ b/test/fakes/process_site.cpp
@@ -70,8 +70,14 @@
 
 void process_site::start(std::string_view name, std::string_view program,
                          std::vector<std::string> flags) {
+  flags.insert(flags.begin(), {"--name", std::string(name)});
+  launch(name, program, std::move(flags));
+}
+
+void process_site::launch(std::string_view name, std::string_view program,
+                          std::vector<std::string> flags) {
   auto path = program_path(program);
-  flags.insert(flags.begin(), {path, "--name", std::string(name)});
+  flags.insert(flags.begin(), path);
   auto log = folder_ + "/" + std::string(name) + ".log";
   std::vector<char*> argv;
   for (auto& flag : flags) argv.push_back(flag.data());
@@ -116,6 +122,22 @@
          address(entry_port(number)), "--drain_grace", "500ms"});
 }
 
+void process_site::start_fleet_entry(int number, std::chrono::seconds grace) {
+  auto name = "fleet-entry-" + std::to_string(number);
+  auto settings_path = folder_ + "/" + name + ".conf";
+  auto peer_port = first_port_ + 1;
+  std::ofstream(settings_path)
+      << "node=" << name
+      << "\nip=127.0.0.1\nlisten.front=" << address(entry_port(number))
+      << "\nlisten.readyAddr=" << address(first_port_ + 80 + number)
+      << "\nportRange=" << peer_port << "," << peer_port
+      << "\nseeds=" << address(control_port(1))
+      << "\nbounds.graceS=" << grace.count() << "\n";
+  launch(name, "parsleyledge-fleet-entry",
+         {"--node_file", settings_path, "--metrics_port",
+          std::to_string(first_port_ + 90 + number)});
+}
+
 void process_site::start_endpoint(int number, std::vector<std::string> flags) {
   flags.insert(flags.end(), {"--entry", entries(), "--listen_http",
                              address(endpoint_port(number)), "--journal",
--- a/test/fakes/process_site.h
+++ b/test/fakes/process_site.h
@@ -29,6 +29,11 @@
   void start_endpoint(int number, std::vector<std::string> flags = {});
   void start_worker(int number, std::vector<std::string> flags = {});
 
+  /// Starts an entry of the fleet that finds no leader: nothing listens at the
+  /// address of its control process. `grace` is the time from SIGTERM to the
+  /// platform's SIGKILL.
+  void start_fleet_entry(int number, std::chrono::seconds grace);
+
   /// Starts three control processes and two entries and waits until both
   /// entries are healthy. Throws `std::runtime_error` on timeout.
   void start_all();
@@ -90,6 +95,8 @@
  private:
   void start(std::string_view name, std::string_view program,
              std::vector<std::string> flags);
+  void launch(std::string_view name, std::string_view program,
+              std::vector<std::string> flags);
   auto address(int port) const -> std::string;
   auto entries() const -> std::string;
 
--- /dev/null
+++ b/test/fleet_shutdown_test.cpp
@@ -0,0 +1,76 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <csignal>
+#include <thread>
+
+#include "fakes/process_site.h"
+
+using namespace parsleyledge;
+using fakes::eventually;
+using fakes::pause_for;
+using fakes::process_site;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::chrono::seconds grace{3};
+
+/// Reads a job with a time limit that exceeds the grace period.
+auto read_job(process_site& site) -> http_response {
+  http_request request{"GET",
+                       "/lists/0123456789abcdef",
+                       {{"Host", "q.example"}, {"X-Deadline-Ms", "10000"}},
+                       {}};
+  return site.call(1, std::move(request));
+}
+
+/// Starts an entry without a leader and waits until it serves callers.
+void start_entry(process_site& site) {
+  site.start_fleet_entry(1, grace);
+  http_request request{"PATCH", "/", {{"Host", "q.example"}}, {}};
+  CPPUNIT_ASSERT(
+      eventually([&] { return site.call(1, request).status == 405; }));
+}
+
+}  // namespace
+
+/// Graceful shutdown of the fleet's entry, as its callers see it.
+class fleet_shutdown_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(fleet_shutdown_test);
+  CPPUNIT_TEST(a_stopping_entry_answers_requests_in_progress);
+  CPPUNIT_TEST(a_stopping_entry_answers_requests_received_while_draining);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against an exit that aborts a request which still waits for the
+  // leader.
+  void a_stopping_entry_answers_requests_in_progress() {
+    process_site site(22000);
+    start_entry(site);
+    http_response response;
+    std::thread caller([&] { response = read_job(site); });
+    pause_for(milliseconds(300));  // until the entry has read the request
+    auto stopped_at = std::chrono::steady_clock::now();
+    site.signal("fleet-entry-1", SIGTERM);
+    caller.join();
+    CPPUNIT_ASSERT_EQUAL(504, response.status);
+    CPPUNIT_ASSERT_EQUAL(0, site.wait("fleet-entry-1"));
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - stopped_at < grace);
+  }
+
+  // Guards against an exit that aborts a request which arrived late in the
+  // drain, from a caller that does not follow the readiness of the entry.
+  void a_stopping_entry_answers_requests_received_while_draining() {
+    process_site site(22100);
+    start_entry(site);
+    auto stopped_at = std::chrono::steady_clock::now();
+    site.signal("fleet-entry-1", SIGTERM);
+    pause_for(milliseconds(1300));
+    CPPUNIT_ASSERT_EQUAL(504, read_job(site).status);
+    CPPUNIT_ASSERT_EQUAL(0, site.wait("fleet-entry-1"));
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - stopped_at < grace);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_shutdown_test);
