Answer every request before a stopping entry exits

Callers saw a connection close without a response (LOST): they sent a request on an open connection to a machine that was shutting down while the leader changed.

Cause: the entry exited 750 ms after the end of its drain, whatever was in progress, while a request waits for the leader until its own deadline, three seconds and more. Two clocks decided about one request and neither knew the other.

Ruled out there: the signal taken by another thread (the entry logs that it drains), a crash (it logs its stop, not clean).

Fix: from SIGTERM on, no call to the leader outlasts a point before the exit. Callers then get the truthful 503 or 504 and may turn to another machine. The server also serves connections accepted just before it stops accepting for only as long as their request needs to arrive, so that they do not keep the exit waiting.

--- a/src/adapters/control_client.cpp
+++ b/src/adapters/control_client.cpp
@@ -143,7 +143,7 @@
   problem last{503, "No leader", "the control group has no leader",
                run_outcome::not_run};
   while (true) {
-    auto remaining = deadline - steady_now();
+    auto remaining = std::min(deadline, latest_deadline_.load()) - steady_now();
     if (remaining <= milliseconds(0)) break;
     auto timeout = std::min(remaining, attempt_timeout);
     auto result = co_await call_once(request, timeout);
--- a/src/adapters/control_client.h
+++ b/src/adapters/control_client.h
@@ -32,6 +32,10 @@
   control_client(const control_client&) = delete;
   auto operator=(const control_client&) -> control_client& = delete;
 
+  /// Ends all current and later calls at `time` at the latest, even if their
+  /// own deadline is later.
+  void set_latest_deadline(time_point time) { latest_deadline_ = time; }
+
   /// Replaces the addresses at which it looks for the leader.
   void set_addresses(std::vector<std::string> addresses);
 
@@ -73,6 +77,7 @@
   peer_socket& peers_;
   std::vector<std::string> addresses_;
   std::atomic<std::uint64_t> next_id_;
+  std::atomic<time_point> latest_deadline_{time_point::max()};
 
   ranked_mutex mutex_{lock_rank::connection_pool};
   std::map<std::uint64_t, std::shared_ptr<pending_call>> pending_calls_;
--- a/src/adapters/fleet_entry_node.cpp
+++ b/src/adapters/fleet_entry_node.cpp
@@ -58,6 +58,11 @@
   peers_.stop();
 }
 
+void fleet_entry_node::begin_drain(time_point last_reply_at) {
+  draining_ = true;
+  client_.set_latest_deadline(last_reply_at);
+}
+
 void fleet_entry_node::record_response() {
   last_response_ms_ = to_ms(steady_now());
   if (!leader_reachable_.exchange(true)) {
--- a/src/adapters/fleet_entry_node.h
+++ b/src/adapters/fleet_entry_node.h
@@ -46,8 +46,10 @@
   /// be the leader.
   void set_control_addresses(std::vector<std::string> addresses);
 
-  /// Makes this process report that it is not ready.
-  void begin_drain() { draining_ = true; }
+  /// Makes this process report that it is not ready. Requests that have no
+  /// reply of the leader by `last_reply_at` fail then, so that all callers have
+  /// their response before the process exits.
+  void begin_drain(time_point last_reply_at);
 
   /// Stops the pings and the peer socket.
   void stop();
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -19,6 +19,9 @@
 namespace {
 
 constexpr std::chrono::seconds discard_timeout{2};
+// How long a connection that was accepted just before the server stopped
+// accepting may wait for its request, which follows the connection at once.
+constexpr std::chrono::milliseconds last_request_timeout{200};
 constexpr std::size_t max_discarded_bytes = 64U << 20;
 
 using request_parser = http::request_parser<http::string_body>;
@@ -97,7 +100,11 @@
   auto token = asio::redirect_error(asio::use_awaitable, ec);
   if (buffer.size() == 0) {
     self.set_idle(stream, true);
-    stream->expires_after(self.limits.idle_timeout);
+    if (self.stopped_accepting) {
+      stream->expires_after(last_request_timeout);
+    } else {
+      stream->expires_after(self.limits.idle_timeout);
+    }
     auto space = buffer.prepare(4096);
     auto n = co_await stream->async_read_some(space, token);
     self.set_idle(stream, false);
--- a/src/apps/fleet_entry.cpp
+++ b/src/apps/fleet_entry.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/thread_pool.hpp>
 
 #include "adapters/app.h"
+#include "adapters/clock.h"
 #include "adapters/fleet_entry_node.h"
 #include "adapters/http_server.h"
 #include "adapters/settings.h"
@@ -20,9 +21,11 @@
 
 namespace {
 
-// Part of the grace period after SIGTERM that is reserved for the last
-// responses and for the exit.
-constexpr milliseconds response_drain_timeout{1500};
+// Parts at the end of the grace period after SIGTERM: first no new requests are
+// accepted, then the requests in progress fail, and then the process exits.
+constexpr milliseconds last_request_to_kill{1500};
+constexpr milliseconds last_reply_to_kill{700};
+constexpr milliseconds exit_to_kill{300};
 
 }  // namespace
 
@@ -78,13 +81,14 @@
   wait_for_signal([&] { watcher.reload_if_changed(apply_settings); },
                   settings_poll_interval);
   log_event(log_level::info, "draining");
-  node.begin_drain();
+  auto kill_at = steady_now() + node_file.grace;
+  node.begin_drain(kill_at - last_reply_to_kill);
   caller_server.drain();
-  boost::asio::steady_timer timer(pool,
-                                  node_file.grace - response_drain_timeout);
+  boost::asio::steady_timer timer(pool, node_file.grace - last_request_to_kill);
   timer.wait();
   caller_server.close_idle();
-  bool clean = wait_until_idle(caller_server, response_drain_timeout / 2);
+  bool clean =
+      wait_until_idle(caller_server, kill_at - exit_to_kill - steady_now());
   if (!clean) {
     log_event(log_level::error, "requests_aborted",
               {{"requests",
