Test requests on kept connections at each point of a drain

The cases so far use new connections, at two moments. The caller that lost a request had an open connection. Fourteen of them now send a request each, 100 ms apart, from SIGTERM to the end of the drain; all must get a response. The case passes without a change of the code.

--- a/test/fleet_shutdown_test.cpp
+++ b/test/fleet_shutdown_test.cpp
@@ -1,8 +1,12 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <boost/asio.hpp>
 #include <chrono>
 #include <csignal>
+#include <memory>
+#include <string>
 #include <thread>
+#include <vector>
 
 #include "fakes/process_site.h"
 
@@ -12,6 +16,8 @@
 using fakes::process_site;
 using std::chrono::milliseconds;
 
+namespace asio = boost::asio;
+
 namespace {
 
 constexpr std::chrono::seconds grace{3};
@@ -33,6 +39,35 @@
       eventually([&] { return site.call(1, request).status == 405; }));
 }
 
+/// A connection to an entry that has had one response and is kept open.
+struct kept_connection {
+  asio::io_context context;
+  asio::ip::tcp::socket socket{context};
+
+  explicit kept_connection(int port) {
+    socket.connect({asio::ip::make_address("127.0.0.1"),
+                    static_cast<std::uint16_t>(port)});
+    send("PATCH");
+    std::string response;
+    asio::read_until(socket, asio::dynamic_buffer(response), "here\"}");
+  }
+
+  void send(std::string_view method) {
+    asio::write(socket, asio::buffer(std::string(method) +
+                                     " /lists/0123456789abcdef HTTP/1.1\r\n"
+                                     "Host: q.example\r\n"
+                                     "X-Deadline-Ms: 10000\r\n\r\n"));
+  }
+
+  /// All that is received until the entry closes the connection.
+  auto receive() -> std::string {
+    std::string response;
+    boost::system::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(response), ec);
+    return response;
+  }
+};
+
 }  // namespace
 
 /// Graceful shutdown of the fleet's entry, as its callers see it.
@@ -40,6 +75,7 @@
   CPPUNIT_TEST_SUITE(fleet_shutdown_test);
   CPPUNIT_TEST(a_stopping_entry_answers_requests_in_progress);
   CPPUNIT_TEST(a_stopping_entry_answers_requests_received_while_draining);
+  CPPUNIT_TEST(a_stopping_entry_answers_on_kept_connections);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -71,6 +107,29 @@
     CPPUNIT_ASSERT_EQUAL(0, site.wait("fleet-entry-1"));
     CPPUNIT_ASSERT(std::chrono::steady_clock::now() - stopped_at < grace);
   }
+
+  // Guards against an exit that aborts a request on a kept connection, at any
+  // point of the drain.
+  void a_stopping_entry_answers_on_kept_connections() {
+    process_site site(22200);
+    start_entry(site);
+    std::vector<std::unique_ptr<kept_connection>> connections;
+    for (int i = 0; i < 14; ++i) {
+      connections.push_back(
+          std::make_unique<kept_connection>(site.entry_port(1)));
+    }
+    auto stopped_at = std::chrono::steady_clock::now();
+    site.signal("fleet-entry-1", SIGTERM);
+    for (auto& connection : connections) {
+      connection->send("GET");
+      pause_for(milliseconds(100));
+    }
+    for (auto& connection : connections) {
+      CPPUNIT_ASSERT(connection->receive().starts_with("HTTP/1.1 50"));
+    }
+    CPPUNIT_ASSERT_EQUAL(0, site.wait("fleet-entry-1"));
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - stopped_at < grace);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_shutdown_test);
