Answer requests that have arrived before a drain closes their connection

A caller that sends its next request before it has the response to the last one sees the connection close without a response, though the process has read the request.

Cause: a draining server closes each connection after its current response, whatever has arrived behind it. The request in the buffer is dropped, and unread bytes in the socket make the close a reset.

Evidence: the new case sends three requests on one connection around the start of the drain; before, it received one response, expected 3.

Fix: a draining server keeps a connection open while a further request is in its buffer or in the socket, and says so in the response.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -167,7 +167,11 @@
       stream->expires_never();
       response = co_await self->handler(std::move(converted));
     }
-    keep_alive = keep_alive && !response.close && !self->draining;
+    // A request that has already arrived is answered before the connection
+    // closes.
+    bool last = self->draining && buffer.size() == 0 &&
+                stream->socket().available(ec) == 0;
+    keep_alive = keep_alive && !response.close && !last;
     auto out = convert(std::move(response), version, keep_alive);
     stream->expires_after(self->limits.request_timeout);
     co_await http::async_write(*stream, out, token);
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -37,7 +37,8 @@
   /// error message, or an empty string on success.
   auto listen(std::string_view address, http_handler handler) -> std::string;
 
-  /// From now on closes each connection after its current or next response.
+  /// From now on closes each connection after its current or next response,
+  /// unless another request has arrived on it by then.
   void drain();
 
   /// Stops listening and closes the connections that wait for a request.
--- a/test/front_test.cpp
+++ b/test/front_test.cpp
@@ -99,6 +99,7 @@
   CPPUNIT_TEST(matches_out_of_order_responses);
   CPPUNIT_TEST(rejects_body_over_limit);
   CPPUNIT_TEST(rejects_truncated_body);
+  CPPUNIT_TEST(a_drain_answers_requests_that_already_arrived);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -357,6 +358,44 @@
     pool.join();
   }
 
+  // Guards against a drain that closes a connection on which the next request
+  // has already arrived.
+  void a_drain_answers_requests_that_already_arrived() {
+    asio::thread_pool pool(2);
+    http_server server(pool, {});
+    auto delay = [&](fleet::request, milliseconds) -> asio::awaitable<reply> {
+      asio::steady_timer timer(pool, milliseconds(400));
+      co_await timer.async_wait(asio::use_awaitable);
+      co_return reply{reply_status::done, "running", 0, {}};
+    };
+    auto error = server.listen(address, [&](http_request request) {
+      return platform::serve_caller(std::move(request), delay);
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string(), error);
+    using asio::ip::tcp;
+    const std::string request = "GET /p/1 HTTP/1.1\r\nHost: q.example\r\n\r\n";
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::write(socket, asio::buffer(request + request));
+    asio::steady_timer arrival(pool, milliseconds(100));
+    arrival.wait();
+    server.drain();
+    asio::write(socket, asio::buffer(request));
+    boost::system::error_code ec;
+    std::string responses;
+    asio::read(socket, asio::dynamic_buffer(responses), ec);
+    int answered = 0;
+    for (auto at = responses.find("HTTP/1.1 200 "); at != responses.npos;
+         at = responses.find("HTTP/1.1 200 ", at + 1)) {
+      ++answered;
+    }
+    CPPUNIT_ASSERT_EQUAL(3, answered);
+    server.close_idle();
+    pool.stop();
+    pool.join();
+  }
+
  private:
   static constexpr std::uint16_t port = 18'911;
   static constexpr std::string_view address = "127.0.0.1:18911";
