Answer requests whose handler throws

A caller whose request makes the handler throw sees the connection close without a response, and the next shutdown waits to its limit and is not clean. No handler is known to throw; the new case uses one that does.

Cause: the coroutine of a connection is detached, so an exception of the handler ends it silently, and the request and the connection count as open for good.

Evidence: the new case received no response before the change.

Fix: the exception becomes a logged event, handler_failed, and a response 500.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -135,6 +135,23 @@
   }
 }
 
+/// Passes a request to the handler. The caller gets a response even if the
+/// handler throws.
+auto call_handler(const http_handler& handler, http_request request)
+    -> asio::awaitable<http_response> {
+  std::string detail;
+  try {
+    auto response = co_await handler(std::move(request));
+    co_return response;
+  } catch (const std::exception& error) {
+    detail = error.what();
+  }
+  log_event(log_level::error, "handler_failed", {{"detail", detail}});
+  co_return make_response(problem{500, "Internal error",
+                                  "the request could not be handled",
+                                  run_outcome::unknown});
+}
+
 template <typename Impl>
 auto serve(std::shared_ptr<Impl> self,
            std::shared_ptr<beast::tcp_stream> stream) -> asio::awaitable<void> {
@@ -165,7 +182,7 @@
       version = request.version();
       auto converted = convert(std::move(request));
       stream->expires_never();
-      response = co_await self->handler(std::move(converted));
+      response = co_await call_handler(self->handler, std::move(converted));
     }
     // A request that has already arrived is answered before the connection
     // closes.
--- a/test/front_test.cpp
+++ b/test/front_test.cpp
@@ -2,10 +2,12 @@
 
 #include <boost/asio.hpp>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "adapters/app.h"
 #include "adapters/http_client.h"
 #include "adapters/http_server.h"
 #include "platform/front.h"
@@ -100,6 +102,7 @@
   CPPUNIT_TEST(rejects_body_over_limit);
   CPPUNIT_TEST(rejects_truncated_body);
   CPPUNIT_TEST(a_drain_answers_requests_that_already_arrived);
+  CPPUNIT_TEST(a_failing_handler_still_answers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -396,6 +399,32 @@
     pool.join();
   }
 
+  // Guards against a connection that closes without a response and counts as
+  // open for good, after an exception in the handler.
+  void a_failing_handler_still_answers() {
+    asio::thread_pool pool(2);
+    http_server server(pool, {});
+    auto error = server.listen(
+        address, [](http_request) -> asio::awaitable<http_response> {
+          throw std::runtime_error("a handler that fails");
+          co_return http_response{};
+        });
+    CPPUNIT_ASSERT_EQUAL(std::string(), error);
+    http_client client;
+    auto request = make_request("GET", "/p/1");
+    auto result =
+        asio::co_spawn(asio::make_strand(pool),
+                       client.exchange(address, request, {}), asio::use_future)
+            .get();
+    const auto* answered = std::get_if<exchange_completed>(&result);
+    CPPUNIT_ASSERT(answered != nullptr);
+    CPPUNIT_ASSERT_EQUAL(500, answered->response.status);
+    server.close_idle();
+    CPPUNIT_ASSERT(wait_until_idle(server, milliseconds(5000)));
+    pool.stop();
+    pool.join();
+  }
+
  private:
   static constexpr std::uint16_t port = 18'911;
   static constexpr std::string_view address = "127.0.0.1:18911";
