Pause before accepting again when the process lacks descriptors

With all descriptors in use, a thread of the pool, often the only one, repeats a failing accept and takes the processor from the requests in progress, which are then late, also for the exit.

Cause: a failed accept was repeated at once. The limit of connections, 4096, is above what the platform's example leaves of descriptors, 4100 less 200, so it does not prevent that.

Evidence: the new case uses all descriptors for 500 ms; before, it failed on the processor time used, over 100 ms.

Fix: the next accept waits for a timer. The client stays in the listen queue.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -22,6 +22,7 @@
 // How long a connection that was accepted just before the server stopped
 // accepting may wait for its request, which follows the connection at once.
 constexpr std::chrono::milliseconds last_request_timeout{200};
+constexpr std::chrono::milliseconds accept_retry_delay{50};
 constexpr std::size_t max_discarded_bytes = 64U << 20;
 
 using request_parser = http::request_parser<http::string_body>;
@@ -212,7 +213,13 @@
     if (ec == asio::error::operation_aborted || !self->acceptor->is_open()) {
       co_return;
     }
-    if (ec) continue;
+    if (ec) {
+      // Most likely there is no free descriptor. The client stays in the queue.
+      asio::steady_timer timer(self->acceptor->get_executor(),
+                               accept_retry_delay);
+      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+      continue;
+    }
     if (self->open_connections >= self->limits.connections)
       continue;  // closes the socket
     beast::error_code ignored;
--- a/test/front_test.cpp
+++ b/test/front_test.cpp
@@ -1,6 +1,9 @@
 #include <cppunit/extensions/HelperMacros.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <boost/asio.hpp>
+#include <ctime>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -103,6 +106,7 @@
   CPPUNIT_TEST(rejects_truncated_body);
   CPPUNIT_TEST(a_drain_answers_requests_that_already_arrived);
   CPPUNIT_TEST(a_failing_handler_still_answers);
+  CPPUNIT_TEST(a_lack_of_descriptors_occupies_no_thread);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -425,6 +429,45 @@
     pool.join();
   }
 
+  // Guards against a server that retries a failing accept without a pause and
+  // so takes the processor from the requests in progress.
+  void a_lack_of_descriptors_occupies_no_thread() {
+    asio::thread_pool pool(1);
+    fake_scheduler scheduler;
+    http_server server(pool, {});
+    auto error = server.listen(address, [&](http_request request) {
+      return platform::serve_caller(std::move(request), scheduler.server());
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string(), error);
+    using asio::ip::tcp;
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.open(tcp::v4());
+    asio::steady_timer measurement(context);
+    rlimit before{};
+    ::getrlimit(RLIMIT_NOFILE, &before);
+    auto lowest_free = ::dup(STDERR_FILENO);
+    ::close(lowest_free);
+    rlimit none_left{static_cast<rlim_t>(lowest_free), before.rlim_max};
+    ::setrlimit(RLIMIT_NOFILE, &none_left);
+    socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    auto cpu_before = std::clock();
+    measurement.expires_after(milliseconds(500));
+    measurement.wait();
+    auto cpu_used = std::clock() - cpu_before;
+    ::setrlimit(RLIMIT_NOFILE, &before);
+    asio::write(socket, asio::buffer(std::string(
+                            "GET /p/1 HTTP/1.1\r\nHost: q.example\r\n\r\n")));
+    std::string response;
+    boost::system::error_code ec;
+    asio::read_until(socket, asio::dynamic_buffer(response), "}", ec);
+    CPPUNIT_ASSERT(response.starts_with("HTTP/1.1 200 "));
+    CPPUNIT_ASSERT(cpu_used < CLOCKS_PER_SEC / 10);
+    server.close_idle();
+    pool.stop();
+    pool.join();
+  }
+
  private:
   static constexpr std::uint16_t port = 18'911;
   static constexpr std::string_view address = "127.0.0.1:18911";
