Log changes of a replica's role and new connections to peers

The logs of a hand-over of the leader did not tell who stood for election, in which terms nobody won, and whether an entry waited for a process that it had no connection to yet.

--- a/src/adapters/peer_socket.cpp
+++ b/src/adapters/peer_socket.cpp
@@ -112,6 +112,7 @@
         return nullptr;
       }
       it = peers.emplace(address, peer{std::move(socket), {}}).first;
+      log_event(log_level::info, "peer_connecting", {{"address", address}});
     }
     it->second.last_used = std::chrono::steady_clock::now();
     return &it->second.socket;
--- a/src/adapters/replica_node.cpp
+++ b/src/adapters/replica_node.cpp
@@ -176,12 +176,27 @@
       }
     }
     add(replica_.flush(now));
+    log_role_change();
   }
   for (const auto& snapshot : snapshots) install_snapshot(snapshot);
   for (const auto& callback : callbacks) callback();
   return effects;
 }
 
+// Called with the replica's lock held. The lines of a group show who stood for
+// election in which term, and how many terms had no leader.
+template <typename Machine>
+void basic_replica_node<Machine>::log_role_change() {
+  auto role = replica_.current_role();
+  auto term = replica_.current_term();
+  if (role == logged_role_ && term == logged_term_) return;
+  logged_role_ = role;
+  logged_term_ = term;
+  log_event(log_level::info, "role_changed",
+            {{"role", to_string(role)},
+             {"term", static_cast<std::int64_t>(term.value)}});
+}
+
 template <typename Machine>
 void basic_replica_node<Machine>::execute(std::vector<ag::effect> effects) {
   while (!effects.empty()) {
--- a/src/adapters/replica_node.h
+++ b/src/adapters/replica_node.h
@@ -144,6 +144,7 @@
   void install_snapshot(const encoded_snapshot& snapshot);
   void schedule_tick();
   void fail(std::string_view detail);
+  void log_role_change();
   auto can_serve_applied(time_point now) const -> bool;
 
   boost::asio::thread_pool& pool_;
@@ -156,6 +157,8 @@
   agreement::log_position applied_;                           // likewise
   std::vector<agreement::member> applied_members_;            // likewise
   bool snapshot_in_progress_ = false;                         // likewise
+  agreement::role logged_role_{};                             // likewise
+  agreement::term_number logged_term_;                        // likewise
   std::atomic<std::uint64_t> applied_term_{0};  // of the last applied entry
 
   ranked_mutex inbox_mutex_{lock_rank::inbox};
