Let a call wait for the connection to its control process

Callers saw requests end without an answer ("the control group did not respond") after a planned restart of the leader, although another already led: an entry that turned to another address waited 500 ms for nothing, and again at the next address, which is the whole time of a request with a limit of a second.

Cause: the peer socket drops a message to an address while the connection to it is being established, and the first message to an address opens it. An entry talks to the leader only, so its first call to each other address was lost, and a call is repeated only after its timeout.

Fix: a message with a deadline, which is any call, waits until then for the connection: the thread polls for it and does not spin. At most 256 wait for one connection. Messages without a deadline, so those of the agreement, are dropped as before. No message changes; a call still arrives at most once, and never after its deadline.

--- a/src/adapters/peer_socket.cpp
+++ b/src/adapters/peer_socket.cpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <thread>
+#include <utility>
 #include <vector>
 #include <zmq.hpp>
 
@@ -18,6 +19,7 @@
 
 constexpr int high_water_mark = 4096;  // messages per connection
 constexpr std::size_t max_outbox_messages = 65536;
+constexpr std::size_t max_waiting_messages = 256;  // per connection
 constexpr std::int64_t max_message_bytes = 64 << 20;
 constexpr int heartbeat_ms = 1000;
 // Without any traffic for this long, a connection is closed and reopened.
@@ -41,6 +43,7 @@
   std::string to;
   bool is_reply = false;
   std::string bytes;
+  std::int64_t deadline = 0;  // wall clock in ms; 0 if there is none
 };
 
 void set_options(zmq::socket_t& socket) {
@@ -59,6 +62,7 @@
   struct peer {
     zmq::socket_t socket;
     std::chrono::steady_clock::time_point last_used;
+    std::deque<outgoing> waiting;  // until the connection is established
   };
 
   peer_identity self;
@@ -95,7 +99,7 @@
     wake_sender.send(zmq::message_t(), zmq::send_flags::dontwait);
   }
 
-  auto connect_peer(const std::string& address) -> zmq::socket_t* {
+  auto connect_peer(const std::string& address) -> peer* {
     auto it = peers.find(address);
     if (it == peers.end()) {
       zmq::socket_t socket(context, zmq::socket_type::dealer);
@@ -111,15 +115,37 @@
             {{"address", address}, {"detail", std::string_view(error.what())}});
         return nullptr;
       }
-      it = peers.emplace(address, peer{std::move(socket), {}}).first;
+      it = peers.emplace(address, peer{std::move(socket), {}, {}}).first;
       log_event(log_level::info, "peer_connecting", {{"address", address}});
     }
     it->second.last_used = std::chrono::steady_clock::now();
-    return &it->second.socket;
+    return &it->second;
+  }
+
+  // Called if a message cannot be sent now, mostly because the connection is
+  // being established. A call, which has a deadline, waits for that: its sender
+  // repeats it only after a timeout. Other messages are repeated soon.
+  auto wait_for_connection(peer& to, const outgoing& item) -> bool {
+    if (item.deadline == 0) return false;
+    dropped += std::erase_if(to.waiting, has_expired);
+    if (to.waiting.size() >= max_waiting_messages) return false;
+    to.waiting.push_back(item);
+    return true;
+  }
+
+  static auto has_expired(const outgoing& item) -> bool {
+    return item.deadline < wall_ms();
+  }
+
+  void send_waiting(const std::string& address) {
+    auto items = std::exchange(peers.at(address).waiting, {});
+    dropped += std::erase_if(items, has_expired);
+    for (const auto& item : items) send_one(item);
   }
 
   void send_one(const outgoing& item) {
     zmq::send_result_t result;
+    bool waits = false;
     try {
       zmq::message_t body(item.bytes.data(), item.bytes.size());
       if (item.is_reply && item.to.empty()) return;
@@ -130,8 +156,9 @@
         if (result) result = router.send(body, zmq::send_flags::dontwait);
       } else {
         auto address = item.is_reply ? item.to.substr(1) : item.to;
-        if (auto* socket = connect_peer(address)) {
-          result = socket->send(body, zmq::send_flags::dontwait);
+        if (auto* to = connect_peer(address)) {
+          result = to->socket.send(body, zmq::send_flags::dontwait);
+          waits = !result && wait_for_connection(*to, item);
         }
       }
     } catch (const zmq::error_t&) {
@@ -139,7 +166,7 @@
     }
     if (result) {
       sent += item.bytes.size();
-    } else {
+    } else if (!waits) {
       ++dropped;
     }
   }
@@ -204,13 +231,17 @@
       items.push_back({wake_receiver.handle(), 0, ZMQ_POLLIN, 0});
       items.push_back({router.handle(), 0, ZMQ_POLLIN, 0});
       for (auto& [address, p] : peers) {
-        items.push_back({p.socket.handle(), 0, ZMQ_POLLIN, 0});
+        dropped += std::erase_if(p.waiting, has_expired);
+        auto events = p.waiting.empty() ? ZMQ_POLLIN : ZMQ_POLLIN | ZMQ_POLLOUT;
+        items.push_back({p.socket.handle(), 0, static_cast<short>(events), 0});
         addresses.push_back(address);
       }
       zmq::poll(items, poll_timeout);
       if ((items[1].revents & ZMQ_POLLIN) != 0) read_router();
       for (std::size_t i = 0; i < addresses.size(); ++i) {
-        if ((items[i + 2].revents & ZMQ_POLLIN) == 0) continue;
+        auto events = items[i + 2].revents;
+        if ((events & ZMQ_POLLOUT) != 0) send_waiting(addresses[i]);
+        if ((events & ZMQ_POLLIN) == 0) continue;
         read_peer(addresses[i], peers.at(addresses[i]).socket);
       }
       if (!send_outbox()) break;
@@ -257,14 +288,15 @@
   message.set_group(impl_->self.group);
   message.set_sender(impl_->self.name);
   message.set_sent_at(wall_ms());
-  impl_->enqueue({std::string(address), false, message.SerializeAsString()});
+  impl_->enqueue({std::string(address), false, message.SerializeAsString(),
+                  message.deadline()});
 }
 
 void peer_socket::reply(std::string_view to, wire::envelope message) {
   message.set_group(impl_->self.group);
   message.set_sender(impl_->self.name);
   message.set_sent_at(wall_ms());
-  impl_->enqueue({std::string(to), true, message.SerializeAsString()});
+  impl_->enqueue({std::string(to), true, message.SerializeAsString(), 0});
 }
 
 void peer_socket::stop() {
