Readmit a healthy voter that was removed as a replaced one

Callers saw nothing at first: the group had one voter fewer for good, and the next losses within the tolerance left it without a majority, so that acknowledged jobs and the configuration could no longer be read.

Cause: after an unknown replica is admitted, a voter that does not respond for three seconds within ten is taken for the one that it replaces. That includes the first start of a site with six voters, where three join as unknown, and a voter that is only cut off or frozen. Nothing tells a removed voter; it asks for pre-votes for ever, which the others reject, and sends no hello, as it finds itself among its own members.

Evidence: a random simulation of groups of three and six voters with crashes, frozen and partitioned replicas, power losses of all, lost disks, replaced replicas, compactions, transfers and a lossy, late network.

A voter without a message of a leader for two seconds now also sends its hello; the leader admits it as a learner under the same incarnation and promotes it once it has caught up. A leader ignores the hello of a current member. Messages and stored data are as before.

--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -20,6 +20,9 @@
 constexpr milliseconds replacement_window{10'000};
 // Longer than a restart, so that a voter that restarts is not removed.
 constexpr milliseconds unresponsive_timeout{3000};
+// How long a voter waits for a message of a leader before it asks to be
+// admitted, since a voter that was removed receives no message that tells it.
+constexpr milliseconds silence_before_hello{2000};
 
 }  // namespace
 
@@ -217,7 +220,8 @@
     bool known =
         find_member(settings_.id) != nullptr &&
         find_member(settings_.id)->incarnation == settings_.incarnation;
-    if (!known && now >= heartbeat_due_) {
+    bool may_be_removed = now - last_leader_contact_ > silence_before_hello;
+    if ((!known || may_be_removed) && now >= heartbeat_due_) {
       heartbeat_due_ = now + hello_interval;
       send_hello();
     }
--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -174,6 +174,13 @@
                        committed_entries.rbegin()->first);
   }
 
+  /// Starts a transfer of the leadership.
+  void transfer() {
+    auto* at = leader();
+    if (at == nullptr) return;
+    execute(at->settings().id, at->transfer_leadership(now));
+  }
+
   auto at(std::uint32_t id) -> replica& { return *replicas_.at({id}); }
   auto alive(std::uint32_t id) -> bool { return replicas_[{id}] != nullptr; }
 
@@ -345,6 +352,158 @@
   return r.settings().id;
 }
 
+/// Random disturbances of a group within what it tolerates: at no time are more
+/// disks lost than a majority of the voters can spare. Each replica has at most
+/// one disturbance of its processes or links at a time, any number of replicas
+/// may have one.
+class random_faults {
+ public:
+  random_faults(std::uint32_t voters, std::uint64_t seed)
+      : group_(bootstrap_size, seed, true), random_(seed) {
+    CPPUNIT_ASSERT(group_.commit("first"));
+    for (std::uint32_t id = 1; id <= voters; ++id) {
+      all_.push_back({id});
+      if (id > bootstrap_size) group_.start({id});
+      wait_for_voter(group_, {id});
+    }
+    next_id_ = voters + 1;
+    tolerated_ = (voters - 1) / 2;
+  }
+
+  void run() {
+    for (int round = 0; round < rounds; ++round) {
+      if (pick(8) == 0) change_network();
+      disturb(all_[pick(all_.size())]);
+      for (int i = 0; i < 5; ++i) {
+        group_.propose("c" + std::to_string(round) + "." + std::to_string(i));
+        group_.run(milliseconds(static_cast<int>(pick(200))));
+      }
+    }
+    heal();
+  }
+
+  /// Checks that nothing acknowledged is lost, and that all replicas vote again
+  /// and have the whole log.
+  void check() {
+    group_.check_no_entry_lost();
+    CPPUNIT_ASSERT(group_.commit("last"));
+    for (auto id : all_) wait_for_voter(group_, id);
+    group_.check_no_entry_lost();
+  }
+
+ private:
+  static constexpr std::uint32_t bootstrap_size = 3;
+  static constexpr int rounds = 60;
+
+  auto pick(std::size_t limit) -> std::size_t { return random_() % limit; }
+
+  void change_network() {
+    constexpr network_faults kinds[] = {
+        {}, {0.1, 0.1, milliseconds(60)}, {0.02, 0.2, milliseconds(600)}};
+    group_.faults = kinds[pick(std::size(kinds))];
+  }
+
+  void heal() {
+    group_.faults = {};
+    for (auto id : all_) restore(id);
+  }
+
+  void restore(replica_id id) {
+    group_.set_frozen(id, false);
+    group_.set_partitioned(id, false);
+    if (!group_.alive(id.value)) start(id);
+    disturbed_.erase(id);
+  }
+
+  /// Whether the group has not yet made up for all disks that it lost.
+  auto disks_to_make_up_for() -> std::size_t {
+    auto* leader = group_.leader();
+    if (leader == nullptr) return all_.size();
+    auto gone = std::ranges::count_if(leader->members(), [&](const member& m) {
+      return m.voter && std::ranges::find(all_, m.id) == all_.end();
+    });
+    return static_cast<std::size_t>(
+        gone + std::ranges::count_if(all_, [&](replica_id id) {
+          const auto* m = leader->find_member(id);
+          return m == nullptr || !m->voter || !group_.alive(id.value) ||
+                 m->incarnation != group_.at(id.value).settings().incarnation ||
+                 leader->match_index(id) < leader->commit_index();
+        }));
+  }
+
+  void disturb(replica_id id) {
+    if (disturbed_.contains(id)) return restore(id);
+    bool may_lose_disk = disks_to_make_up_for() < tolerated_;
+    switch (pick(9)) {
+      case 0:
+        group_.crash(id);
+        disturbed_.insert(id);
+        return;
+      case 1:
+        group_.set_frozen(id, true);
+        disturbed_.insert(id);
+        return;
+      case 2:
+        group_.set_partitioned(id, true);
+        disturbed_.insert(id);
+        return;
+      case 3:  // a loss of power of all
+        for (auto each : all_) group_.crash(each);
+        for (auto each : all_) restore(each);
+        return;
+      case 4:
+        if (!may_lose_disk) return;
+        group_.lose_disk(id);
+        if (pick(2) == 0) {
+          start(id);
+        } else {
+          disturbed_.insert(id);
+        }
+        return;
+      case 5:
+        if (!may_lose_disk || pick(2) == 0) return;
+        replace(id);
+        return;
+      case 6:
+        if (group_.alive(id.value)) group_.compact(id);
+        return;
+      case 7:
+        for (auto each : all_) {
+          if (group_.alive(each.value)) group_.compact(each);
+        }
+        return;
+      default:
+        group_.transfer();
+    }
+  }
+
+  /// Another machine takes the place of this one, which does not return.
+  void replace(replica_id id) {
+    group_.lose_disk(id);
+    std::erase(all_, id);
+    replica_id successor{next_id_++};
+    all_.push_back(successor);
+    disturbed_.erase(id);
+    start(successor);
+  }
+
+  /// Starts a replica that has the addresses of the others, as from the list of
+  /// members that a leader sends.
+  void start(replica_id id) {
+    group_.start(id);
+    for (auto other : all_) {
+      group_.at(id.value).add_contact(other, "r" + std::to_string(other.value));
+    }
+  }
+
+  group group_;
+  std::mt19937_64 random_;
+  std::vector<replica_id> all_;
+  std::set<replica_id> disturbed_;
+  std::uint32_t next_id_ = 0;
+  std::size_t tolerated_ = 0;
+};
+
 }  // namespace
 
 class agreement_test : public CppUnit::TestFixture {
@@ -366,6 +525,8 @@
   CPPUNIT_TEST(an_unknown_replica_replaces_a_lost_voter);
   CPPUNIT_TEST(an_unknown_replica_replaces_a_voter_lost_later);
   CPPUNIT_TEST(a_restart_after_an_admission_removes_no_voter);
+  CPPUNIT_TEST(a_voter_that_was_removed_while_partitioned_votes_again);
+  CPPUNIT_TEST(survives_random_faults_and_replacements);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -686,6 +847,38 @@
     CPPUNIT_ASSERT(g.commit("after"));
     g.check_no_entry_lost();
   }
+
+  // Guards against a healthy replica that stays outside the group for good,
+  // since it was taken for the one that an unknown replica replaces.
+  void a_voter_that_was_removed_while_partitioned_votes_again() {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      group g(3, seed, true);
+      CPPUNIT_ASSERT(g.commit("before"));
+      g.start({4});
+      wait_for_voter(g, {4});
+      replica_id other{id_of(*g.wait_for_leader()).value % 3 + 1};
+      g.set_partitioned(other, true);
+      g.run(milliseconds(6000));
+      CPPUNIT_ASSERT(!voter_ids(g).contains(other.value));
+      g.set_partitioned(other, false);
+      wait_for_voter(g, other);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{4}, voter_ids(g).size());
+      g.check_no_entry_lost();
+    }
+  }
+
+  // Guards against the loss of an acknowledged entry, and against a replica
+  // that never votes again, whatever disturbances within the tolerance come
+  // together.
+  void survives_random_faults_and_replacements() {
+    for (std::uint32_t voters : {3, 6}) {
+      for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        random_faults faults(voters, seed);
+        faults.run();
+        faults.check();
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(agreement_test);
