--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -708,6 +708,14 @@
     reply(in, append_reply{true, commit_, chunk.sent_at});
     return;
   }
+  // The log already contains what the snapshot covers, from appends that were
+  // under way. The entries after it may be acknowledged, so they are kept.
+  if (term_at(chunk.last.index) == chunk.last.term) {
+    commit_ = chunk.last.index;
+    apply_committed();
+    reply(in, append_reply{true, commit_, chunk.sent_at});
+    return;
+  }
   if (incoming_last_ != chunk.last) {
     incoming_last_ = chunk.last;
     incoming_snapshot_.clear();
--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -525,6 +525,7 @@
   CPPUNIT_TEST(an_unknown_replica_replaces_a_lost_voter);
   CPPUNIT_TEST(an_unknown_replica_replaces_a_voter_lost_later);
   CPPUNIT_TEST(a_restart_after_an_admission_removes_no_voter);
+  CPPUNIT_TEST(a_snapshot_of_entries_in_the_log_discards_none_after_it);
   CPPUNIT_TEST(a_voter_that_was_removed_while_partitioned_votes_again);
   CPPUNIT_TEST(survives_random_faults_and_replacements);
   CPPUNIT_TEST_SUITE_END();
@@ -848,6 +849,45 @@
     g.check_no_entry_lost();
   }
 
+  // Guards against the loss of entries that a replica acknowledged before a
+  // snapshot arrived that the leader had sent because they were under way.
+  void a_snapshot_of_entries_in_the_log_discards_none_after_it() {
+    constexpr term_number term{1};
+    replica_settings settings;
+    settings.id = {2};
+    settings.incarnation = {2};
+    recovered_state disk;
+    disk.hard = {term, {}};
+    log_entry first{{term, {1}}, entry_kind::membership, {}, {}};
+    for (std::uint32_t id : {1, 2, 3}) {
+      first.members.push_back({{id}, {id}, "r" + std::to_string(id), true});
+    }
+    disk.entries.push_back(first);
+    replica follower(settings, disk, at_ms(1000));
+    auto receive = [&](message_body body) {
+      message in{{1}, {1}, {2}, {2}, term, std::move(body)};
+      return follower.receive(in, at_ms(1010));
+    };
+    append_request append{{term, {1}}, {}, {1}, at_ms(1005)};
+    for (std::uint64_t index = 2; index <= 9; ++index) {
+      append.entries.push_back({{term, {index}}, entry_kind::command, "c", {}});
+    }
+    receive(append);
+    auto effects = receive(snapshot_chunk{
+        {term, {5}}, first.members, 0, "state", true, at_ms(1006)});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9},
+                         follower.last_position().index.value);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, follower.commit_index().value);
+    std::uint64_t applied = 1;
+    for (const auto& e : effects) {
+      CPPUNIT_ASSERT(!std::holds_alternative<persist_snapshot>(e));
+      const auto* entry = std::get_if<apply_entry>(&e);
+      if (entry == nullptr) continue;
+      CPPUNIT_ASSERT_EQUAL(++applied, entry->entry.position.index.value);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, applied);
+  }
+
   // Guards against a healthy replica that stays outside the group for good,
   // since it was taken for the one that an unknown replica replaces.
   void a_voter_that_was_removed_while_partitioned_votes_again() {
