--- a/src/adapters/control_client.cpp
+++ b/src/adapters/control_client.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio.hpp>
 #include <optional>
 
+#include "adapters/call_response.h"
 #include "adapters/clock.h"
 #include "adapters/codec.h"
 #include "adapters/peer_socket.h"
@@ -139,6 +140,15 @@
 
 auto control_client::call(wire::call request, time_point deadline)
     -> asio::awaitable<result_or_problem<wire::call_reply>> {
+  auto result = co_await call_and_track(std::move(request), deadline);
+  if (auto* refused = std::get_if<problem>(&result)) {
+    co_return std::move(*refused);
+  }
+  co_return std::move(std::get<call_response>(result).reply);
+}
+
+auto control_client::call_and_track(wire::call request, time_point deadline)
+    -> asio::awaitable<result_or_problem<call_response>> {
   bool may_have_run = false;
   problem last{503, "No leader", "the control group has no leader",
                run_outcome::not_run};
@@ -147,9 +157,11 @@
     if (remaining <= milliseconds(0)) break;
     auto timeout = std::min(remaining, attempt_timeout);
     auto result = co_await call_once(request, timeout);
+    if (auto* reply = std::get_if<wire::call_reply>(&result)) {
+      co_return call_response{std::move(*reply), may_have_run};
+    }
     auto* refused = std::get_if<problem>(&result);
-    bool should_retry = refused != nullptr && refused->status == 503;
-    if (!should_retry) co_return result;
+    if (refused->status != 503) co_return std::move(*refused);
     may_have_run = may_have_run || refused->outcome == run_outcome::unknown;
     last = std::move(*refused);
     auto executor = co_await asio::this_coro::executor;
--- a/src/adapters/control_client.h
+++ b/src/adapters/control_client.h
@@ -22,6 +22,7 @@
 namespace parsleyledge {
 
 class peer_socket;
+struct call_response;
 
 /// Client of the control group's leader, used by an entry. It finds the leader,
 /// retries calls without a response, and tracks whether one may have run.
@@ -45,6 +46,11 @@
   auto call(wire::call request, time_point deadline)
       -> boost::asio::awaitable<result_or_problem<wire::call_reply>>;
 
+  /// As `call`, but also returns whether an earlier attempt may have run, which
+  /// a caller needs to know if the reply is a refusal.
+  auto call_and_track(wire::call request, time_point deadline)
+      -> boost::asio::awaitable<result_or_problem<call_response>>;
+
   /// Sends a call once to the presumed leader. The outcome is `unknown` if no
   /// response arrives within `timeout`.
   auto call_once(wire::call request, milliseconds timeout)
