--- a/src/adapters/journal.cpp
+++ b/src/adapters/journal.cpp
@@ -252,6 +252,9 @@
   auto entry = read(record.entry());
   auto index = entry.position.index;
   if (index <= state.snapshot_last.index) return {};
+  // Terms never decrease in a log, so this entry is of a tail that the snapshot
+  // replaced, in a segment whose removal was interrupted or lost.
+  if (entry.position.term < state.snapshot_last.term) return {};
   auto& entries = state.entries;
   auto next = state.snapshot_last.index.value + entries.size() + 1;
   if (index.value > next) {
--- a/test/journal_test.cpp
+++ b/test/journal_test.cpp
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(detects_every_single_bit_flip);
   CPPUNIT_TEST(reports_failed_writes_and_syncs);
   CPPUNIT_TEST(recovers_entries_after_snapshot);
+  CPPUNIT_TEST(drops_a_tail_that_a_snapshot_replaced);
   CPPUNIT_TEST(rejects_unusable_folders);
   CPPUNIT_TEST_SUITE_END();
 
@@ -192,6 +193,34 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, state.hard.term.value);
   }
 
+  // Guards against a replica that takes part in elections with a discarded log
+  // after a loss of power between a received snapshot and the durable removal
+  // of the segments before it.
+  void drops_a_tail_that_a_snapshot_replaced() {
+    memory_files files;
+    recovered_state state;
+    journal disk(files);
+    open(disk, state);
+    write(disk, {entry(1, "a"), entry(2, "b"), entry(3, "discarded"),
+                 entry(4, "discarded")});
+    auto former_segment = files.bytes(first_segment);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(), error_of([&] {
+          return disk.write_snapshot({{2}, {2}}, {}, "state", {{2}, {}}, {});
+        }));
+    files.bytes(first_segment) = former_segment;
+    journal reopened(files);
+    CPPUNIT_ASSERT_EQUAL(std::string(), open(reopened, state));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, state.entries.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, state.hard.term.value);
+    CPPUNIT_ASSERT_EQUAL(std::string(), write(reopened, {entry(3, "next", 2)}));
+    files.bytes(first_segment) = former_segment;
+    journal reopened_again(files);
+    CPPUNIT_ASSERT_EQUAL(std::string(), open(reopened_again, state));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, state.entries.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("next"), state.entries[0].payload);
+  }
+
   void rejects_unusable_folders() {
     memory_files files;
     recovered_state state;
