Send a caller to the next leader when a change meets a hand-over

Callers saw 503 for jobs that were handed in while the leader was being restarted, though there was a leader again well before their deadline.

Cause: a leader checks that it leads before it handles a request. If the leadership ends between that and the proposal, or the proposed entry is replaced by another leader's, the reply was `unavailable`, which ends the request at the caller's entry.

Evidence: the new test sends 3,000 changes to a control process and hands its leadership over in the middle.

Such a reply now names the leader, as the reply to a request that arrives after the end of the leadership does. A missing configuration is still answered at once.

--- a/src/adapters/fleet_control_node.h
+++ b/src/adapters/fleet_control_node.h
@@ -86,6 +86,7 @@
   using reply_handler = std::function<void(fleet::reply)>;
 
   void receive(std::string_view from, wire::envelope message);
+  void redirect(std::string_view to, std::uint64_t call);
   void dispatch_request(fleet::request request, reply_handler done);
   void handle_request(const fleet::ping_request& request, reply_handler done);
   void handle_request(fleet::submit_request request, reply_handler done);
--- a/src/adapters/fleet_control_requests.cpp
+++ b/src/adapters/fleet_control_requests.cpp
@@ -76,18 +76,19 @@
   asio::post(pool_, [this, to = std::string(from), m = std::move(message)] {
     auto id = m.request().id();
     auto reply_to_caller = [this, to, id](const reply& r) {
+      // The request was not executed and the leadership ended meanwhile, so the
+      // caller asks the next leader.
+      if (r.status == reply_status::unavailable && !replica_.may_serve()) {
+        redirect(to, id);
+        return;
+      }
       wire::envelope out;
       out.mutable_reply()->set_id(id);
       write(r, *out.mutable_reply()->mutable_fleet());
       peers_.reply(to, std::move(out));
     };
     if (!replica_.may_serve()) {
-      wire::envelope out;
-      out.mutable_reply()->set_id(id);
-      out.mutable_reply()->set_leader(settings_.has_disk
-                                          ? replica_.status().leader_address
-                                          : client_.leader());
-      peers_.reply(to, std::move(out));
+      redirect(to, id);
       return;
     }
     auto request = fleet::read(m.request().fleet());
@@ -99,6 +100,14 @@
   });
 }
 
+void fleet_control_node::redirect(std::string_view to, std::uint64_t call) {
+  wire::envelope out;
+  out.mutable_reply()->set_id(call);
+  out.mutable_reply()->set_leader(
+      settings_.has_disk ? replica_.status().leader_address : client_.leader());
+  peers_.reply(to, std::move(out));
+}
+
 auto fleet_control_node::serve(fleet::request request, milliseconds timeout)
     -> asio::awaitable<reply> {
   if (!replica_.may_serve()) {
--- /dev/null
+++ b/test/fleet_control_test.cpp
@@ -0,0 +1,100 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <future>
+#include <vector>
+
+#include "adapters/clock.h"
+#include "adapters/fleet_client.h"
+#include "adapters/fleet_codec.h"
+#include "adapters/fleet_control_node.h"
+#include "wire.pb.h"
+
+using namespace parsleyledge;
+namespace asio = boost::asio;
+using fleet::reply_status;
+
+namespace {
+
+constexpr std::string_view leader_address = "127.0.0.1:18931";
+constexpr milliseconds time_limit{8000};
+constexpr std::uint64_t changes = 3000;
+
+/// A control process that is a group of its own.
+auto make_settings(agreement::incarnation_number incarnation)
+    -> fleet_control_settings {
+  fleet_control_settings settings;
+  settings.name = "leader";
+  settings.group = "fleet";
+  settings.listen_peer = leader_address;
+  settings.control = {std::string(leader_address)};
+  settings.replica.id = {1};
+  settings.replica.incarnation = incarnation;
+  settings.replica.peers = {{{1}, {}, std::string(leader_address), true}};
+  return settings;
+}
+
+}  // namespace
+
+class fleet_control_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(fleet_control_test);
+  CPPUNIT_TEST(a_hand_over_refuses_no_change_that_the_next_leader_can_commit);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against callers that are refused during a planned hand-over,
+  // although there is a leader again before their deadline.
+  void a_hand_over_refuses_no_change_that_the_next_leader_can_commit() {
+    asio::thread_pool pool(2);
+    journal disk{file_store(memory_files())};
+    agreement::recovered_state recovered;
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+          BOOST_LEAF_ASSIGN(recovered, disk.open({"fleet", {1}}));
+          return {};
+        },
+        [] { CPPUNIT_FAIL("the journal cannot be opened"); });
+    auto settings = make_settings(disk.incarnation());
+    fleet::platform_port platform;
+    platform.parse_site = [](std::string_view) -> std::optional<fleet::site> {
+      return {};
+    };
+    fleet_control_node node(
+        pool, settings, std::move(disk), std::move(recovered), platform,
+        [](std::string_view detail) { CPPUNIT_FAIL(std::string(detail)); });
+    control_client* receiver = nullptr;
+    peer_socket peers({"fleet", "entry"},
+                      [&](std::string_view, wire::envelope message) {
+                        receiver->receive(std::move(*message.mutable_reply()));
+                      });
+    control_client client(peers, {std::string(leader_address)});
+    receiver = &client;
+    CPPUNIT_ASSERT_EQUAL(std::string(), peers.start({}));
+    CPPUNIT_ASSERT_EQUAL(std::string(), node.start());
+    auto call = [&](fleet::request request) {
+      return asio::co_spawn(
+          asio::make_strand(pool),
+          ask_leader(client, std::move(request), steady_now() + time_limit),
+          asio::use_future);
+    };
+    CPPUNIT_ASSERT(reply_status::done ==
+                   call(fleet::ping_request{}).get().status);
+    std::vector<std::future<fleet::reply>> replies;
+    for (std::uint64_t i = 1; i <= changes; ++i) {
+      replies.push_back(call(fleet::start_wave_request{i, {}}));
+      if (i == changes / 2) node.transfer();
+    }
+    std::uint64_t refused = 0;
+    for (auto& reply : replies) {
+      if (reply.get().status == reply_status::unavailable) ++refused;
+    }
+    node.stop();
+    peers.stop();
+    pool.stop();
+    pool.join();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, refused);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_control_test);
