Bootstrap the group only on recent reports of empty peers

Callers would see a group without the accepted jobs and the configuration.

Cause: the lowest of the configured peers bootstraps a group once each of the others has reported an empty log, and remembered such a report for ever if the peer could not be reached afterwards. If it and a second peer lose their disks, the second joins the group again while it is cut off, and then the third loses its disk, the three reports are together though the logs never were empty at the same time, and a second group begins.

Evidence: the new test lets the second report arrive four seconds after the first. Without the limit the replica bootstraps, with it only after the first peer has reported again.

A report now holds for one second; peers are asked five times a second.

--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t max_batch_bytes = 256U << 10;
 constexpr std::size_t snapshot_chunk_bytes = 256U << 10;
 constexpr milliseconds hello_interval{200};
+// How long the report of a peer that its log is empty holds. The peer may have
+// lost its disk, and have joined an existing group since.
+constexpr milliseconds empty_report_validity{1000};
 constexpr milliseconds snapshot_resend_interval{1000};
 constexpr std::uint64_t max_promotion_lag = 64;  // entries
 // How long after the admission of an unknown replica a voter that does not
@@ -244,12 +247,15 @@
 }
 
 // Only the replica with the lowest id bootstraps the group, and only after
-// every peer has reported an empty log. Otherwise a replica that lost its data
-// folder could bootstrap a second group.
+// every peer has just reported an empty log. Otherwise a replica that lost its
+// data folder could bootstrap a second group.
 void replica::bootstrap_group() {
   if (!settings_.may_bootstrap) return;
   auto lowest = std::ranges::min_element(settings_.peers, {}, &member::id);
   if (lowest == settings_.peers.end() || lowest->id != settings_.id) return;
+  std::erase_if(bootstrap_candidates_, [&](const auto& item) {
+    return now_ - item.second.reported_at > empty_report_validity;
+  });
   if (bootstrap_candidates_.size() + 1 < settings_.peers.size()) return;
   std::vector<member> voters;
   for (const auto& peer : settings_.peers) {
@@ -276,8 +282,7 @@
     if (greeting.bootstrapped) {
       bootstrap_candidates_.erase(in.from);
     } else {
-      bootstrap_candidates_[in.from] = {in.from, in.from_incarnation,
-                                        greeting.address, true};
+      bootstrap_candidates_[in.from] = {in.from_incarnation, now_};
     }
     return;
   }
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -135,6 +135,11 @@
     time_point resent_at;  // when missing entries were last sent again
   };
 
+  struct bootstrap_candidate {
+    incarnation_number incarnation;
+    time_point reported_at;
+  };
+
   void handle(const message& in, const vote_request& request);
   void handle(const message& in, const vote_reply& response);
   void handle(const message& in, const append_request& request);
@@ -212,7 +217,7 @@
   // Addresses learned from hello messages or `add_contact`.
   std::map<replica_id, std::string> contacts_;
   // Peers that reported an empty log during the bootstrap.
-  std::map<replica_id, member> bootstrap_candidates_;
+  std::map<replica_id, bootstrap_candidate> bootstrap_candidates_;
   std::mt19937_64 random_;
   std::vector<effect> effects_;
 };
--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -509,6 +509,7 @@
 class agreement_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(agreement_test);
   CPPUNIT_TEST(bootstraps_only_when_all_replicas_are_empty);
+  CPPUNIT_TEST(bootstraps_no_second_group_on_an_outdated_report);
   CPPUNIT_TEST(commits_over_a_lossy_network);
   CPPUNIT_TEST(survives_random_crashes);
   CPPUNIT_TEST(survives_a_crash_of_all_replicas);
@@ -548,6 +549,38 @@
     CPPUNIT_ASSERT(g.at(1).current_role() != role::bootstrapping);
   }
 
+  // Guards against a second group, without what the first acknowledged: a peer
+  // that lost its disk may vote again when the next one loses its disk.
+  void bootstraps_no_second_group_on_an_outdated_report() {
+    replica_settings settings;
+    settings.id = {1};
+    settings.incarnation = {1};
+    for (std::uint32_t id : {1, 2, 3}) {
+      settings.peers.push_back({{id}, {}, "r" + std::to_string(id), true});
+    }
+    auto now = at_ms(1000);
+    replica empty(settings, {}, now);
+    auto report_empty = [&](std::uint32_t id) {
+      empty.receive({{id},
+                     {id},
+                     {1},
+                     {1},
+                     {0},
+                     hello{false, true, "r" + std::to_string(id)}},
+                    now);
+    };
+    report_empty(2);
+    empty.tick(now);
+    now += milliseconds(4000);
+    report_empty(3);
+    empty.tick(now);
+    CPPUNIT_ASSERT(role::bootstrapping == empty.current_role());
+    now += milliseconds(300);
+    report_empty(2);
+    empty.tick(now);
+    CPPUNIT_ASSERT(role::bootstrapping != empty.current_role());
+  }
+
   void commits_over_a_lossy_network() {
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
       group g(5, seed);
