Give all simulated replicas the addresses that a leader sends

Seed 549 with six voters of the random simulation ended with a replica that received a leader's messages and did not answer: it had the address of no member that joined after its own log ended. In a control process the leader sends the list of members to all members once a second, and add_contacts takes it (fleet_control_node::send_members), so the simulation was stricter than the product there: it gave addresses to a replica that starts, but not to those that run. Now both get them. What is checked is unchanged.

--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -487,12 +487,14 @@
     start(successor);
   }
 
-  /// Starts a replica that has the addresses of the others, as from the list of
-  /// members that a leader sends.
+  /// Starts a replica. It and the others have each other's addresses, as from
+  /// the list of members that a leader sends once a second.
   void start(replica_id id) {
     group_.start(id);
     for (auto other : all_) {
       group_.at(id.value).add_contact(other, "r" + std::to_string(other.value));
+      if (!group_.alive(other.value)) continue;
+      group_.at(other.value).add_contact(id, "r" + std::to_string(id.value));
     }
   }
 
