Commit the ends that a worker lists after a withheld one

Seen: a long-running task that failed on a worker was not restarted, and other ends listed there had no effect, until an unrelated task was done.

Cause: the end of a run that had been marked as lost is withheld while its task runs elsewhere, and handle_ends() left the list there, so all later ends of the worker waited with it. An earlier run's end also counted as the end of the current run of its task.

Later ends are committed; only the acknowledgement stops before the withheld end, so it is still never acknowledged while its task is to be run again.

The fake site gets late requests, failed runs and a check for work that stops, for tests to come.

--- a/src/core/fleet/dispatch_responses.cpp
+++ b/src/core/fleet/dispatch_responses.cpp
@@ -125,8 +125,8 @@
                                    time_point sent_at, clock_reading now) {
   std::map<task_ref, const running_task*> running;
   for (const auto& r : response.running) running[r.task] = &r;
-  std::set<task_ref> ended;
-  for (const auto& e : response.ended) ended.insert(e.task);
+  std::set<std::pair<task_ref, std::uint32_t>> ended;
+  for (const auto& e : response.ended) ended.insert({e.task, e.run});
   std::vector<task_ref> stalled;
   for (auto* tracked : worker.runs) {
     auto& run = *tracked;
@@ -154,7 +154,7 @@
       if (is_stalled(tables, run, now)) stalled.push_back(ref);
       continue;
     }
-    if (ended.contains(ref) || sent_at <= run.responded_at) continue;
+    if (ended.contains({ref, run.run}) || sent_at <= run.responded_at) continue;
     if (run.phase == run_phase::inherited) {
       run.phase = run_phase::to_start;
       run.next_attempt_at = now.steady;
@@ -197,14 +197,14 @@
         task->worker == worker.incarnation &&
         (task->assigned || (end.outcome == run_end::done && !task->done));
     // A run that was marked as lost has finished, and its task may be running
-    // again. An acknowledgement of this end would complete the task twice.
+    // again. An acknowledgement of this end would complete the task twice, but
+    // the ends listed after it are of other runs.
     if (!matches && end.outcome == run_end::done && task != nullptr &&
         !task->done) {
       log_decision("end_withheld", {{"task", fleet::to_string(end.task)},
                                     {"run", std::to_string(end.run)},
                                     {"worker", worker.incarnation.name}});
-      worker.next_poll = now.steady + withheld_end_poll_delay;
-      break;
+      worker.withheld.push_back(end);
     }
     highest_end = end.sequence;
     if (!matches) continue;
@@ -226,6 +226,9 @@
                             new_ends.runs.end());
   if (!new_ends.runs.empty()) propose_command(std::move(new_ends));
   acknowledge_committed_ends(tables, worker);
+  if (!worker.withheld.empty()) {
+    worker.next_poll = now.steady + withheld_end_poll_delay;
+  }
 }
 
 // Retains the capacity that an urgent task releases for the next urgent work.
@@ -240,14 +243,22 @@
                          now.steady + limits_.urgent_retention);
 }
 
-// Acknowledges the ends listed by a worker once the tables contain all of them.
+// Acknowledges the ends listed by a worker once the tables contain all of them,
+// up to the first that is withheld.
 void dispatcher::acknowledge_committed_ends(const fleet_tables& tables,
                                             worker_state& worker) {
   std::erase_if(worker.uncommitted, [&](const ended_run& end) {
     const auto* task = find_task(tables, end.task);
     return task == nullptr || !task->assigned || task->run != end.run;
   });
-  if (worker.uncommitted.empty()) worker.acknowledged = worker.uncommitted_end;
+  std::erase_if(worker.withheld, [&](const listed_end& end) {
+    const auto* task = find_task(tables, end.task);
+    return task == nullptr || task->done;
+  });
+  if (!worker.uncommitted.empty()) return;
+  worker.acknowledged = worker.withheld.empty()
+                            ? worker.uncommitted_end
+                            : worker.withheld.front().sequence - 1;
 }
 
 void dispatcher::handle(const fleet_tables&, const pending_request& pending,
--- a/src/core/fleet/worker_state.h
+++ b/src/core/fleet/worker_state.h
@@ -7,6 +7,7 @@
 #include "core/fleet/lease_clock.h"
 #include "core/fleet/retained_capacity.h"
 #include "core/fleet/tracked_run.h"
+#include "core/fleet/worker_request.h"
 
 namespace parsleyledge::fleet {
 
@@ -27,6 +28,7 @@
   std::uint64_t confirmed_end = 0;     // highest end acknowledged to the worker
   std::uint64_t uncommitted_end = 0;   // highest end of `uncommitted`
   std::vector<ended_run> uncommitted;  // proposed ends, not yet committed
+  std::vector<listed_end> withheld;    // not to be acknowledged, by sequence
 
   std::uint32_t failures = 0;  // consecutive failed runs
   time_point quarantined_until;
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(work_that_ends_in_time_stays_on_a_draining_worker);
   CPPUNIT_TEST(long_running_tasks_are_restarted);
   CPPUNIT_TEST(an_end_is_acknowledged_after_its_commit_only);
+  CPPUNIT_TEST(ends_listed_after_a_withheld_end_are_committed);
   CPPUNIT_TEST(invariants_hold_under_random_events);
   CPPUNIT_TEST_SUITE_END();
 
@@ -489,6 +490,35 @@
     });
     CPPUNIT_ASSERT(passed);
   }
+
+  // A withheld end kept back all later ends of its worker: a long-running task
+  // that failed there was not restarted until the withheld task was done.
+  void ends_listed_after_a_withheld_end_are_committed() {
+    fleet_site site(2);
+    site.task_duration = seconds(30);
+    auto id = site.submit("q1", make_step(1, 8));
+    site.run_for(milliseconds(500));
+    auto index = site.workers[0].running.empty() ? 1U : 0U;
+    auto& first = site.workers[index];
+    first.unreachable = true;
+    first.running.begin()->second.ends_at = site.now() + seconds(2);
+    site.run_for(seconds(14));
+    CPPUNIT_ASSERT_EQUAL(1, site.workers[1 - index].starts);
+    first.unreachable = false;
+    site.run_for(seconds(3));
+    auto step = make_step(1, 1);
+    step.long_running = true;
+    auto lasting = site.submit("q1", step);
+    site.run_for(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(1, site.running(lasting));
+    site.fail_run(lasting);
+    site.run_for(seconds(6));
+    CPPUNIT_ASSERT_EQUAL(1, site.running(lasting));
+    CPPUNIT_ASSERT_EQUAL(1, site.running(id));
+    site.run_for(seconds(30));
+    assert_state(job_state::complete, site, id);
+    assert_clean(site);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(dispatcher_test);
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -13,6 +13,10 @@
 constexpr milliseconds step_time{10};
 constexpr milliseconds tick_time{100};
 constexpr milliseconds report_time{1500};
+// A job may have nothing running for this time although there is capacity.
+constexpr milliseconds max_idle_time{3000};
+// A long-running task is at work again within this time.
+constexpr milliseconds max_restart_time{6000};
 
 }  // namespace
 
@@ -169,6 +173,7 @@
   w.next_end = 1;
   w.fence = 0;
   w.unreachable = false;
+  w.record.draining = false;
   // The restart closes its connections, which ends its pending polls.
   for (auto& pending : std::exchange(polls_, {})) {
     if (pending.worker == w.record.incarnation.name) {
@@ -187,6 +192,15 @@
   report_all();
 }
 
+void fleet_site::fail_run(fleet::job_id id) {
+  for (auto& w : workers) {
+    auto running = w.running;
+    for (const auto& [task, run] : running) {
+      if (task.job == id) end_run(w, task, fleet::run_end::failed);
+    }
+  }
+}
+
 auto fleet_site::job(fleet::job_id id) const -> const fleet::job_record& {
   return state_.tables().jobs.at(id);
 }
@@ -291,8 +305,16 @@
         deliver(id, fleet::worker_no_response{});
       }
     }
+    for (auto& late : std::exchange(late_requests_, {})) {
+      if (now_ < late.at) {
+        late_requests_.push_back(std::move(late));
+      } else {
+        respond(find(late.request.worker.name), late.request);
+      }
+    }
     if (to_ms(now_) % tick_time.count() == 0) {
       tick();
+      if (checks_waiting) check_waiting();
     }
   }
 }
@@ -414,6 +436,11 @@
     timeouts_.emplace_back(request.id, now_ + request.timeout);
     return;
   }
+  if (w.late_by.count() > 0) {
+    late_requests_.push_back({request, now_ + w.late_by});
+    timeouts_.emplace_back(request.id, now_ + request.timeout);
+    return;
+  }
   const auto* long_poll = std::get_if<fleet::poll_request>(&request.request);
   bool same_incarnation = w.record.incarnation == request.worker;
   if (long_poll != nullptr && same_incarnation && long_poll->wait.count() > 0 &&
@@ -616,4 +643,112 @@
   }
 }
 
+auto fleet_site::is_sound(const fake_worker& worker) const -> bool {
+  auto state = dispatcher_.workers().find(worker.record.incarnation.name);
+  bool in_wave =
+      state != dispatcher_.workers().end() && state->second.under_maintenance;
+  return !worker.unreachable && !worker.record.draining && !in_wave;
+}
+
+auto fleet_site::is_under_half_used() const -> bool {
+  fleet::resources used;
+  fleet::resources capacity;
+  for (const auto& w : workers) {
+    if (!is_sound(w)) continue;
+    capacity += w.record.capacity;
+    for (const auto& [task, run] : w.running) {
+      used += reserved_by(job(task.job).spec.steps[task.step]);
+    }
+  }
+  return fits(capacity, used * 2);
+}
+
+// Whether the sound workers that may run the step have capacity for twice the
+// tasks that have to start together.
+auto fleet_site::has_capacity_twice(const fleet::job_record& job,
+                                    const fleet::step_spec& step) const
+    -> bool {
+  const auto* queue = find_queue(*site_, job.spec.queue);
+  std::int64_t count = 0;
+  for (const auto& w : workers) {
+    bool allowed = queue == nullptr || !queue->advice ||
+                   allowed_.contains(w.record.incarnation.name);
+    bool labelled =
+        step.label.empty() ||
+        std::ranges::find(w.record.labels, step.label) != w.record.labels.end();
+    if (!is_sound(w) || !allowed || !labelled) continue;
+    auto free = w.record.capacity;
+    for (const auto& [task, run] : w.running) {
+      free -= reserved_by(this->job(task.job).spec.steps[task.step]);
+    }
+    auto fitting = count_fitting(free, reserved_by(step));
+    if (step.max_per_worker > 0)
+      fitting = std::min<std::int64_t>(fitting, step.max_per_worker);
+    count += fitting;
+  }
+  return count >= 2 * std::int64_t{step.gang ? step.tasks : 1};
+}
+
+void fleet_site::record_waiting(const fleet::task_ref& task, bool waits,
+                                milliseconds allowed) {
+  if (!waits) {
+    waiting_since_.erase(task);
+    return;
+  }
+  auto since = waiting_since_.try_emplace(task, now_).first->second;
+  if (now_ - since <= allowed) return;
+  violations.insert("work stopped: " + fleet::to_string(task));
+}
+
+void fleet_site::check_waiting_job(const fleet::job_record& job,
+                                   const std::set<fleet::task_ref>& at_work) {
+  bool has_run = std::ranges::any_of(at_work, [&](const fleet::task_ref& task) {
+    return task.job == job.spec.id;
+  });
+  bool has_turn = false;
+  bool has_room = false;
+  for (std::uint32_t k = 0; k < occurrences_of(job.spec); ++k) {
+    if (due_at(job.spec, k) > now_ || k < job.first_open) continue;
+    auto open = job.open.find(k);
+    for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
+      const auto& spec = job.spec.steps[s];
+      bool blocked = std::ranges::any_of(spec.after, [&](std::uint32_t a) {
+        return open == job.open.end() ||
+               !is_done(job.spec.steps[a], open->second.steps[a]);
+      });
+      bool done =
+          open != job.open.end() && is_done(spec, open->second.steps[s]);
+      if (blocked || done) continue;
+      has_turn = true;
+      bool room = has_capacity_twice(job, spec);
+      has_room = has_room || room;
+      for (std::uint32_t i = 0; spec.long_running && i < spec.tasks; ++i) {
+        fleet::task_ref task{job.spec.id, k, s, i};
+        record_waiting(task, room && !at_work.contains(task), max_restart_time);
+      }
+    }
+  }
+  bool waits = !is_ended(job) && has_turn && has_room && !has_run;
+  record_waiting({job.spec.id, UINT32_MAX, 0, 0}, waits && is_under_half_used(),
+                 max_idle_time);
+}
+
+// Checks that no job has nothing running for three seconds although its turn
+// has come, there is capacity for it twice over and under half of the capacity
+// is in use; and that each long-running task is at work within six.
+void fleet_site::check_waiting() {
+  std::set<fleet::task_ref> at_work;
+  for (const auto& w : workers) {
+    for (const auto& [task, run] : w.running) at_work.insert(task);
+  }
+  for (const auto& [id, job] : state_.tables().jobs) {
+    if (is_ended(job)) {
+      std::erase_if(waiting_since_,
+                    [&](const auto& item) { return item.first.job == id; });
+    } else {
+      check_waiting_job(job, at_work);
+    }
+  }
+}
+
 }  // namespace parsleyledge::fakes
--- a/test/fakes/fleet_site.h
+++ b/test/fakes/fleet_site.h
@@ -41,6 +41,7 @@
   time_point machine_up_at;      // end of its machine's maintenance
   int slowdown = 1;              // factor on the duration of tasks
   bool stalls_runs = false;      // its runs make no progress
+  milliseconds late_by{0};       // requests are carried out late; 0: never
   time_point drains_until;       // while it drains
 };
 
@@ -94,6 +95,9 @@
 
   /// Restarts a worker: a new incarnation of the same name.
   void restart_worker(int worker);
+  /// Ends all runs of a job on their workers as failed.
+  void fail_run(fleet::job_id id);
+
   void drain(int worker, milliseconds remaining = milliseconds(3000));
 
   auto job(fleet::job_id id) const -> const fleet::job_record&;
@@ -119,6 +123,9 @@
   milliseconds task_duration{1000};  // of every task; 0: as estimated
   decision_times times;
   bool records_history = true;
+  // Records work that stops although there is capacity as a violation. For use
+  // while the site is without faults.
+  bool checks_waiting = false;
   bool commits_enabled = true;  // false delays commits
   std::set<std::string> violations;
   std::vector<std::string> history;  // of decisions and starts, for messages
@@ -149,6 +156,15 @@
   auto is_stalled(const fake_worker& w, const fleet::task_ref& task) const
       -> bool;
   void check_invariants();
+  void check_waiting();
+  void check_waiting_job(const fleet::job_record& job,
+                         const std::set<fleet::task_ref>& at_work);
+  void record_waiting(const fleet::task_ref& task, bool waits,
+                      milliseconds allowed);
+  auto has_capacity_twice(const fleet::job_record& job,
+                          const fleet::step_spec& step) const -> bool;
+  auto is_under_half_used() const -> bool;
+  auto is_sound(const fake_worker& worker) const -> bool;
   void record_event(std::string_view event, const fleet::task_ref& task,
                     std::uint32_t run, const fake_worker& worker);
   auto duration_of(const fake_worker& w, const fleet::task_ref& task) const
@@ -163,6 +179,12 @@
     time_point until;
   };
 
+  /// A request that is carried out after its response was given up.
+  struct late_request {
+    fleet::send_worker_request request;
+    time_point at;
+  };
+
   time_point now_ = at_ms(1'000'000);
   fleet::fleet_state state_;
   fleet::dispatcher dispatcher_;
@@ -177,6 +199,8 @@
   std::vector<std::pair<std::uint64_t, time_point>> timeouts_;
   std::vector<std::pair<fleet::command, std::uint64_t>> delayed_commands_;
   std::set<fleet::task_ref> acknowledged_done_;
+  std::vector<late_request> late_requests_;
+  std::map<fleet::task_ref, time_point> waiting_since_;
 };
 
 /// A step of tasks with this number of accelerators each, one core and an
