--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -56,6 +56,9 @@
   CPPUNIT_TEST(long_running_tasks_are_restarted);
   CPPUNIT_TEST(an_end_is_acknowledged_after_its_commit_only);
   CPPUNIT_TEST(ends_listed_after_a_withheld_end_are_committed);
+  CPPUNIT_TEST(a_long_running_task_returns_to_its_only_worker);
+  CPPUNIT_TEST(a_job_does_not_wait_for_quarantined_workers);
+  CPPUNIT_TEST(a_job_does_not_wait_for_a_busy_rack);
   CPPUNIT_TEST(invariants_hold_under_random_events);
   CPPUNIT_TEST_SUITE_END();
 
@@ -519,6 +522,52 @@
     assert_state(job_state::complete, site, id);
     assert_clean(site);
   }
+
+  // A long-running task that failed three times on the only worker that may run
+  // it waited for the end of the worker's quarantine.
+  void a_long_running_task_returns_to_its_only_worker() {
+    fleet_site site(1);
+    auto step = make_step(1, 1);
+    step.long_running = true;
+    auto id = site.submit("q1", step);
+    for (int i = 0; i < 5; ++i) {
+      site.run_for(seconds(6));
+      CPPUNIT_ASSERT_EQUAL(1, site.running(id));
+      site.fail_run(id);
+    }
+    assert_clean(site);
+  }
+
+  // A job whose workers had both stalled waited for the end of their quarantine
+  // although they were sound again.
+  void a_job_does_not_wait_for_quarantined_workers() {
+    fleet_site site(2);
+    site.task_duration = seconds(30);
+    auto id = site.submit("q1", make_step(2, 8));
+    site.run_for(milliseconds(200));
+    for (auto& w : site.workers) w.stalls_runs = true;
+    while (site.running(id) > 0) site.run_for(milliseconds(10));
+    for (auto& w : site.workers) w.stalls_runs = false;
+    site.run_for(seconds(3));
+    CPPUNIT_ASSERT(site.running(id) > 0);
+    assert_clean(site);
+  }
+
+  // A job whose data rack was busy waited there for as long as its estimate,
+  // although most of the other racks was idle.
+  void a_job_does_not_wait_for_a_busy_rack() {
+    fleet_site site(4, 1);
+    site.checks_waiting = true;
+    site.task_duration = seconds(30);
+    auto step = make_step(1, 8);
+    step.data_rack = "r1";
+    step.estimate = seconds(20);
+    site.submit("q1", step);
+    site.run_for(milliseconds(500));
+    site.submit("q1", step);
+    site.run_for(seconds(5));
+    assert_clean(site);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(dispatcher_test);
