Test that work goes on after random events, with two known failures

After faults of any order each waiting job has to go on within three seconds, each long-running task within six, and each job has to end. A gang of which one worker is removed before its placement is committed runs in part; stopping it as soon as a member is not assigned left 0 of 3 running in the test, so that change was not kept.

--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -56,10 +56,12 @@
   CPPUNIT_TEST(long_running_tasks_are_restarted);
   CPPUNIT_TEST(an_end_is_acknowledged_after_its_commit_only);
   CPPUNIT_TEST(ends_listed_after_a_withheld_end_are_committed);
+  CPPUNIT_TEST(a_gang_placed_in_part_is_placed_again_at_once);
   CPPUNIT_TEST(a_long_running_task_returns_to_its_only_worker);
   CPPUNIT_TEST(a_job_does_not_wait_for_quarantined_workers);
   CPPUNIT_TEST(a_job_does_not_wait_for_a_busy_rack);
   CPPUNIT_TEST(invariants_hold_under_random_events);
+  CPPUNIT_TEST(work_goes_on_after_random_events);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -523,6 +525,33 @@
     assert_clean(site);
   }
 
+  // A gang of which one worker was removed before the placement was committed
+  // started in part, and its members waited for the others in vain.
+  void a_gang_placed_in_part_is_placed_again_at_once() {
+    fleet_site site(3);
+    site.task_duration = seconds(30);
+    auto other = site.submit("q1", make_step(1, 1));
+    auto id = site.submit("q1", {make_gang(3, 7)}, "a", 1, milliseconds(1900));
+    site.run_for(milliseconds(600));
+    // The worker that is polled restarts, and does not report until later.
+    for (auto& w : site.workers) {
+      if (w.running.empty()) continue;
+      ++w.record.incarnation.started_at_ms;
+      w.running.clear();
+    }
+    site.run_for(milliseconds(1100));
+    site.commits_enabled = false;
+    site.run_for(milliseconds(250));
+    CPPUNIT_ASSERT_EQUAL(0, site.running(id));
+    site.commits_enabled = true;
+    site.run_for(milliseconds(30));
+    CPPUNIT_ASSERT(site.job(id).state == job_state::running);
+    site.run_for(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(3, site.running(id));
+    CPPUNIT_ASSERT_EQUAL(1, site.running(other));
+    assert_clean(site);
+  }
+
   // A long-running task that failed three times on the only worker that may run
   // it waited for the end of the worker's quarantine.
   void a_long_running_task_returns_to_its_only_worker() {
@@ -568,6 +597,122 @@
     site.run_for(seconds(5));
     assert_clean(site);
   }
+
+  // Work that was accepted and then stopped: after any sequence of faults each
+  // waiting job goes on within three seconds, and each long-running task within
+  // six.
+  void work_goes_on_after_random_events() {
+    bool passed = rc::check([] {
+      fleet_site site(8, 3);
+      site.configure(16, 8, 3);
+      bool has_policy = *rc::gen::inRange(0, 4) == 0;
+      if (has_policy) {
+        site.set_policy({"w1", "w2", "w4", "w5", "w7"}, seconds(5));
+      }
+      site.task_duration = milliseconds(*rc::gen::inRange(200, 6000));
+      std::vector<fleet::job_id> ids;
+      std::vector<fleet::job_id> lasting;
+      std::uint64_t waves = 0;
+      for (int round = 0; round < 30; ++round) {
+        auto index = *rc::gen::inRange(0, 8);
+        auto& w = site.workers[static_cast<std::size_t>(index)];
+        switch (*rc::gen::inRange(0, 18)) {
+          case 0:
+            if (w.machine_up_at == time_point{}) w.unreachable = !w.unreachable;
+            break;
+          case 1:
+            w.drops_responses = !w.drops_responses;
+            break;
+          case 2:
+            if (!ids.empty())
+              site.cancel(ids[*rc::gen::inRange<std::size_t>(0, ids.size())]);
+            break;
+          case 3:
+            if (w.machine_up_at == time_point{}) site.restart_worker(index);
+            break;
+          case 4:
+            site.change_leader();
+            break;
+          case 5:
+            site.replace_leader();
+            break;
+          case 6:  // proposals that fail
+            site.commits_enabled = false;
+            site.run_for(milliseconds(*rc::gen::inRange(10, 800)));
+            site.commits_enabled = true;
+            if (*rc::gen::arbitrary<bool>()) site.change_leader();
+            break;
+          case 7:
+            w.fails_runs = !w.fails_runs;
+            break;
+          case 8:
+            w.stalls_runs = !w.stalls_runs;
+            break;
+          case 10:
+            w.late_by = milliseconds(*rc::gen::inRange(0, 2) * 1500);
+            break;
+          case 11:
+            if (w.machine_up_at == time_point{}) site.drain(index);
+            break;
+          case 12:
+            if (waves == 0) site.start_wave(++waves, {0, 3, 6}, 1, seconds(30));
+            break;
+          case 13: {
+            auto step = make_step(*rc::gen::inRange<std::uint32_t>(1, 4), 1);
+            step.long_running = true;
+            step.max_unavailable = *rc::gen::inRange<std::uint32_t>(0, 2);
+            lasting.push_back(site.submit("q2", step));
+            break;
+          }
+          default: {
+            auto tasks = *rc::gen::inRange<std::uint32_t>(1, 6);
+            auto each = *rc::gen::inRange<std::int64_t>(1, 9);
+            auto step = *rc::gen::arbitrary<bool>() ? make_gang(tasks, each)
+                                                    : make_step(tasks, each);
+            step.same_rack = *rc::gen::arbitrary<bool>();
+            step.estimate = milliseconds(*rc::gen::inRange(300, 20'000));
+            if (*rc::gen::inRange(0, 3) == 0)
+              step.data_rack = "r" + std::to_string(*rc::gen::inRange(0, 3));
+            if (!step.gang && *rc::gen::arbitrary<bool>())
+              step.max_per_worker = *rc::gen::inRange<std::uint32_t>(1, 3);
+            auto next = make_step(2, 1);
+            next.after = {0};
+            auto queue = "q" + std::to_string(*rc::gen::inRange(0, 3));
+            ids.push_back(site.submit(queue, {step, next},
+                                      *rc::gen::arbitrary<bool>() ? "a" : "b"));
+          }
+        }
+        site.run_for(milliseconds(*rc::gen::inRange(10, 2500)));
+      }
+      for (std::size_t i = 0; i < site.workers.size(); ++i) {
+        auto& w = site.workers[i];
+        w.drops_responses = w.fails_runs = w.stalls_runs = false;
+        w.late_by = {};
+        if (w.machine_up_at != time_point{}) continue;
+        w.unreachable = false;
+        if (w.record.draining) site.restart_worker(static_cast<int>(i));
+      }
+      // The longest lease, and the time until a machine is in touch again.
+      site.run_for(seconds(15));
+      site.checks_waiting = true;
+      site.run_for(seconds(40));
+      if (site.violations.empty()) site.run_for(seconds(120));
+      if (!site.violations.empty()) {
+        for (const auto& line : site.history) RC_LOG() << line << "\n";
+        RC_LOG() << site.violation_text() << site.describe();
+      }
+      RC_ASSERT(site.violations.empty());
+      for (auto id : ids) {
+        RC_LOG() << to_string(site.state(id)) << ": " << site.describe();
+        RC_ASSERT(is_ended(site.job(id)));
+      }
+      for (auto id : lasting) {
+        auto tasks = static_cast<int>(site.job(id).spec.steps[0].tasks);
+        RC_ASSERT(site.running(id) == tasks);
+      }
+    });
+    CPPUNIT_ASSERT(passed);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(dispatcher_test);
