Let votes wait for the connection to their replica

Callers saw no answer for a second after a planned restart of the leader: the next one was elected only at the second attempt.

Cause: a message without a deadline was dropped while the connection to its receiver was being established. A candidate that had no connection to the other voters yet, as it had just started or had never led, lost all requests for votes, and asks again only after an election timeout.

Fix: every message waits for its connection, one without a deadline for 200 ms, at most 256 messages and 1 MB a connection. Raft allows delayed messages; leases count from the time at which a message was sent.

peer_socket_test: delivers_a_vote_sent_before_the_connection failed three times of three with the wait switched off, and passes with it.

--- a/src/adapters/peer_socket.cpp
+++ b/src/adapters/peer_socket.cpp
@@ -19,7 +19,10 @@
 
 constexpr int high_water_mark = 4096;  // messages per connection
 constexpr std::size_t max_outbox_messages = 65536;
-constexpr std::size_t max_waiting_messages = 256;  // per connection
+constexpr std::size_t max_waiting_messages = 256;    // per connection
+constexpr std::size_t max_waiting_bytes = 1U << 20;  // per connection
+// How long a message without a deadline waits for a connection.
+constexpr std::int64_t connection_wait_ms = 200;
 constexpr std::int64_t max_message_bytes = 64 << 20;
 constexpr int heartbeat_ms = 1000;
 // Without any traffic for this long, a connection is closed and reopened.
@@ -43,7 +46,7 @@
   std::string to;
   bool is_reply = false;
   std::string bytes;
-  std::int64_t deadline = 0;  // wall clock in ms; 0 if there is none
+  std::int64_t send_until = 0;  // wall clock in ms
 };
 
 void set_options(zmq::socket_t& socket) {
@@ -123,18 +126,20 @@
   }
 
   // Called if a message cannot be sent now, mostly because the connection is
-  // being established. A call, which has a deadline, waits for that: its sender
-  // repeats it only after a timeout. Other messages are repeated soon.
+  // being established. The message waits for that: a call, a vote or its reply
+  // is repeated only after a timeout.
   auto wait_for_connection(peer& to, const outgoing& item) -> bool {
-    if (item.deadline == 0) return false;
     dropped += std::erase_if(to.waiting, has_expired);
-    if (to.waiting.size() >= max_waiting_messages) return false;
+    auto bytes = item.bytes.size();
+    for (const auto& other : to.waiting) bytes += other.bytes.size();
+    if (to.waiting.size() >= max_waiting_messages || bytes > max_waiting_bytes)
+      return false;
     to.waiting.push_back(item);
     return true;
   }
 
   static auto has_expired(const outgoing& item) -> bool {
-    return item.deadline < wall_ms();
+    return item.send_until < wall_ms();
   }
 
   void send_waiting(const std::string& address) {
@@ -288,15 +293,18 @@
   message.set_group(impl_->self.group);
   message.set_sender(impl_->self.name);
   message.set_sent_at(wall_ms());
-  impl_->enqueue({std::string(address), false, message.SerializeAsString(),
-                  message.deadline()});
+  auto send_until = message.deadline() != 0 ? message.deadline()
+                                            : wall_ms() + connection_wait_ms;
+  impl_->enqueue(
+      {std::string(address), false, message.SerializeAsString(), send_until});
 }
 
 void peer_socket::reply(std::string_view to, wire::envelope message) {
   message.set_group(impl_->self.group);
   message.set_sender(impl_->self.name);
   message.set_sent_at(wall_ms());
-  impl_->enqueue({std::string(to), true, message.SerializeAsString(), 0});
+  impl_->enqueue({std::string(to), true, message.SerializeAsString(),
+                  wall_ms() + connection_wait_ms});
 }
 
 void peer_socket::stop() {
--- a/src/adapters/peer_socket.h
+++ b/src/adapters/peer_socket.h
@@ -20,9 +20,9 @@
 
 /// Messages between the processes of the system over ZeroMQ. One thread owns
 /// all sockets and waits in poll; other threads pass messages to it through a
-/// bounded queue. A message with a deadline waits until then for a connection;
-/// any other that cannot be sent immediately is dropped, and the protocols that
-/// use the socket retransmit. Messages of other groups are ignored.
+/// bounded queue. A message waits for a connection until its deadline, or
+/// 200 ms if it has none, and is dropped after that; the protocols that use the
+/// socket retransmit. Messages of other groups are ignored.
 class peer_socket {
  public:
   /// Called on the socket's thread. `from` is a token to pass to reply().
--- a/test/peer_socket_test.cpp
+++ b/test/peer_socket_test.cpp
@@ -22,6 +22,7 @@
 class peer_socket_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(peer_socket_test);
   CPPUNIT_TEST(delivers_a_call_sent_before_the_connection);
+  CPPUNIT_TEST(delivers_a_vote_sent_before_the_connection);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -47,6 +48,26 @@
     caller.stop();
     server.stop();
   }
+
+  // Guards against an election that fails because the request for a vote is
+  // dropped: a candidate may have no connection to the other replicas yet.
+  void delivers_a_vote_sent_before_the_connection() {
+    std::promise<void> received;
+    auto is_received = received.get_future();
+    peer_socket server(
+        {"g", "server"},
+        [&](std::string_view, const wire::envelope&) { received.set_value(); });
+    CPPUNIT_ASSERT_EQUAL(std::string(), server.start(server_address));
+    peer_socket caller({"g", "caller"}, [](std::string_view, auto) {});
+    CPPUNIT_ASSERT_EQUAL(std::string(), caller.start({}));
+    wire::envelope vote;
+    vote.mutable_agreement();
+    caller.send(server_address, std::move(vote));
+    CPPUNIT_ASSERT(is_received.wait_for(call_limit) ==
+                   std::future_status::ready);
+    caller.stop();
+    server.stop();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(peer_socket_test);
