Do not stand for election while shutting down

Callers saw 2.5 s without answers after a planned restart of the leader, and nineteen requests ended without one.

Cause: a replica that had handed the leadership over, or was stopped as a follower, went on to stand for elections until its process ended. If it won, the group lost its leader again at once.

Fix: from SIGTERM on a replica does not stand, unless it is the only voter. It still votes and acknowledges entries.

--- a/src/adapters/replica_node.cpp
+++ b/src/adapters/replica_node.cpp
@@ -159,7 +159,7 @@
               },
               [&](tick&) { add(replica_.tick(now)); },
               [&](transfer_request&) {
-                add(replica_.transfer_leadership(now));
+                add(replica_.retire(now));
               },
               [&](encoded_snapshot& s) { snapshots.push_back(s); }},
           item);
--- a/src/adapters/replica_node.h
+++ b/src/adapters/replica_node.h
@@ -82,7 +82,8 @@
                           change,
                       std::function<void(bool)> done);
 
-  /// Transfers leadership to another replica if this one leads.
+  /// Transfers leadership to another replica if this one leads. From now on it
+  /// does not stand for election, as its process is about to stop.
   void transfer();
 
   /// Stops the ticks and discards all queued and later input, without calling
--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -228,7 +228,9 @@
       heartbeat_due_ = now + hello_interval;
       send_hello();
     }
-    if (is_voter() && now >= election_due_) start_election(true, false);
+    if (may_stand() && now >= election_due_) {
+      start_election(true, false);
+    }
   }
   return take_effects();
 }
@@ -773,7 +775,7 @@
 }
 
 void replica::handle(const message& in, const timeout_now&) {
-  if (in.term == hard_.term && is_voter()) start_election(false, true);
+  if (in.term == hard_.term && may_stand()) start_election(false, true);
 }
 
 // Commits an entry once a majority of the voters has it on disk. As in Raft,
@@ -833,6 +835,16 @@
   for (auto& [id, peer] : progress_) peer.in_snapshot = false;
 }
 
+// The only voter of a group stands even while it retires: nobody else can lead.
+auto replica::may_stand() const -> bool {
+  return is_voter() && (!retiring_ || quorum_size() == 1);
+}
+
+auto replica::retire(time_point now) -> std::vector<effect> {
+  retiring_ = true;
+  return transfer_leadership(now);
+}
+
 auto replica::transfer_leadership(time_point now) -> std::vector<effect> {
   now_ = now;
   if (role_ != role::leader || transferring_) return take_effects();
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -92,6 +92,11 @@
   /// Discards the log up to `last`, which `snapshot` covers.
   void compact(log_position last, std::shared_ptr<const std::string> snapshot);
 
+  /// Prepares for the end of the process: from now on the replica stands for
+  /// election only if it is the only voter, and if it leads, it transfers the
+  /// leadership.
+  auto retire(time_point now) -> std::vector<effect>;
+
   /// Starts a leadership transfer to the first voter that acknowledges the
   /// whole log from now on, so that it is known to run.
   auto transfer_leadership(time_point now) -> std::vector<effect>;
@@ -166,6 +171,7 @@
   void send_snapshot(replica_id to, progress& peer);
   void broadcast(bool heartbeat);
   void continue_transfer(replica_id acknowledged_by);
+  auto may_stand() const -> bool;
   void advance_commit();
   void apply_committed();
   void append_local(std::vector<log_entry> entries);
@@ -200,6 +206,7 @@
   // Unknown replicas admitted for which no voter was removed yet.
   std::uint32_t pending_replacements_ = 0;
   bool transferring_ = false;
+  bool retiring_ = false;       // the process is about to end
   replica_id transfer_target_;  // unset until a voter is chosen
   bool in_pre_vote_ = false;
 
--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -541,6 +541,7 @@
   CPPUNIT_TEST(transfers_leadership_within_200_ms);
   CPPUNIT_TEST(a_transfer_needs_one_election);
   CPPUNIT_TEST(a_transfer_does_not_choose_a_stopped_replica);
+  CPPUNIT_TEST(a_retiring_replica_does_not_stand_for_election);
   CPPUNIT_TEST(sends_missing_entries_once);
   CPPUNIT_TEST(sends_a_snapshot_to_a_lagging_replica);
   CPPUNIT_TEST(replaces_replicas_repeatedly);
@@ -799,6 +800,25 @@
     }
   }
 
+  // Guards against a leader that is elected while its process is shutting down,
+  // so that the group loses it at once.
+  void a_retiring_replica_does_not_stand_for_election() {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      group g(3, seed);
+      CPPUNIT_ASSERT(g.commit("before"));
+      auto* old_leader = g.wait_for_leader();
+      CPPUNIT_ASSERT(old_leader != nullptr);
+      auto id = id_of(*old_leader).value;
+      auto retiring = id % 3 + 1;
+      CPPUNIT_ASSERT(g.at(retiring).retire(g.now).empty());
+      g.crash({id});
+      auto* new_leader = g.wait_for_leader();
+      CPPUNIT_ASSERT(new_leader != nullptr);
+      CPPUNIT_ASSERT(id_of(*new_leader).value != retiring);
+      g.check_no_entry_lost();
+    }
+  }
+
   // Regression, sarza-ke: appends that were delayed by a partition were
   // rejected one by one, and the leader sent all missing entries again for each
   // rejection.
