Wait for requests under way before closing idle connections

Callers saw a connection close without an answer to a request that reached the machine just after it had stopped accepting. No rule counts that, as the request was not read; the caller still has to send it again.

Cause: a stopping server closed idle connections at once, also those that a caller had just opened or was sending on.

Fix: idle connections are closed 200 ms after the server stops accepting.

front_test: a_stopping_server_answers_a_request_under_way failed three times of three without the wait, and passes with it.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -19,8 +19,8 @@
 namespace {
 
 constexpr std::chrono::seconds discard_timeout{2};
-// How long a connection that was accepted just before the server stopped
-// accepting may wait for its request, which follows the connection at once.
+// How long a connection may still wait for a request once the server has
+// stopped accepting: the request may be under way.
 constexpr std::chrono::milliseconds last_request_timeout{200};
 constexpr std::chrono::milliseconds accept_retry_delay{50};
 constexpr std::size_t max_discarded_bytes = 64U << 20;
@@ -230,6 +230,18 @@
   }
 }
 
+template <typename Impl>
+void cancel_idle(const std::shared_ptr<Impl>& self) {
+  std::lock_guard lock(self->mutex);
+  for (const auto& stream : self->idle) {
+    // The connection may have become busy by the time this runs on its strand.
+    asio::post(stream->get_executor(), [self, stream] {
+      std::lock_guard inner(self->mutex);
+      if (self->idle.contains(stream)) stream->cancel();
+    });
+  }
+}
+
 }  // namespace
 
 http_server::http_server(asio::thread_pool& pool, http_limits limits)
@@ -271,14 +283,10 @@
       self->acceptor->close(ec);
     });
   }
-  std::lock_guard lock(self->mutex);
-  for (const auto& stream : self->idle) {
-    // The connection may have become busy by the time this runs on its strand.
-    asio::post(stream->get_executor(), [self, stream] {
-      std::lock_guard inner(self->mutex);
-      if (self->idle.contains(stream)) stream->cancel();
-    });
-  }
+  auto timer =
+      std::make_shared<asio::steady_timer>(self->threads, last_request_timeout);
+  timer->async_wait(
+      [self, timer](const beast::error_code&) { cancel_idle(self); });
 }
 
 auto http_server::active_requests() const -> std::size_t {
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -41,7 +41,8 @@
   /// unless another request has arrived on it by then.
   void drain();
 
-  /// Stops listening and closes the connections that wait for a request.
+  /// Stops listening and, after 200 ms, closes the connections that wait for a
+  /// request: a request that was under way by then is still served.
   void close_idle();
 
   /// The number of requests that are being served.
--- a/test/front_test.cpp
+++ b/test/front_test.cpp
@@ -105,6 +105,7 @@
   CPPUNIT_TEST(rejects_body_over_limit);
   CPPUNIT_TEST(rejects_truncated_body);
   CPPUNIT_TEST(a_drain_answers_requests_that_already_arrived);
+  CPPUNIT_TEST(a_stopping_server_answers_a_request_under_way);
   CPPUNIT_TEST(a_failing_handler_still_answers);
   CPPUNIT_TEST(a_lack_of_descriptors_occupies_no_thread);
   CPPUNIT_TEST_SUITE_END();
@@ -403,6 +404,39 @@
     pool.join();
   }
 
+  // Guards against a server that closes a connection, new or kept, on which the
+  // request is under way.
+  void a_stopping_server_answers_a_request_under_way() {
+    asio::thread_pool pool(1);
+    fake_scheduler scheduler;
+    http_server server(pool, {});
+    auto error = server.listen(address, [&](http_request request) {
+      return platform::serve_caller(std::move(request), scheduler.server());
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string(), error);
+    using asio::ip::tcp;
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::steady_timer timer(context);
+    while (server.connections() == 0) {
+      timer.expires_after(milliseconds(5));
+      timer.wait();
+    }
+    server.close_idle();
+    timer.expires_after(milliseconds(20));  // the request arrives after that
+    timer.wait();
+    asio::write(socket, asio::buffer(std::string(
+                            "GET /p/1 HTTP/1.1\r\nHost: q.example\r\n\r\n")));
+    std::string response;
+    boost::system::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(response), ec);
+    CPPUNIT_ASSERT(response.starts_with("HTTP/1.1 200 "));
+    CPPUNIT_ASSERT(wait_until_idle(server, milliseconds(5000)));
+    pool.stop();
+    pool.join();
+  }
+
   // Guards against a connection that closes without a response and counts as
   // open for good, after an exception in the handler.
   void a_failing_handler_still_answers() {
