Stop a gang that was placed in part

Cause: a placement is skipped if its worker was removed before the command was committed. The leader took a gang for broken only if a member had ended, not if one was never placed.

Fix: a gang is broken if any member of it is not assigned while others are. The others are stopped, and the gang is placed as a whole again.

--- a/src/core/fleet/dispatch_tracking.cpp
+++ b/src/core/fleet/dispatch_tracking.cpp
@@ -106,9 +106,9 @@
   for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
     const auto& task = step.tasks[i];
     if (!task.assigned) {
-      gang_is_broken =
-          gang_is_broken || (spec.gang && step.done == 0 && task.run != 0 &&
-                             task.run == step.last_run);
+      // The member has ended, or its worker was removed before the placement
+      // was committed.
+      gang_is_broken = gang_is_broken || (spec.gang && step.done == 0);
       continue;
     }
     task_ref name{ref.job, ref.occurrence, ref.step, i};
