--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -19,9 +19,10 @@
 namespace {
 
 constexpr std::chrono::seconds discard_timeout{2};
-// How long a connection that was accepted just before the server stopped
-// accepting may wait for its request, which follows the connection at once.
+// How long a connection may still wait for a request once the server has
+// stopped accepting: the request may be under way.
 constexpr std::chrono::milliseconds last_request_timeout{200};
+constexpr std::chrono::milliseconds accept_retry_delay{50};
 constexpr std::size_t max_discarded_bytes = 64U << 20;
 
 using request_parser = http::request_parser<http::string_body>;
@@ -135,6 +136,23 @@
   }
 }
 
+/// Passes a request to the handler. The caller gets a response even if the
+/// handler throws.
+auto call_handler(const http_handler& handler, http_request request)
+    -> asio::awaitable<http_response> {
+  std::string detail;
+  try {
+    auto response = co_await handler(std::move(request));
+    co_return response;
+  } catch (const std::exception& error) {
+    detail = error.what();
+  }
+  log_event(log_level::error, "handler_failed", {{"detail", detail}});
+  co_return make_response(problem{500, "Internal error",
+                                  "the request could not be handled",
+                                  run_outcome::unknown});
+}
+
 template <typename Impl>
 auto serve(std::shared_ptr<Impl> self,
            std::shared_ptr<beast::tcp_stream> stream) -> asio::awaitable<void> {
@@ -165,9 +183,13 @@
       version = request.version();
       auto converted = convert(std::move(request));
       stream->expires_never();
-      response = co_await self->handler(std::move(converted));
+      response = co_await call_handler(self->handler, std::move(converted));
     }
-    keep_alive = keep_alive && !response.close && !self->draining;
+    // A request that has already arrived is answered before the connection
+    // closes.
+    bool last = self->draining && buffer.size() == 0 &&
+                stream->socket().available(ec) == 0;
+    keep_alive = keep_alive && !response.close && !last;
     auto out = convert(std::move(response), version, keep_alive);
     stream->expires_after(self->limits.request_timeout);
     co_await http::async_write(*stream, out, token);
@@ -191,7 +213,13 @@
     if (ec == asio::error::operation_aborted || !self->acceptor->is_open()) {
       co_return;
     }
-    if (ec) continue;
+    if (ec) {
+      // Most likely there is no free descriptor. The client stays in the queue.
+      asio::steady_timer timer(self->acceptor->get_executor(),
+                               accept_retry_delay);
+      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+      continue;
+    }
     if (self->open_connections >= self->limits.connections)
       continue;  // closes the socket
     beast::error_code ignored;
@@ -202,6 +230,18 @@
   }
 }
 
+template <typename Impl>
+void cancel_idle(const std::shared_ptr<Impl>& self) {
+  std::lock_guard lock(self->mutex);
+  for (const auto& stream : self->idle) {
+    // The connection may have become busy by the time this runs on its strand.
+    asio::post(stream->get_executor(), [self, stream] {
+      std::lock_guard inner(self->mutex);
+      if (self->idle.contains(stream)) stream->cancel();
+    });
+  }
+}
+
 }  // namespace
 
 http_server::http_server(asio::thread_pool& pool, http_limits limits)
@@ -243,14 +283,10 @@
       self->acceptor->close(ec);
     });
   }
-  std::lock_guard lock(self->mutex);
-  for (const auto& stream : self->idle) {
-    // The connection may have become busy by the time this runs on its strand.
-    asio::post(stream->get_executor(), [self, stream] {
-      std::lock_guard inner(self->mutex);
-      if (self->idle.contains(stream)) stream->cancel();
-    });
-  }
+  auto timer =
+      std::make_shared<asio::steady_timer>(self->threads, last_request_timeout);
+  timer->async_wait(
+      [self, timer](const beast::error_code&) { cancel_idle(self); });
 }
 
 auto http_server::active_requests() const -> std::size_t {
--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t max_batch_bytes = 256U << 10;
 constexpr std::size_t snapshot_chunk_bytes = 256U << 10;
 constexpr milliseconds hello_interval{200};
+// How long the report of a peer that its log is empty holds. The peer may have
+// lost its disk, and have joined an existing group since.
+constexpr milliseconds empty_report_validity{1000};
 constexpr milliseconds snapshot_resend_interval{1000};
 constexpr std::uint64_t max_promotion_lag = 64;  // entries
 // How long after the admission of an unknown replica a voter that does not
@@ -20,6 +23,9 @@
 constexpr milliseconds replacement_window{10'000};
 // Longer than a restart, so that a voter that restarts is not removed.
 constexpr milliseconds unresponsive_timeout{3000};
+// How long a voter waits for a message of a leader before it asks to be
+// admitted, since a voter that was removed receives no message that tells it.
+constexpr milliseconds silence_before_hello{2000};
 
 }  // namespace
 
@@ -217,11 +223,14 @@
     bool known =
         find_member(settings_.id) != nullptr &&
         find_member(settings_.id)->incarnation == settings_.incarnation;
-    if (!known && now >= heartbeat_due_) {
+    bool may_be_removed = now - last_leader_contact_ > silence_before_hello;
+    if ((!known || may_be_removed) && now >= heartbeat_due_) {
       heartbeat_due_ = now + hello_interval;
       send_hello();
     }
-    if (is_voter() && now >= election_due_) start_election(true, false);
+    if (may_stand() && now >= election_due_) {
+      start_election(true, false);
+    }
   }
   return take_effects();
 }
@@ -240,12 +249,15 @@
 }
 
 // Only the replica with the lowest id bootstraps the group, and only after
-// every peer has reported an empty log. Otherwise a replica that lost its data
-// folder could bootstrap a second group.
+// every peer has just reported an empty log. Otherwise a replica that lost its
+// data folder could bootstrap a second group.
 void replica::bootstrap_group() {
   if (!settings_.may_bootstrap) return;
   auto lowest = std::ranges::min_element(settings_.peers, {}, &member::id);
   if (lowest == settings_.peers.end() || lowest->id != settings_.id) return;
+  std::erase_if(bootstrap_candidates_, [&](const auto& item) {
+    return now_ - item.second.reported_at > empty_report_validity;
+  });
   if (bootstrap_candidates_.size() + 1 < settings_.peers.size()) return;
   std::vector<member> voters;
   for (const auto& peer : settings_.peers) {
@@ -272,8 +284,7 @@
     if (greeting.bootstrapped) {
       bootstrap_candidates_.erase(in.from);
     } else {
-      bootstrap_candidates_[in.from] = {in.from, in.from_incarnation,
-                                        greeting.address, true};
+      bootstrap_candidates_[in.from] = {in.from_incarnation, now_};
     }
     return;
   }
@@ -684,12 +695,21 @@
     peer.resent_at = now_;
     send_append(in.from, false);
   }
-  if (transferring_ && peer.match == last_position().index) {
-    const auto* target = find_member(in.from);
-    if (target != nullptr && target->voter) send(in.from, timeout_now{});
+  bool caught_up = response.accepted && peer.match == last_position().index;
+  if (transferring_ && caught_up && response.sent_at >= transfer_started_at_) {
+    continue_transfer(in.from);
   }
 }
 
+// Only one voter is told to stand for election, because several would split the
+// votes. It is told again until it does, as a message may be lost.
+void replica::continue_transfer(replica_id acknowledged_by) {
+  const auto* voter = find_member(acknowledged_by);
+  if (voter == nullptr || !voter->voter) return;
+  if (transfer_target_ == replica_id{}) transfer_target_ = acknowledged_by;
+  if (transfer_target_ == acknowledged_by) send(acknowledged_by, timeout_now{});
+}
+
 void replica::handle(const message& in, const snapshot_chunk& chunk) {
   if (in.term < hard_.term) {
     reply(in, append_reply{false, last_position().index, {}});
@@ -704,6 +724,14 @@
     reply(in, append_reply{true, commit_, chunk.sent_at});
     return;
   }
+  // The log already contains what the snapshot covers, from appends that were
+  // under way. The entries after it may be acknowledged, so they are kept.
+  if (term_at(chunk.last.index) == chunk.last.term) {
+    commit_ = chunk.last.index;
+    apply_committed();
+    reply(in, append_reply{true, commit_, chunk.sent_at});
+    return;
+  }
   if (incoming_last_ != chunk.last) {
     incoming_last_ = chunk.last;
     incoming_snapshot_.clear();
@@ -747,7 +775,7 @@
 }
 
 void replica::handle(const message& in, const timeout_now&) {
-  if (in.term == hard_.term && is_voter()) start_election(false, true);
+  if (in.term == hard_.term && may_stand()) start_election(false, true);
 }
 
 // Commits an entry once a majority of the voters has it on disk. As in Raft,
@@ -807,22 +835,24 @@
   for (auto& [id, peer] : progress_) peer.in_snapshot = false;
 }
 
+// The only voter of a group stands even while it retires: nobody else can lead.
+auto replica::may_stand() const -> bool {
+  return is_voter() && (!retiring_ || quorum_size() == 1);
+}
+
+auto replica::retire(time_point now) -> std::vector<effect> {
+  retiring_ = true;
+  return transfer_leadership(now);
+}
+
 auto replica::transfer_leadership(time_point now) -> std::vector<effect> {
   now_ = now;
-  if (role_ != role::leader) return take_effects();
+  if (role_ != role::leader || transferring_) return take_effects();
   transferring_ = true;
+  transfer_target_ = {};
+  transfer_started_at_ = now;
   transfer_deadline_ = now + settings_.delays.transfer_timeout;
-  const member* target = nullptr;
-  for (const auto& m : members_) {
-    if (!m.voter || m.id == settings_.id) continue;
-    if (target == nullptr || match_index(m.id) > match_index(target->id))
-      target = &m;
-  }
-  if (target != nullptr && match_index(target->id) == last_position().index) {
-    send(target->id, timeout_now{});
-  } else {
-    broadcast(true);
-  }
+  broadcast(true);
   return take_effects();
 }
 
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -92,7 +92,13 @@
   /// Discards the log up to `last`, which `snapshot` covers.
   void compact(log_position last, std::shared_ptr<const std::string> snapshot);
 
-  /// Starts a leadership transfer to the voter with the most complete log.
+  /// Prepares for the end of the process: from now on the replica stands for
+  /// election only if it is the only voter, and if it leads, it transfers the
+  /// leadership.
+  auto retire(time_point now) -> std::vector<effect>;
+
+  /// Starts a leadership transfer to the first voter that acknowledges the
+  /// whole log from now on, so that it is known to run.
   auto transfer_leadership(time_point now) -> std::vector<effect>;
 
   /// Whether this replica may serve requests for the group at this time: it
@@ -135,6 +141,11 @@
     time_point resent_at;  // when missing entries were last sent again
   };
 
+  struct bootstrap_candidate {
+    incarnation_number incarnation;
+    time_point reported_at;
+  };
+
   void handle(const message& in, const vote_request& request);
   void handle(const message& in, const vote_reply& response);
   void handle(const message& in, const append_request& request);
@@ -159,6 +170,8 @@
   void send_append(replica_id to, bool heartbeat);
   void send_snapshot(replica_id to, progress& peer);
   void broadcast(bool heartbeat);
+  void continue_transfer(replica_id acknowledged_by);
+  auto may_stand() const -> bool;
   void advance_commit();
   void apply_committed();
   void append_local(std::vector<log_entry> entries);
@@ -186,12 +199,15 @@
   time_point last_leader_contact_;
   time_point election_due_;
   time_point heartbeat_due_;
+  time_point transfer_started_at_;
   time_point transfer_deadline_;
   time_point leading_since_;
   time_point last_admitted_at_;  // when the last unknown replica was admitted
   // Unknown replicas admitted for which no voter was removed yet.
   std::uint32_t pending_replacements_ = 0;
   bool transferring_ = false;
+  bool retiring_ = false;       // the process is about to end
+  replica_id transfer_target_;  // unset until a voter is chosen
   bool in_pre_vote_ = false;
 
   std::deque<log_entry> log_;
@@ -212,7 +228,7 @@
   // Addresses learned from hello messages or `add_contact`.
   std::map<replica_id, std::string> contacts_;
   // Peers that reported an empty log during the bootstrap.
-  std::map<replica_id, member> bootstrap_candidates_;
+  std::map<replica_id, bootstrap_candidate> bootstrap_candidates_;
   std::mt19937_64 random_;
   std::vector<effect> effects_;
 };
--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -155,6 +155,21 @@
     return false;
   }
 
+  /// Tells the leader to transfer its leadership, and runs the group until
+  /// another replica serves. Returns the duration.
+  auto transfer_from(replica_id id) -> milliseconds {
+    auto started_at = now;
+    execute(id, replicas_[id]->transfer_leadership(now));
+    auto done = [&] {
+      auto* at = leader();
+      return at != nullptr && at->settings().id != id;
+    };
+    while (!done() && now - started_at < milliseconds(20'000)) {
+      run(milliseconds(5));
+    }
+    return std::chrono::duration_cast<milliseconds>(now - started_at);
+  }
+
   /// Checks that every acknowledged command is committed and that the leader's
   /// log covers all committed entries.
   void check_no_entry_lost() {
@@ -174,6 +189,13 @@
                        committed_entries.rbegin()->first);
   }
 
+  /// Starts a transfer of the leadership.
+  void transfer() {
+    auto* at = leader();
+    if (at == nullptr) return;
+    execute(at->settings().id, at->transfer_leadership(now));
+  }
+
   auto at(std::uint32_t id) -> replica& { return *replicas_.at({id}); }
   auto alive(std::uint32_t id) -> bool { return replicas_[{id}] != nullptr; }
 
@@ -341,15 +363,173 @@
   CPPUNIT_FAIL("the replica did not become a voter again");
 }
 
+// As in `transfers_leadership_within_200_ms`.
+constexpr milliseconds transfer_limit{200};
+
 auto id_of(const replica& r) -> replica_id {
   return r.settings().id;
 }
 
+/// Random disturbances of a group within what it tolerates: at no time are more
+/// disks lost than a majority of the voters can spare. Each replica has at most
+/// one disturbance of its processes or links at a time, any number of replicas
+/// may have one.
+class random_faults {
+ public:
+  random_faults(std::uint32_t voters, std::uint64_t seed)
+      : group_(bootstrap_size, seed, true), random_(seed) {
+    CPPUNIT_ASSERT(group_.commit("first"));
+    for (std::uint32_t id = 1; id <= voters; ++id) {
+      all_.push_back({id});
+      if (id > bootstrap_size) group_.start({id});
+      wait_for_voter(group_, {id});
+    }
+    next_id_ = voters + 1;
+    tolerated_ = (voters - 1) / 2;
+  }
+
+  void run() {
+    for (int round = 0; round < rounds; ++round) {
+      if (pick(8) == 0) change_network();
+      disturb(all_[pick(all_.size())]);
+      for (int i = 0; i < 5; ++i) {
+        group_.propose("c" + std::to_string(round) + "." + std::to_string(i));
+        group_.run(milliseconds(static_cast<int>(pick(200))));
+      }
+    }
+    heal();
+  }
+
+  /// Checks that nothing acknowledged is lost, and that all replicas vote again
+  /// and have the whole log.
+  void check() {
+    group_.check_no_entry_lost();
+    CPPUNIT_ASSERT(group_.commit("last"));
+    for (auto id : all_) wait_for_voter(group_, id);
+    group_.check_no_entry_lost();
+  }
+
+ private:
+  static constexpr std::uint32_t bootstrap_size = 3;
+  static constexpr int rounds = 60;
+
+  auto pick(std::size_t limit) -> std::size_t { return random_() % limit; }
+
+  void change_network() {
+    constexpr network_faults kinds[] = {
+        {}, {0.1, 0.1, milliseconds(60)}, {0.02, 0.2, milliseconds(600)}};
+    group_.faults = kinds[pick(std::size(kinds))];
+  }
+
+  void heal() {
+    group_.faults = {};
+    for (auto id : all_) restore(id);
+  }
+
+  void restore(replica_id id) {
+    group_.set_frozen(id, false);
+    group_.set_partitioned(id, false);
+    if (!group_.alive(id.value)) start(id);
+    disturbed_.erase(id);
+  }
+
+  /// Whether the group has not yet made up for all disks that it lost.
+  auto disks_to_make_up_for() -> std::size_t {
+    auto* leader = group_.leader();
+    if (leader == nullptr) return all_.size();
+    auto gone = std::ranges::count_if(leader->members(), [&](const member& m) {
+      return m.voter && std::ranges::find(all_, m.id) == all_.end();
+    });
+    return static_cast<std::size_t>(
+        gone + std::ranges::count_if(all_, [&](replica_id id) {
+          const auto* m = leader->find_member(id);
+          return m == nullptr || !m->voter || !group_.alive(id.value) ||
+                 m->incarnation != group_.at(id.value).settings().incarnation ||
+                 leader->match_index(id) < leader->commit_index();
+        }));
+  }
+
+  void disturb(replica_id id) {
+    if (disturbed_.contains(id)) return restore(id);
+    bool may_lose_disk = disks_to_make_up_for() < tolerated_;
+    switch (pick(9)) {
+      case 0:
+        group_.crash(id);
+        disturbed_.insert(id);
+        return;
+      case 1:
+        group_.set_frozen(id, true);
+        disturbed_.insert(id);
+        return;
+      case 2:
+        group_.set_partitioned(id, true);
+        disturbed_.insert(id);
+        return;
+      case 3:  // a loss of power of all
+        for (auto each : all_) group_.crash(each);
+        for (auto each : all_) restore(each);
+        return;
+      case 4:
+        if (!may_lose_disk) return;
+        group_.lose_disk(id);
+        if (pick(2) == 0) {
+          start(id);
+        } else {
+          disturbed_.insert(id);
+        }
+        return;
+      case 5:
+        if (!may_lose_disk || pick(2) == 0) return;
+        replace(id);
+        return;
+      case 6:
+        if (group_.alive(id.value)) group_.compact(id);
+        return;
+      case 7:
+        for (auto each : all_) {
+          if (group_.alive(each.value)) group_.compact(each);
+        }
+        return;
+      default:
+        group_.transfer();
+    }
+  }
+
+  /// Another machine takes the place of this one, which does not return.
+  void replace(replica_id id) {
+    group_.lose_disk(id);
+    std::erase(all_, id);
+    replica_id successor{next_id_++};
+    all_.push_back(successor);
+    disturbed_.erase(id);
+    start(successor);
+  }
+
+  /// Starts a replica. It and the others have each other's addresses, as from
+  /// the list of members that a leader sends once a second.
+  void start(replica_id id) {
+    group_.start(id);
+    for (auto other : all_) {
+      group_.at(id.value).add_contact(other, "r" + std::to_string(other.value));
+      if (!group_.alive(other.value)) continue;
+      group_.at(other.value).add_contact(id, "r" + std::to_string(id.value));
+    }
+  }
+
+  group group_;
+  std::mt19937_64 random_;
+  std::vector<replica_id> all_;
+  std::set<replica_id> disturbed_;
+  std::uint32_t next_id_ = 0;
+  std::size_t tolerated_ = 0;
+};
+
 }  // namespace
 
 class agreement_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(agreement_test);
   CPPUNIT_TEST(bootstraps_only_when_all_replicas_are_empty);
+  CPPUNIT_TEST(bootstraps_no_second_group_on_an_outdated_report);
   CPPUNIT_TEST(commits_over_a_lossy_network);
   CPPUNIT_TEST(survives_random_crashes);
   CPPUNIT_TEST(survives_a_crash_of_all_replicas);
@@ -359,6 +539,9 @@
   CPPUNIT_TEST(a_rejoining_replica_does_not_disrupt_the_leader);
   CPPUNIT_TEST(a_frozen_leader_does_not_serve);
   CPPUNIT_TEST(transfers_leadership_within_200_ms);
+  CPPUNIT_TEST(a_transfer_needs_one_election);
+  CPPUNIT_TEST(a_transfer_does_not_choose_a_stopped_replica);
+  CPPUNIT_TEST(a_retiring_replica_does_not_stand_for_election);
   CPPUNIT_TEST(sends_missing_entries_once);
   CPPUNIT_TEST(sends_a_snapshot_to_a_lagging_replica);
   CPPUNIT_TEST(replaces_replicas_repeatedly);
@@ -366,6 +549,9 @@
   CPPUNIT_TEST(an_unknown_replica_replaces_a_lost_voter);
   CPPUNIT_TEST(an_unknown_replica_replaces_a_voter_lost_later);
   CPPUNIT_TEST(a_restart_after_an_admission_removes_no_voter);
+  CPPUNIT_TEST(a_snapshot_of_entries_in_the_log_discards_none_after_it);
+  CPPUNIT_TEST(a_voter_that_was_removed_while_partitioned_votes_again);
+  CPPUNIT_TEST(survives_random_faults_and_replacements);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -386,6 +572,38 @@
     CPPUNIT_ASSERT(g.at(1).current_role() != role::bootstrapping);
   }
 
+  // Guards against a second group, without what the first acknowledged: a peer
+  // that lost its disk may vote again when the next one loses its disk.
+  void bootstraps_no_second_group_on_an_outdated_report() {
+    replica_settings settings;
+    settings.id = {1};
+    settings.incarnation = {1};
+    for (std::uint32_t id : {1, 2, 3}) {
+      settings.peers.push_back({{id}, {}, "r" + std::to_string(id), true});
+    }
+    auto now = at_ms(1000);
+    replica empty(settings, {}, now);
+    auto report_empty = [&](std::uint32_t id) {
+      empty.receive({{id},
+                     {id},
+                     {1},
+                     {1},
+                     {0},
+                     hello{false, true, "r" + std::to_string(id)}},
+                    now);
+    };
+    report_empty(2);
+    empty.tick(now);
+    now += milliseconds(4000);
+    report_empty(3);
+    empty.tick(now);
+    CPPUNIT_ASSERT(role::bootstrapping == empty.current_role());
+    now += milliseconds(300);
+    report_empty(2);
+    empty.tick(now);
+    CPPUNIT_ASSERT(role::bootstrapping != empty.current_role());
+  }
+
   void commits_over_a_lossy_network() {
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
       group g(5, seed);
@@ -548,6 +766,59 @@
     g.check_no_entry_lost();
   }
 
+  // Guards against a transfer after which all voters stand for election at
+  // once, split the votes and leave the group without a leader.
+  void a_transfer_needs_one_election() {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      group g(6, seed);
+      CPPUNIT_ASSERT(g.commit("before"));
+      auto* old_leader = g.wait_for_leader();
+      CPPUNIT_ASSERT(old_leader != nullptr);
+      auto term = old_leader->current_term();
+      CPPUNIT_ASSERT(g.propose("in progress"));
+      CPPUNIT_ASSERT(g.transfer_from(id_of(*old_leader)) < transfer_limit);
+      CPPUNIT_ASSERT_EQUAL(term.next().value, g.leader()->current_term().value);
+      g.check_no_entry_lost();
+      CPPUNIT_ASSERT(g.acknowledged.contains("in progress"));
+    }
+  }
+
+  // Guards against a transfer to a replica that acknowledged the whole log just
+  // before it stopped.
+  void a_transfer_does_not_choose_a_stopped_replica() {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      group g(6, seed);
+      CPPUNIT_ASSERT(g.commit("before"));
+      auto* old_leader = g.wait_for_leader();
+      CPPUNIT_ASSERT(old_leader != nullptr);
+      auto id = id_of(*old_leader);
+      auto term = old_leader->current_term();
+      g.crash({id.value == 1 ? 2U : 1U});
+      CPPUNIT_ASSERT(g.transfer_from(id) < transfer_limit);
+      CPPUNIT_ASSERT_EQUAL(term.next().value, g.leader()->current_term().value);
+      g.check_no_entry_lost();
+    }
+  }
+
+  // Guards against a leader that is elected while its process is shutting down,
+  // so that the group loses it at once.
+  void a_retiring_replica_does_not_stand_for_election() {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      group g(3, seed);
+      CPPUNIT_ASSERT(g.commit("before"));
+      auto* old_leader = g.wait_for_leader();
+      CPPUNIT_ASSERT(old_leader != nullptr);
+      auto id = id_of(*old_leader).value;
+      auto retiring = id % 3 + 1;
+      CPPUNIT_ASSERT(g.at(retiring).retire(g.now).empty());
+      g.crash({id});
+      auto* new_leader = g.wait_for_leader();
+      CPPUNIT_ASSERT(new_leader != nullptr);
+      CPPUNIT_ASSERT(id_of(*new_leader).value != retiring);
+      g.check_no_entry_lost();
+    }
+  }
+
   // Regression, sarza-ke: appends that were delayed by a partition were
   // rejected one by one, and the leader sent all missing entries again for each
   // rejection.
@@ -686,6 +957,77 @@
     CPPUNIT_ASSERT(g.commit("after"));
     g.check_no_entry_lost();
   }
+
+  // Guards against the loss of entries that a replica acknowledged before a
+  // snapshot arrived that the leader had sent because they were under way.
+  void a_snapshot_of_entries_in_the_log_discards_none_after_it() {
+    constexpr term_number term{1};
+    replica_settings settings;
+    settings.id = {2};
+    settings.incarnation = {2};
+    recovered_state disk;
+    disk.hard = {term, {}};
+    log_entry first{{term, {1}}, entry_kind::membership, {}, {}};
+    for (std::uint32_t id : {1, 2, 3}) {
+      first.members.push_back({{id}, {id}, "r" + std::to_string(id), true});
+    }
+    disk.entries.push_back(first);
+    replica follower(settings, disk, at_ms(1000));
+    auto receive = [&](message_body body) {
+      message in{{1}, {1}, {2}, {2}, term, std::move(body)};
+      return follower.receive(in, at_ms(1010));
+    };
+    append_request append{{term, {1}}, {}, {1}, at_ms(1005)};
+    for (std::uint64_t index = 2; index <= 9; ++index) {
+      append.entries.push_back({{term, {index}}, entry_kind::command, "c", {}});
+    }
+    receive(append);
+    auto effects = receive(snapshot_chunk{
+        {term, {5}}, first.members, 0, "state", true, at_ms(1006)});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9},
+                         follower.last_position().index.value);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, follower.commit_index().value);
+    std::uint64_t applied = 1;
+    for (const auto& e : effects) {
+      CPPUNIT_ASSERT(!std::holds_alternative<persist_snapshot>(e));
+      const auto* entry = std::get_if<apply_entry>(&e);
+      if (entry == nullptr) continue;
+      CPPUNIT_ASSERT_EQUAL(++applied, entry->entry.position.index.value);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, applied);
+  }
+
+  // Guards against a healthy replica that stays outside the group for good,
+  // since it was taken for the one that an unknown replica replaces.
+  void a_voter_that_was_removed_while_partitioned_votes_again() {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      group g(3, seed, true);
+      CPPUNIT_ASSERT(g.commit("before"));
+      g.start({4});
+      wait_for_voter(g, {4});
+      replica_id other{id_of(*g.wait_for_leader()).value % 3 + 1};
+      g.set_partitioned(other, true);
+      g.run(milliseconds(6000));
+      CPPUNIT_ASSERT(!voter_ids(g).contains(other.value));
+      g.set_partitioned(other, false);
+      wait_for_voter(g, other);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{4}, voter_ids(g).size());
+      g.check_no_entry_lost();
+    }
+  }
+
+  // Guards against the loss of an acknowledged entry, and against a replica
+  // that never votes again, whatever disturbances within the tolerance come
+  // together.
+  void survives_random_faults_and_replacements() {
+    for (std::uint32_t voters : {3, 6}) {
+      for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        random_faults faults(voters, seed);
+        faults.run();
+        faults.check();
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(agreement_test);
--- a/test/fleet_shutdown_test.cpp
+++ b/test/fleet_shutdown_test.cpp
@@ -1,8 +1,12 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <boost/asio.hpp>
 #include <chrono>
 #include <csignal>
+#include <memory>
+#include <string>
 #include <thread>
+#include <vector>
 
 #include "fakes/process_site.h"
 
@@ -12,9 +16,15 @@
 using fakes::process_site;
 using std::chrono::milliseconds;
 
+namespace asio = boost::asio;
+
 namespace {
 
-constexpr std::chrono::seconds grace{3};
+constexpr std::chrono::seconds grace{6};
+// An entry closes idle connections 1.5 s before the end of the grace period, so
+// a request sent by now has arrived before that on a busy machine, too.
+constexpr milliseconds last_request_at{2800};
+constexpr milliseconds request_interval{200};
 
 /// Reads a job with a time limit that exceeds the grace period.
 auto read_job(process_site& site) -> http_response {
@@ -33,6 +43,35 @@
       eventually([&] { return site.call(1, request).status == 405; }));
 }
 
+/// A connection to an entry that has had one response and is kept open.
+struct kept_connection {
+  asio::io_context context;
+  asio::ip::tcp::socket socket{context};
+
+  explicit kept_connection(int port) {
+    socket.connect({asio::ip::make_address("127.0.0.1"),
+                    static_cast<std::uint16_t>(port)});
+    send("PATCH");
+    std::string response;
+    asio::read_until(socket, asio::dynamic_buffer(response), "here\"}");
+  }
+
+  void send(std::string_view method) {
+    asio::write(socket, asio::buffer(std::string(method) +
+                                     " /lists/0123456789abcdef HTTP/1.1\r\n"
+                                     "Host: q.example\r\n"
+                                     "X-Deadline-Ms: 10000\r\n\r\n"));
+  }
+
+  /// All that is received until the entry closes the connection.
+  auto receive() -> std::string {
+    std::string response;
+    boost::system::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(response), ec);
+    return response;
+  }
+};
+
 }  // namespace
 
 /// Graceful shutdown of the fleet's entry, as its callers see it.
@@ -40,6 +79,7 @@
   CPPUNIT_TEST_SUITE(fleet_shutdown_test);
   CPPUNIT_TEST(a_stopping_entry_answers_requests_in_progress);
   CPPUNIT_TEST(a_stopping_entry_answers_requests_received_while_draining);
+  CPPUNIT_TEST(a_stopping_entry_answers_on_kept_connections);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -66,11 +106,42 @@
     start_entry(site);
     auto stopped_at = std::chrono::steady_clock::now();
     site.signal("fleet-entry-1", SIGTERM);
-    pause_for(milliseconds(1300));
+    pause_for(last_request_at);
     CPPUNIT_ASSERT_EQUAL(504, read_job(site).status);
     CPPUNIT_ASSERT_EQUAL(0, site.wait("fleet-entry-1"));
     CPPUNIT_ASSERT(std::chrono::steady_clock::now() - stopped_at < grace);
   }
+
+  // Guards against an exit that aborts a request on a kept connection, at any
+  // point of the drain.
+  void a_stopping_entry_answers_on_kept_connections() {
+    process_site site(22200);
+    start_entry(site);
+    std::vector<std::unique_ptr<kept_connection>> connections;
+    for (auto at = milliseconds(0); at < last_request_at;
+         at += request_interval) {
+      connections.push_back(
+          std::make_unique<kept_connection>(site.entry_port(1)));
+    }
+    auto stopped_at = std::chrono::steady_clock::now();
+    site.signal("fleet-entry-1", SIGTERM);
+    std::vector<std::string> sent_after;
+    for (auto& connection : connections) {
+      auto since = std::chrono::steady_clock::now() - stopped_at;
+      sent_after.push_back(
+          std::to_string(std::chrono::floor<milliseconds>(since).count()) +
+          " ms after SIGTERM");
+      connection->send("GET");
+      pause_for(request_interval);
+    }
+    for (std::size_t i = 0; i < connections.size(); ++i) {
+      auto response = connections[i]->receive();
+      CPPUNIT_ASSERT_MESSAGE(sent_after[i],
+                             response.starts_with("HTTP/1.1 50"));
+    }
+    CPPUNIT_ASSERT_EQUAL(0, site.wait("fleet-entry-1"));
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - stopped_at < grace);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_shutdown_test);
--- a/test/front_test.cpp
+++ b/test/front_test.cpp
@@ -1,11 +1,16 @@
 #include <cppunit/extensions/HelperMacros.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <boost/asio.hpp>
+#include <ctime>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "adapters/app.h"
 #include "adapters/http_client.h"
 #include "adapters/http_server.h"
 #include "platform/front.h"
@@ -99,6 +104,10 @@
   CPPUNIT_TEST(matches_out_of_order_responses);
   CPPUNIT_TEST(rejects_body_over_limit);
   CPPUNIT_TEST(rejects_truncated_body);
+  CPPUNIT_TEST(a_drain_answers_requests_that_already_arrived);
+  CPPUNIT_TEST(a_stopping_server_answers_a_request_under_way);
+  CPPUNIT_TEST(a_failing_handler_still_answers);
+  CPPUNIT_TEST(a_lack_of_descriptors_occupies_no_thread);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -357,6 +366,142 @@
     pool.join();
   }
 
+  // Guards against a drain that closes a connection on which the next request
+  // has already arrived.
+  void a_drain_answers_requests_that_already_arrived() {
+    asio::thread_pool pool(2);
+    http_server server(pool, {});
+    auto delay = [&](fleet::request, milliseconds) -> asio::awaitable<reply> {
+      asio::steady_timer timer(pool, milliseconds(400));
+      co_await timer.async_wait(asio::use_awaitable);
+      co_return reply{reply_status::done, "running", 0, {}};
+    };
+    auto error = server.listen(address, [&](http_request request) {
+      return platform::serve_caller(std::move(request), delay);
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string(), error);
+    using asio::ip::tcp;
+    const std::string request = "GET /p/1 HTTP/1.1\r\nHost: q.example\r\n\r\n";
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::write(socket, asio::buffer(request + request));
+    asio::steady_timer arrival(pool, milliseconds(100));
+    arrival.wait();
+    server.drain();
+    asio::write(socket, asio::buffer(request));
+    boost::system::error_code ec;
+    std::string responses;
+    asio::read(socket, asio::dynamic_buffer(responses), ec);
+    int answered = 0;
+    for (auto at = responses.find("HTTP/1.1 200 "); at != responses.npos;
+         at = responses.find("HTTP/1.1 200 ", at + 1)) {
+      ++answered;
+    }
+    CPPUNIT_ASSERT_EQUAL(3, answered);
+    server.close_idle();
+    pool.stop();
+    pool.join();
+  }
+
+  // Guards against a server that closes a connection, new or kept, on which the
+  // request is under way.
+  void a_stopping_server_answers_a_request_under_way() {
+    asio::thread_pool pool(1);
+    fake_scheduler scheduler;
+    http_server server(pool, {});
+    auto error = server.listen(address, [&](http_request request) {
+      return platform::serve_caller(std::move(request), scheduler.server());
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string(), error);
+    using asio::ip::tcp;
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::steady_timer timer(context);
+    while (server.connections() == 0) {
+      timer.expires_after(milliseconds(5));
+      timer.wait();
+    }
+    server.close_idle();
+    timer.expires_after(milliseconds(20));  // the request arrives after that
+    timer.wait();
+    asio::write(socket, asio::buffer(std::string(
+                            "GET /p/1 HTTP/1.1\r\nHost: q.example\r\n\r\n")));
+    std::string response;
+    boost::system::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(response), ec);
+    CPPUNIT_ASSERT(response.starts_with("HTTP/1.1 200 "));
+    CPPUNIT_ASSERT(wait_until_idle(server, milliseconds(5000)));
+    pool.stop();
+    pool.join();
+  }
+
+  // Guards against a connection that closes without a response and counts as
+  // open for good, after an exception in the handler.
+  void a_failing_handler_still_answers() {
+    asio::thread_pool pool(2);
+    http_server server(pool, {});
+    auto error = server.listen(
+        address, [](http_request) -> asio::awaitable<http_response> {
+          throw std::runtime_error("a handler that fails");
+          co_return http_response{};
+        });
+    CPPUNIT_ASSERT_EQUAL(std::string(), error);
+    http_client client;
+    auto request = make_request("GET", "/p/1");
+    auto result =
+        asio::co_spawn(asio::make_strand(pool),
+                       client.exchange(address, request, {}), asio::use_future)
+            .get();
+    const auto* answered = std::get_if<exchange_completed>(&result);
+    CPPUNIT_ASSERT(answered != nullptr);
+    CPPUNIT_ASSERT_EQUAL(500, answered->response.status);
+    server.close_idle();
+    CPPUNIT_ASSERT(wait_until_idle(server, milliseconds(5000)));
+    pool.stop();
+    pool.join();
+  }
+
+  // Guards against a server that retries a failing accept without a pause and
+  // so takes the processor from the requests in progress.
+  void a_lack_of_descriptors_occupies_no_thread() {
+    asio::thread_pool pool(1);
+    fake_scheduler scheduler;
+    http_server server(pool, {});
+    auto error = server.listen(address, [&](http_request request) {
+      return platform::serve_caller(std::move(request), scheduler.server());
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string(), error);
+    using asio::ip::tcp;
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.open(tcp::v4());
+    asio::steady_timer measurement(context);
+    rlimit before{};
+    ::getrlimit(RLIMIT_NOFILE, &before);
+    auto lowest_free = ::dup(STDERR_FILENO);
+    ::close(lowest_free);
+    rlimit none_left{static_cast<rlim_t>(lowest_free), before.rlim_max};
+    ::setrlimit(RLIMIT_NOFILE, &none_left);
+    socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    auto cpu_before = std::clock();
+    measurement.expires_after(milliseconds(500));
+    measurement.wait();
+    auto cpu_used = std::clock() - cpu_before;
+    ::setrlimit(RLIMIT_NOFILE, &before);
+    asio::write(socket, asio::buffer(std::string(
+                            "GET /p/1 HTTP/1.1\r\nHost: q.example\r\n\r\n")));
+    std::string response;
+    boost::system::error_code ec;
+    asio::read_until(socket, asio::dynamic_buffer(response), "}", ec);
+    CPPUNIT_ASSERT(response.starts_with("HTTP/1.1 200 "));
+    CPPUNIT_ASSERT(cpu_used < CLOCKS_PER_SEC / 10);
+    server.close_idle();
+    pool.stop();
+    pool.join();
+  }
+
  private:
   static constexpr std::uint16_t port = 18'911;
   static constexpr std::string_view address = "127.0.0.1:18911";
