--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -309,9 +309,7 @@
       if (now_ < late.at) {
         late_requests_.push_back(std::move(late));
       } else {
-        carries_out_late_ = true;
         respond(find(late.request.worker.name), late.request);
-        carries_out_late_ = false;
       }
     }
     if (to_ms(now_) % tick_time.count() == 0) {
@@ -511,8 +509,7 @@
   }
   if (acknowledged_done_.contains(o.task))
     violations.insert("start of a task that is done");
-  if (w.record.draining && !carries_out_late_)
-    violations.insert("start on a draining worker");
+  if (w.record.draining) violations.insert("start on a draining worker");
   const auto& spec = job(o.task.job).spec.steps[o.task.step];
   record_event("starts", o.task, o.run, w);
   const auto* job_queue = find_queue(*site_, job(o.task.job).spec.queue);
--- a/test/fakes/fleet_site.h
+++ b/test/fakes/fleet_site.h
@@ -200,8 +200,6 @@
   std::vector<std::pair<fleet::command, std::uint64_t>> delayed_commands_;
   std::set<fleet::task_ref> acknowledged_done_;
   std::vector<late_request> late_requests_;
-  // The rule on draining workers is for requests that are not late.
-  bool carries_out_late_ = false;
   std::map<fleet::task_ref, time_point> waiting_since_;
 };
 
