--- a/src/adapters/replica_node.cpp
+++ b/src/adapters/replica_node.cpp
@@ -158,9 +158,7 @@
                     [accepted, done = std::move(p.done)] { done(accepted); });
               },
               [&](tick&) { add(replica_.tick(now)); },
-              [&](transfer_request&) {
-                add(replica_.retire(now));
-              },
+              [&](transfer_request&) { add(replica_.retire(now)); },
               [&](encoded_snapshot& s) { snapshots.push_back(s); }},
           item);
     }
