--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -997,7 +997,7 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, applied);
   }
 
-  // Guards against a healthy replica that stays outside the group for good,
+  // Guards against a healthy replica that stays outside the group permanently,
   // since it was taken for the one that an unknown replica replaces.
   void a_voter_that_was_removed_while_partitioned_votes_again() {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -570,7 +570,7 @@
   }
 
   // A job whose workers had both stalled waited for the end of their quarantine
-  // although they were sound again.
+  // although they were healthy again.
   void a_job_does_not_wait_for_quarantined_workers() {
     fleet_site site(2);
     site.task_duration = seconds(30);
@@ -694,7 +694,7 @@
         w.unreachable = false;
         if (w.record.draining) site.restart_worker(static_cast<int>(i));
       }
-      // The longest lease, and the time until a machine is in touch again.
+      // The longest lease, and the time until the leader reaches every worker.
       site.run_for(seconds(15));
       site.checks_waiting = true;
       site.run_for(seconds(40));
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -663,7 +663,7 @@
   return fits(capacity, used * 2);
 }
 
-// Whether the sound workers that may run the step have capacity for twice the
+// Whether the healthy workers that may run the step have capacity for twice the
 // tasks that have to start together.
 auto fleet_site::has_capacity_twice(const fleet::job_record& job,
                                     const fleet::step_spec& step) const
--- a/test/front_test.cpp
+++ b/test/front_test.cpp
@@ -438,7 +438,7 @@
   }
 
   // Guards against a connection that closes without a response and counts as
-  // open for good, after an exception in the handler.
+  // open permanently, after an exception in the handler.
   void a_failing_handler_still_answers() {
     asio::thread_pool pool(2);
     http_server server(pool, {});
