--- a/src/adapters/peer_socket.cpp
+++ b/src/adapters/peer_socket.cpp
@@ -142,8 +142,8 @@
     return item.send_until < wall_ms();
   }
 
-  void send_waiting(const std::string& address) {
-    auto items = std::exchange(peers.at(address).waiting, {});
+  void send_waiting(peer& to) {
+    auto items = std::exchange(to.waiting, {});
     dropped += std::erase_if(items, has_expired);
     for (const auto& item : items) send_one(item);
   }
@@ -245,7 +245,7 @@
       if ((items[1].revents & ZMQ_POLLIN) != 0) read_router();
       for (std::size_t i = 0; i < addresses.size(); ++i) {
         auto events = items[i + 2].revents;
-        if ((events & ZMQ_POLLOUT) != 0) send_waiting(addresses[i]);
+        if ((events & ZMQ_POLLOUT) != 0) send_waiting(peers.at(addresses[i]));
         if ((events & ZMQ_POLLIN) == 0) continue;
         read_peer(addresses[i], peers.at(addresses[i]).socket);
       }
