--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -496,8 +496,8 @@
     CPPUNIT_ASSERT(passed);
   }
 
-  // A withheld end kept back all later ends of its worker: a long-running task
-  // that failed there was not restarted until the withheld task was done.
+  // Guards against ends that are not committed because an earlier end of their
+  // worker is withheld, so that a long-running task is not restarted.
   void ends_listed_after_a_withheld_end_are_committed() {
     fleet_site site(2);
     site.task_duration = seconds(30);
@@ -554,8 +554,8 @@
     assert_clean(site);
   }
 
-  // A long-running task that failed three times on the only worker that may run
-  // it waited for the end of the worker's quarantine.
+  // Guards against a long-running task that waits for the end of a quarantine
+  // of the only worker that may run it.
   void a_long_running_task_returns_to_its_only_worker() {
     fleet_site site(1);
     auto step = make_step(1, 1);
@@ -569,8 +569,8 @@
     assert_clean(site);
   }
 
-  // A job whose workers had both stalled waited for the end of their quarantine
-  // although they were healthy again.
+  // Guards against a job that waits for the end of a quarantine although its
+  // workers are healthy again.
   void a_job_does_not_wait_for_quarantined_workers() {
     fleet_site site(2);
     site.task_duration = seconds(30);
@@ -584,8 +584,8 @@
     assert_clean(site);
   }
 
-  // A job whose data rack was busy waited there for as long as its estimate,
-  // although most of the other racks was idle.
+  // Guards against a job that waits for its busy data rack for as long as its
+  // estimate, although other racks are idle.
   void a_job_does_not_wait_for_a_busy_rack() {
     fleet_site site(4, 1);
     site.checks_waiting = true;
@@ -600,7 +600,7 @@
     assert_clean(site);
   }
 
-  // Work that was accepted and then stopped: after any sequence of faults each
+  // Guards against accepted work that stops: after any sequence of faults each
   // waiting job goes on within three seconds, and each long-running task within
   // six.
   void work_goes_on_after_random_events() {
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -643,7 +643,7 @@
   }
 }
 
-auto fleet_site::is_sound(const fake_worker& worker) const -> bool {
+auto fleet_site::is_healthy(const fake_worker& worker) const -> bool {
   auto state = dispatcher_.workers().find(worker.record.incarnation.name);
   bool in_wave =
       state != dispatcher_.workers().end() && state->second.under_maintenance;
@@ -654,7 +654,7 @@
   fleet::resources used;
   fleet::resources capacity;
   for (const auto& w : workers) {
-    if (!is_sound(w)) continue;
+    if (!is_healthy(w)) continue;
     capacity += w.record.capacity;
     for (const auto& [task, run] : w.running) {
       used += reserved_by(job(task.job).spec.steps[task.step]);
@@ -676,7 +676,7 @@
     bool labelled =
         step.label.empty() ||
         std::ranges::find(w.record.labels, step.label) != w.record.labels.end();
-    if (!is_sound(w) || !allowed || !labelled) continue;
+    if (!is_healthy(w) || !allowed || !labelled) continue;
     auto free = w.record.capacity;
     for (const auto& [task, run] : w.running) {
       free -= reserved_by(this->job(task.job).spec.steps[task.step]);
@@ -706,7 +706,7 @@
     return task.job == job.spec.id;
   });
   bool has_turn = false;
-  bool has_room = false;
+  bool has_capacity = false;
   for (std::uint32_t k = 0; k < occurrences_of(job.spec); ++k) {
     if (due_at(job.spec, k) > now_ || k < job.first_open) continue;
     auto open = job.open.find(k);
@@ -720,15 +720,16 @@
           open != job.open.end() && is_done(spec, open->second.steps[s]);
       if (blocked || done) continue;
       has_turn = true;
-      bool room = has_capacity_twice(job, spec);
-      has_room = has_room || room;
+      bool step_has_capacity = has_capacity_twice(job, spec);
+      has_capacity = has_capacity || step_has_capacity;
       for (std::uint32_t i = 0; spec.long_running && i < spec.tasks; ++i) {
         fleet::task_ref task{job.spec.id, k, s, i};
-        record_waiting(task, room && !at_work.contains(task), max_restart_time);
+        record_waiting(task, step_has_capacity && !at_work.contains(task),
+                       max_restart_time);
       }
     }
   }
-  bool waits = !is_ended(job) && has_turn && has_room && !has_run;
+  bool waits = !is_ended(job) && has_turn && has_capacity && !has_run;
   record_waiting({job.spec.id, UINT32_MAX, 0, 0}, waits && is_under_half_used(),
                  max_idle_time);
 }
--- a/test/fakes/fleet_site.h
+++ b/test/fakes/fleet_site.h
@@ -164,7 +164,7 @@
   auto has_capacity_twice(const fleet::job_record& job,
                           const fleet::step_spec& step) const -> bool;
   auto is_under_half_used() const -> bool;
-  auto is_sound(const fake_worker& worker) const -> bool;
+  auto is_healthy(const fake_worker& worker) const -> bool;
   void record_event(std::string_view event, const fleet::task_ref& task,
                     std::uint32_t run, const fake_worker& worker);
   auto duration_of(const fake_worker& w, const fleet::task_ref& task) const
--- a/test/fleet_client_test.cpp
+++ b/test/fleet_client_test.cpp
@@ -83,6 +83,7 @@
 
 }  // namespace
 
+/// What callers are told of a change whose outcome is uncertain.
 class fleet_client_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(fleet_client_test);
   CPPUNIT_TEST(a_refusal_after_an_attempt_without_response_is_undetermined);
--- a/test/fleet_control_test.cpp
+++ b/test/fleet_control_test.cpp
@@ -37,6 +37,7 @@
 
 }  // namespace
 
+/// Requests to a control process during a hand-over of the leadership.
 class fleet_control_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(fleet_control_test);
   CPPUNIT_TEST(a_hand_over_refuses_no_change_that_the_next_leader_can_commit);
--- a/test/peer_socket_test.cpp
+++ b/test/peer_socket_test.cpp
@@ -19,6 +19,7 @@
 
 }  // namespace
 
+/// Messages that are sent before their connection is established.
 class peer_socket_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(peer_socket_test);
   CPPUNIT_TEST(delivers_a_call_sent_before_the_connection);
