--- a/test/system_test.cpp
+++ b/test/system_test.cpp
@@ -244,8 +244,13 @@
                                    {{"Idempotency-Key", key}});
     };
     // The same key is sent through both entries concurrently and then resent.
-    CPPUNIT_ASSERT(
-        eventually([&] { return post_order(1, "warm").status == 200; }));
+    http_response warm;
+    bool ready = eventually([&] {
+      warm = post_order(1, "warm");
+      return warm.status == 200;
+    });
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(warm.status) + " " + warm.body,
+                           ready);
     auto first =
         std::async(std::launch::async, [&] { return post_order(1, "a"); });
     auto second =
