Move a leadership transfer on from a target that does not stand

Cause: the first voter that acknowledged was the only one told to stand. If it was shutting down itself, or died, the group had no leader until the transfer timed out after a second.

--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -702,11 +702,16 @@
 }
 
 // Only one voter is told to stand for election, because several would split the
-// votes. It is told again until it does, as a message may be lost.
+// votes. It is told again until it does, as a message may be lost, and after a
+// while the next one is told, as the first may have stopped.
 void replica::continue_transfer(replica_id acknowledged_by) {
   const auto* voter = find_member(acknowledged_by);
   if (voter == nullptr || !voter->voter) return;
-  if (transfer_target_ == replica_id{}) transfer_target_ = acknowledged_by;
+  if (transfer_target_ != acknowledged_by &&
+      now_ >= transfer_target_since_ + settings_.delays.transfer_attempt) {
+    transfer_target_ = acknowledged_by;
+    transfer_target_since_ = now_;
+  }
   if (transfer_target_ == acknowledged_by) send(acknowledged_by, timeout_now{});
 }
 
@@ -850,6 +855,7 @@
   if (role_ != role::leader || transferring_) return take_effects();
   transferring_ = true;
   transfer_target_ = {};
+  transfer_target_since_ = {};
   transfer_started_at_ = now;
   transfer_deadline_ = now + settings_.delays.transfer_timeout;
   broadcast(true);
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -24,6 +24,7 @@
   // before another leader can be elected.
   milliseconds lease{500};
   milliseconds transfer_timeout{1000};
+  milliseconds transfer_attempt{200};  // for the chosen voter to stand
   milliseconds tick{20};
 };
 
@@ -208,6 +209,7 @@
   bool transferring_ = false;
   bool retiring_ = false;       // the process is about to end
   replica_id transfer_target_;  // unset until a voter is chosen
+  time_point transfer_target_since_;
   bool in_pre_vote_ = false;
 
   std::deque<log_entry> log_;
