Cancel the timers of the fleet nodes on their own strand

Cause: stop() cancelled a timer from the main thread while a callback on the pool could set it again. Seen by the thread sanitizer in 2 of 8 runs of fleet_control_test, at the exit of a control process.

The cancel now runs on the timer's strand, as in control_node.

--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -49,7 +49,7 @@
                   peers_.send(address, std::move(out));
                 },
                 [this] { schedule_decision(); }, std::move(fatal)}),
-      timer_(pool),
+      timer_(asio::make_strand(pool)),
       dispatcher_(settings_.limits),
       seeds_(settings_.control) {}
 
@@ -73,7 +73,7 @@
   stopped_ = true;
   replica_.stop();
   peers_.stop();
-  timer_.cancel();
+  asio::post(timer_.get_executor(), [this] { timer_.cancel(); });
 }
 
 template <typename Decide>
--- a/src/adapters/fleet_entry_node.cpp
+++ b/src/adapters/fleet_entry_node.cpp
@@ -54,7 +54,7 @@
 
 void fleet_entry_node::stop() {
   stopped_ = true;
-  timer_.cancel();
+  asio::post(timer_.get_executor(), [this] { timer_.cancel(); });
   peers_.stop();
 }
 
