--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -737,8 +737,9 @@
     reply(in, append_reply{true, commit_, chunk.sent_at});
     return;
   }
-  if (incoming_last_ != chunk.last) {
+  if (incoming_last_ != chunk.last || incoming_term_ != in.term) {
     incoming_last_ = chunk.last;
+    incoming_term_ = in.term;
     incoming_snapshot_.clear();
   }
   if (chunk.offset == incoming_snapshot_.size()) {
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -224,6 +224,7 @@
   log_index broadcast_index_;  // last index sent to the peers
   std::string incoming_snapshot_;
   log_position incoming_last_;
+  term_number incoming_term_;  // of the leader that sends it
 
   std::map<replica_id, progress> progress_;
   std::map<replica_id, bool> votes_;
--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -553,6 +553,7 @@
   CPPUNIT_TEST(an_unknown_replica_replaces_a_voter_lost_later);
   CPPUNIT_TEST(a_restart_after_an_admission_removes_no_voter);
   CPPUNIT_TEST(a_snapshot_of_entries_in_the_log_discards_none_after_it);
+  CPPUNIT_TEST(a_snapshot_is_received_from_one_leader);
   CPPUNIT_TEST(a_voter_that_was_removed_while_partitioned_votes_again);
   CPPUNIT_TEST(survives_random_faults_and_replacements);
   CPPUNIT_TEST_SUITE_END();
@@ -1017,6 +1018,50 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, applied);
   }
 
+  // Guards against a state that joins chunks of the snapshots of two leaders,
+  // whose bytes may differ for the same position.
+  void a_snapshot_is_received_from_one_leader() {
+    replica_settings settings;
+    settings.id = {2};
+    settings.incarnation = {2};
+    recovered_state disk;
+    disk.hard = {{1}, {}};
+    log_entry first{{{1}, {1}}, entry_kind::membership, {}, {}};
+    for (std::uint32_t id : {1, 2, 3}) {
+      first.members.push_back({{id}, {id}, "r" + std::to_string(id), true});
+    }
+    disk.entries.push_back(first);
+    replica follower(settings, disk, at_ms(1000));
+    auto receive = [&](std::uint32_t leader, std::uint64_t term,
+                       std::uint64_t offset, std::string bytes, bool done) {
+      message in{{leader},
+                 {leader},
+                 {2},
+                 {2},
+                 {term},
+                 snapshot_chunk{{{1}, {9}},
+                                first.members,
+                                offset,
+                                std::move(bytes),
+                                done,
+                                at_ms(1006)}};
+      return follower.receive(in, at_ms(1010));
+    };
+    std::string installed;
+    auto install = [&](const std::vector<effect>& effects) {
+      for (const auto& e : effects) {
+        const auto* snapshot = std::get_if<persist_snapshot>(&e);
+        if (snapshot != nullptr) installed = *snapshot->bytes;
+      }
+    };
+    install(receive(1, 1, 0, "old ", false));
+    install(receive(3, 2, 4, "state", true));
+    CPPUNIT_ASSERT_EQUAL(std::string(), installed);
+    install(receive(3, 2, 0, "new ", false));
+    install(receive(3, 2, 4, "state", true));
+    CPPUNIT_ASSERT_EQUAL(std::string("new state"), installed);
+  }
+
   // Guards against a healthy replica that stays outside the group permanently,
   // since it was taken for the one that an unknown replica replaces.
   void a_voter_that_was_removed_while_partitioned_votes_again() {
