Measure the delay of a message independently of the clocks

Cause: a receiver dropped each call whose deadline had passed on its own wall clock, though the deadline was of the sender's. Calls wait 500 ms for a response, so a difference of that much between the clocks cut an entry off.

A message now carries the times of a clock that is not set after the start, and its delay is compared with that of the fastest message of the last seconds. Waiting messages expire by the monotonic clock. delivers_calls_of_a_sender_whose_clock_differs was red before; drops_a_call_that_was_delayed_beyond_its_time_limit was green before and after.

--- a/src/adapters/clock.h
+++ b/src/adapters/clock.h
@@ -22,4 +22,11 @@
       std::chrono::system_clock::now().time_since_epoch()));
 }
 
+/// The wall clock at the first call, continued by the monotonic clock: steps of
+/// the wall clock do not change it. For the times of messages.
+inline auto message_now() -> time_point {
+  static const auto offset = wall_now() - steady_now();
+  return steady_now() + offset;
+}
+
 }  // namespace parsleyledge
--- a/src/adapters/control_client.cpp
+++ b/src/adapters/control_client.cpp
@@ -103,9 +103,8 @@
     pending->address = leader_;
   }
   wire::envelope message;
-  message.set_deadline(to_ms(wall_now() + timeout));
   *message.mutable_request() = std::move(request);
-  peers_.send(pending->address, std::move(message));
+  peers_.send(pending->address, std::move(message), timeout);
   boost::system::error_code ec;
   co_await pending->timer.async_wait(
       asio::redirect_error(asio::use_awaitable, ec));
--- a/src/adapters/peer_socket.cpp
+++ b/src/adapters/peer_socket.cpp
@@ -9,7 +9,9 @@
 #include <vector>
 #include <zmq.hpp>
 
+#include "adapters/clock.h"
 #include "adapters/log.h"
+#include "core/membership/message_delay.h"
 #include "core/ranked_lock.h"
 #include "wire.pb.h"
 
@@ -21,8 +23,9 @@
 constexpr std::size_t max_outbox_messages = 65536;
 constexpr std::size_t max_waiting_messages = 256;    // per connection
 constexpr std::size_t max_waiting_bytes = 1U << 20;  // per connection
-// How long a message without a deadline waits for a connection.
-constexpr std::int64_t connection_wait_ms = 200;
+// How long a message without a time limit waits for a connection.
+constexpr milliseconds connection_wait{200};
+constexpr std::size_t max_senders = 4096;  // whose delays are tracked
 constexpr std::int64_t max_message_bytes = 64 << 20;
 constexpr int heartbeat_ms = 1000;
 // Without any traffic for this long, a connection is closed and reopened.
@@ -36,17 +39,11 @@
 constexpr std::chrono::seconds poll_timeout{30};
 constexpr std::string_view wake_address = "inproc://wake";
 
-auto wall_ms() -> std::int64_t {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 struct outgoing {
   std::string to;
   bool is_reply = false;
   std::string bytes;
-  std::int64_t send_until = 0;  // wall clock in ms
+  time_point send_until;
 };
 
 void set_options(zmq::socket_t& socket) {
@@ -79,6 +76,7 @@
   bool wake_pending = false;
   bool stopping = false;
   std::map<std::string, peer> peers;
+  std::map<std::string, message_delay> delays;  // by sender
   std::thread thread;
   std::atomic<std::uint64_t> sent{0};
   std::atomic<std::uint64_t> received{0};
@@ -139,7 +137,7 @@
   }
 
   static auto has_expired(const outgoing& item) -> bool {
-    return item.send_until < wall_ms();
+    return item.send_until < steady_now();
   }
 
   void send_waiting(peer& to) {
@@ -182,11 +180,22 @@
     bool parsed =
         message.ParseFromArray(body.data(), static_cast<int>(body.size()));
     if (!parsed || message.group() != self.group) return;
-    // A queue may deliver a message after the sender's deadline has passed.
-    if (message.deadline() != 0 && message.deadline() < wall_ms()) return;
+    if (is_too_late(message)) {
+      ++dropped;
+      return;
+    }
     receive(from, std::move(message));
   }
 
+  // A queue may deliver a message after the sender stopped waiting.
+  auto is_too_late(const wire::envelope& message) -> bool {
+    if (delays.size() > max_senders) delays.clear();
+    auto delay =
+        delays[message.sender()].record(at_ms(message.sent_at()), steady_now());
+    return message.deadline() != 0 &&
+           delay > milliseconds(message.deadline() - message.sent_at());
+  }
+
   void read_router() {
     while (true) {
       zmq::message_t id;
@@ -289,22 +298,24 @@
   return {};
 }
 
-void peer_socket::send(std::string_view address, wire::envelope message) {
+void peer_socket::send(std::string_view address, wire::envelope message,
+                       milliseconds time_limit) {
+  auto now = message_now();
   message.set_group(impl_->self.group);
   message.set_sender(impl_->self.name);
-  message.set_sent_at(wall_ms());
-  auto send_until = message.deadline() != 0 ? message.deadline()
-                                            : wall_ms() + connection_wait_ms;
-  impl_->enqueue(
-      {std::string(address), false, message.SerializeAsString(), send_until});
+  message.set_sent_at(to_ms(now));
+  if (time_limit.count() > 0) message.set_deadline(to_ms(now + time_limit));
+  auto wait = time_limit.count() > 0 ? time_limit : connection_wait;
+  impl_->enqueue({std::string(address), false, message.SerializeAsString(),
+                  steady_now() + wait});
 }
 
 void peer_socket::reply(std::string_view to, wire::envelope message) {
   message.set_group(impl_->self.group);
   message.set_sender(impl_->self.name);
-  message.set_sent_at(wall_ms());
+  message.set_sent_at(to_ms(message_now()));
   impl_->enqueue({std::string(to), true, message.SerializeAsString(),
-                  wall_ms() + connection_wait_ms});
+                  steady_now() + connection_wait});
 }
 
 void peer_socket::stop() {
--- a/src/adapters/peer_socket.h
+++ b/src/adapters/peer_socket.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include "core/time.h"
+
 namespace parsleyledge::wire {
 class envelope;
 }
@@ -20,9 +22,10 @@
 
 /// Messages between the processes of the system over ZeroMQ. One thread owns
 /// all sockets and waits in poll; other threads pass messages to it through a
-/// bounded queue. A message waits for a connection until its deadline, or
-/// 200 ms if it has none, and is dropped after that; the protocols that use the
-/// socket retransmit. Messages of other groups are ignored.
+/// bounded queue. A message waits for a connection for its time limit, or 200
+/// ms if it has none, and is dropped after that; the protocols that use the
+/// socket retransmit. Messages of other groups are ignored, and so are messages
+/// that were under way for longer than their time limit.
 class peer_socket {
  public:
   /// Called on the socket's thread. `from` is a token to pass to reply().
@@ -38,9 +41,10 @@
   /// thread. Returns an error text, or an empty string on success.
   auto start(std::string_view listen_address) -> std::string;
 
-  /// Sends a message to the peer that listens on `address` (ip:port).
-  /// Thread-safe.
-  void send(std::string_view address, wire::envelope message);
+  /// Sends a message to the peer that listens on `address` (ip:port). After
+  /// `time_limit` it is of no use to the receiver; 0 for no limit. Thread-safe.
+  void send(std::string_view address, wire::envelope message,
+            milliseconds time_limit = {});
 
   /// Sends a message to the peer that the token `to` names. Thread-safe.
   void reply(std::string_view to, wire::envelope message);
--- a/test/peer_socket_test.cpp
+++ b/test/peer_socket_test.cpp
@@ -2,6 +2,8 @@
 
 #include <chrono>
 #include <future>
+#include <vector>
+#include <zmq.hpp>
 
 #include "adapters/clock.h"
 #include "adapters/peer_socket.h"
@@ -14,16 +16,21 @@
 
 constexpr std::string_view server_address = "127.0.0.1:22301";
 constexpr std::chrono::seconds call_limit{5};
+constexpr milliseconds attempt_limit{500};
+constexpr milliseconds clock_difference{4000};
 // Until the caller's thread has taken the call while nothing listens.
 constexpr milliseconds connection_delay{200};
 
 }  // namespace
 
-/// Messages that are sent before their connection is established.
+/// Messages between two processes: before their connection is established, with
+/// clocks that differ, and after a delay.
 class peer_socket_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(peer_socket_test);
   CPPUNIT_TEST(delivers_a_call_sent_before_the_connection);
   CPPUNIT_TEST(delivers_a_vote_sent_before_the_connection);
+  CPPUNIT_TEST(delivers_calls_of_a_sender_whose_clock_differs);
+  CPPUNIT_TEST(drops_a_call_that_was_delayed_beyond_its_time_limit);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -40,8 +47,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), caller.start({}));
     wire::envelope call;
     call.mutable_request()->set_id(7);
-    call.set_deadline(to_ms(wall_now() + call_limit));
-    caller.send(server_address, std::move(call));
+    caller.send(server_address, std::move(call), call_limit);
     fakes::pause_for(connection_delay);
     CPPUNIT_ASSERT_EQUAL(std::string(), server.start(server_address));
     CPPUNIT_ASSERT(first_id.wait_for(call_limit) == std::future_status::ready);
@@ -69,6 +75,57 @@
     caller.stop();
     server.stop();
   }
+
+  // Guards against calls that are dropped, without a response, as long as the
+  // clock of the sender is behind that of the receiver.
+  void delivers_calls_of_a_sender_whose_clock_differs() {
+    for (auto offset : {-clock_difference, clock_difference}) {
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, first_delivered({offset}));
+    }
+  }
+
+  // Guards against work for callers that stopped waiting, after a queue was
+  // stopped.
+  void drops_a_call_that_was_delayed_beyond_its_time_limit() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::uint64_t{3},
+        first_delivered({milliseconds(0), -clock_difference, milliseconds(0)},
+                        1));
+  }
+
+ private:
+  /// Sends calls 1, 2 and so on, whose times differ from the clock by
+  /// `offsets`, and returns which is delivered first after `ignored` others.
+  static auto first_delivered(const std::vector<milliseconds>& offsets,
+                              int ignored = 0) -> std::uint64_t {
+    std::promise<std::uint64_t> received;
+    auto id = received.get_future();
+    int count = 0;
+    peer_socket server({"g", "server"},
+                       [&](std::string_view, const wire::envelope& message) {
+                         if (count++ == ignored) {
+                           received.set_value(message.request().id());
+                         }
+                       });
+    CPPUNIT_ASSERT_EQUAL(std::string(), server.start(server_address));
+    zmq::context_t context;
+    zmq::socket_t sender(context, zmq::socket_type::dealer);
+    sender.set(zmq::sockopt::linger, 0);
+    sender.connect("tcp://" + std::string(server_address));
+    std::uint64_t next_id = 0;
+    for (auto offset : offsets) {
+      wire::envelope call;
+      call.set_group("g");
+      call.set_sender("caller");
+      call.set_sent_at(to_ms(wall_now() + offset));
+      call.set_deadline(to_ms(wall_now() + offset + attempt_limit));
+      call.mutable_request()->set_id(++next_id);
+      sender.send(zmq::buffer(call.SerializeAsString()), zmq::send_flags::none);
+    }
+    bool delivered = id.wait_for(call_limit) == std::future_status::ready;
+    server.stop();
+    return delivered ? id.get() : 0;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(peer_socket_test);
