--- a/test/fakes/process_site.cpp
+++ b/test/fakes/process_site.cpp
@@ -151,6 +151,26 @@
   start("worker-" + std::to_string(number), "standin-worker", flags);
 }
 
+void process_site::start_ctl(std::string_view name,
+                             std::vector<std::string> arguments) {
+  arguments.insert(arguments.begin(), {"--entry", address(entry_port(1))});
+  launch(name, "parsleyctl", std::move(arguments));
+}
+
+auto process_site::output(std::string_view name) const -> std::string {
+  std::ifstream file(folder_ + "/" + std::string(name) + ".log");
+  return {std::istreambuf_iterator<char>(file),
+          std::istreambuf_iterator<char>()};
+}
+
+auto process_site::write_config_file(std::string_view name,
+                                     std::string_view toml) -> std::string {
+  auto folder = folder_ + "/config";
+  std::filesystem::create_directories(folder);
+  std::ofstream(folder + "/" + std::string(name)) << toml;
+  return folder;
+}
+
 void process_site::start_all() {
   for (int i = 1; i <= 3; ++i) start_control(i);
   for (int i = 1; i <= 2; ++i) start_entry(i);
--- a/test/fakes/process_site.h
+++ b/test/fakes/process_site.h
@@ -34,6 +34,16 @@
   /// platform's SIGKILL.
   void start_fleet_entry(int number, std::chrono::seconds grace);
 
+  /// Starts parsleyctl, which uses entry 1, under a name of its own.
+  void start_ctl(std::string_view name, std::vector<std::string> arguments);
+
+  /// Everything that a process has printed and logged so far.
+  auto output(std::string_view name) const -> std::string;
+
+  /// Writes a file of a folder of configuration files and returns the folder.
+  auto write_config_file(std::string_view name, std::string_view toml)
+      -> std::string;
+
   /// Starts three control processes and two entries and waits until both
   /// entries are healthy. Throws `std::runtime_error` on timeout.
   void start_all();
--- a/test/system_test.cpp
+++ b/test/system_test.cpp
@@ -19,6 +19,11 @@
     "deadline_ms = 4000\n[services.orders]\ndeadline_ms = 3000\n"
     "[policy]\nquarantine_failures = 2\n";
 
+// Fits on a rack with two workers.
+const std::string guarantee_file =
+    "[customers.grocer.guarantees.forecast]\naccelerators = 16\n"
+    "adjacency = \"rack\"\ncount = 1\n";
+
 auto job_body(const std::string& key, int accelerators, double seconds)
     -> std::string {
   return "{\"key\":\"" + key + "\",\"customer\":\"grocer\",\"gang\":" +
@@ -51,6 +56,17 @@
   return ready / 2;
 }
 
+/// Returns how many workers the leader lists.
+auto known_workers(process_site& site) -> std::size_t {
+  auto response = site.get(1, "/v1/workers");
+  if (response.status != 200) return 0;
+  return boost::json::parse(response.body).at("workers").as_array().size();
+}
+
+auto contains(std::string_view text, std::string_view part) -> bool {
+  return text.find(part) != std::string_view::npos;
+}
+
 }  // namespace
 
 class system_test : public CppUnit::TestFixture {
@@ -65,6 +81,10 @@
   CPPUNIT_TEST(a_graceful_shutdown_aborts_no_request);
   CPPUNIT_TEST(a_gang_survives_the_loss_of_a_worker);
   CPPUNIT_TEST(a_worker_that_fails_every_task_is_quarantined);
+  CPPUNIT_TEST(a_guarantee_is_not_refused_while_workers_may_still_report);
+  CPPUNIT_TEST(a_push_waits_for_workers_that_report_late);
+  CPPUNIT_TEST(a_push_without_enough_workers_ends_with_the_last_answer);
+  CPPUNIT_TEST(ctl_rejects_invalid_durations);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -504,6 +524,79 @@
       return job_state_of(site, 1) == "done" && job_state_of(site, 2) == "done";
     }));
   }
+
+  void a_guarantee_is_not_refused_while_workers_may_still_report() {
+    process_site site(20900);
+    site.start_all();
+    site.start_worker(1);
+    CPPUNIT_ASSERT(eventually([&] { return known_workers(site) == 1; }));
+    auto early = site.put_file(1, "20-a.toml", guarantee_file, 0, "early");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(early.body, 409, early.status);
+    CPPUNIT_ASSERT(early.header("Parsley-Outcome") == "not-run");
+    CPPUNIT_ASSERT(!early.header("Retry-After").empty());
+    CPPUNIT_ASSERT_MESSAGE(early.body,
+                           contains(early.body, "1 worker has reported"));
+    CPPUNIT_ASSERT_MESSAGE(early.body, contains(early.body, "has led for"));
+    site.start_worker(2);
+    CPPUNIT_ASSERT(eventually([&] { return known_workers(site) == 2; }));
+    auto later = site.put_file(1, "20-a.toml", guarantee_file, 0, "later");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(later.body, 200, later.status);
+  }
+
+  void a_push_waits_for_workers_that_report_late() {
+    process_site site(20800);
+    site.start_all();
+    site.start_worker(1);
+    CPPUNIT_ASSERT(eventually([&] { return known_workers(site) == 1; }));
+    auto folder = site.write_config_file("20-a.toml", guarantee_file);
+    site.start_ctl("push", {"config", "push", "--wait=60s", folder});
+    bool waits = eventually(
+        [&] { return contains(site.output("push"), "1 worker has reported"); });
+    CPPUNIT_ASSERT_MESSAGE(site.output("push"), waits);
+    site.start_worker(2);
+    auto status = site.wait("push");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(site.output("push"), 0, status);
+    CPPUNIT_ASSERT(eventually([&] { return site.config_version(2) == 1; }));
+  }
+
+  void a_push_without_enough_workers_ends_with_the_last_answer() {
+    process_site site(20700);
+    site.start_all();
+    site.start_worker(1);
+    CPPUNIT_ASSERT(eventually([&] { return known_workers(site) == 1; }));
+    auto folder = site.write_config_file("20-a.toml", guarantee_file);
+    const std::vector<std::string> cases[] = {
+        {"config", "push", folder}, {"config", "push", "--wait=2s", folder}};
+    int number = 0;
+    for (const auto& arguments : cases) {
+      auto name = "push-" + std::to_string(++number);
+      site.start_ctl(name, arguments);
+      auto status = site.wait(name);
+      auto output = site.output(name);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(output, 1, status);
+      CPPUNIT_ASSERT_MESSAGE(output, contains(output, "409: {\"title\":"));
+    }
+    // No wait for a configuration that no worker makes valid.
+    site.write_config_file("20-a.toml", "x = 1\n");
+    site.start_ctl("invalid", {"config", "push", "--wait=60s", folder});
+    CPPUNIT_ASSERT_EQUAL(1, site.wait("invalid"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, site.config_version(1));
+  }
+
+  void ctl_rejects_invalid_durations() {
+    process_site site(20600);
+    for (std::string value : {"soon", "5", "-1s", "0", "inf", "", "25h"}) {
+      auto name = "push" + value;
+      site.start_ctl(name, {"config", "push", "--wait=" + value, "folder"});
+      auto status = site.wait(name);
+      auto output = site.output(name);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(value + ": " + output, 2, status);
+      CPPUNIT_ASSERT_MESSAGE(
+          output, contains(output, "--wait: invalid value \"" + value + "\""));
+    }
+    site.start_ctl("submit", {"job", "submit", "--wait=5s", "job.json"});
+    CPPUNIT_ASSERT_EQUAL(2, site.wait("submit"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(system_test);
