Tell guarantees that do not fit yet from those that never fit

Cause: a leader learns of the workers from their announcements, but the check of guarantees took those it had heard of for the whole site. Right after the start of a site, or after a change of leader, a valid configuration was refused with 422 for good.

The leader's roster (core/jobs) now counts the workers that have reported since the leadership began, and how long it has lasted. It is complete after 30 s, once all workers of the replicated jobs and homes are known. Until then the response is 409 `not-run` with Retry-After, afterwards 422; both say how many workers have reported and for how long the leader has led.

Ruled out: 503, which the entry's control client repeats by itself and which would hide the reason behind its timeout.

--- a/src/adapters/control_node.cpp
+++ b/src/adapters/control_node.cpp
@@ -224,17 +224,13 @@
     return problem{422, "Configuration refused", error->text(),
                    run_outcome::not_run};
   }
-  std::vector<worker> workers;
-  {
+  auto roster = replica_.read_state([&](const auto& state) {
+    std::vector<const job_record*> jobs;
+    for (auto id : state.active_jobs()) jobs.push_back(state.find_job(id));
     ranked_lock lock(workers_mutex_);
-    workers.assign(tracker_.workers().begin(), tracker_.workers().end());
-  }
-  if (auto conflict =
-          check_guarantees(std::get<site_config>(parsed), workers)) {
-    return problem{422, "Guarantees do not fit",
-                   std::string(name) + ": " + *conflict, run_outcome::not_run};
-  }
-  return {};
+    return tracker_.roster(state.tables().homes, jobs, steady_now());
+  });
+  return check_guarantees(std::get<site_config>(parsed), roster, name);
 }
 
 void control_node::handle_announcement(const wire::call& call) {
@@ -510,6 +506,10 @@
     ranked_lock lock(config_mutex_);
     ledger_.begin_leadership(now);
   }
+  if (!leads && was_leader_) {
+    ranked_lock lock(workers_mutex_);
+    tracker_.end_leadership();
+  }
   was_leader_ = leads;
   if (leads) {
     run_scheduler(now, wall);
--- a/src/adapters/entry_node.cpp
+++ b/src/adapters/entry_node.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds poll_timeout{1000};
 constexpr milliseconds full_report_interval{1000};
 constexpr milliseconds change_timeout{5000};
+constexpr std::chrono::seconds change_retry_after{1};
 constexpr std::size_t max_file_bytes = 256U << 10;
 constexpr std::size_t max_name_bytes = 100;
 
@@ -406,7 +407,14 @@
     co_return response;
   }
   if (auto* refused = std::get_if<problem>(&result)) {
-    co_return make_response(*refused);
+    auto response = make_response(*refused);
+    bool may_be_accepted_later =
+        refused->status == 409 && refused->outcome == run_outcome::not_run;
+    if (may_be_accepted_later) {
+      response.headers.emplace_back("Retry-After",
+                                    std::to_string(change_retry_after.count()));
+    }
+    co_return response;
   }
   co_return problem_response(500, "Bad answer",
                              "the control group returned an unexpected result");
--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
+#include <absl/time/time.h>
 
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
@@ -22,6 +23,12 @@
 
 constexpr std::string_view environment_prefix = "PARSLEYLEDGE_";
 constexpr int usage_error_status = 2;
+constexpr absl::Duration max_wait = absl::Hours(24);
+
+/// Whether a flag may be set without a value, which sets it to "true".
+auto may_stand_alone(const absl::CommandLineFlag& flag) -> bool {
+  return flag.IsOfType<bool>() || flag.IsOfType<wait_option>();
+}
 
 auto program_flags() -> std::map<std::string, absl::CommandLineFlag*> {
   std::map<std::string, absl::CommandLineFlag*> flags;
@@ -150,6 +157,28 @@
   return text;
 }
 
+auto AbslParseFlag(absl::string_view text, wait_option* result,
+                   std::string* error) -> bool {
+  *result = {};
+  if (text == "false") return true;
+  result->enabled = true;
+  if (text == "true") return true;
+  absl::Duration limit;
+  bool is_valid = absl::ParseDuration(text, &limit) &&
+                  limit > absl::ZeroDuration() && limit <= max_wait;
+  if (!is_valid) {
+    *error = "expected a duration above 0 and up to 24h, such as 90s or 2m";
+    return false;
+  }
+  result->limit = absl::ToChronoMilliseconds(limit);
+  return true;
+}
+
+auto AbslUnparseFlag(const wait_option& value) -> std::string {
+  if (!value.limit) return value.enabled ? "true" : "false";
+  return absl::FormatDuration(absl::FromChrono(*value.limit));
+}
+
 auto parse_command_line(int argc, char** argv, std::string_view usage,
                         std::span<const std::string_view> required)
     -> std::vector<std::string> {
@@ -182,7 +211,7 @@
     std::string value;
     if (equals != std::string_view::npos) {
       value = argument.substr(equals + 1);
-    } else if (it->second->IsOfType<bool>()) {
+    } else if (may_stand_alone(*it->second)) {
       value = "true";
     } else if (i + 1 < argc) {
       value = argv[++i];
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -2,6 +2,8 @@
 
 #include <absl/strings/string_view.h>
 
+#include <chrono>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -32,6 +34,13 @@
   std::vector<numbered_address> items;
 };
 
+/// Whether and for how long a command waits: the flag may stand alone or have a
+/// duration such as 90s, which is above 0 and at most a day.
+struct wait_option {
+  bool enabled = false;
+  std::optional<std::chrono::milliseconds> limit;
+};
+
 /// Functions that Abseil calls to parse and print flags of these types.
 auto AbslParseFlag(absl::string_view text, socket_address* result,
                    std::string* error) -> bool;
@@ -42,6 +51,9 @@
 auto AbslParseFlag(absl::string_view text, numbered_address_list* result,
                    std::string* error) -> bool;
 auto AbslUnparseFlag(const numbered_address_list& value) -> std::string;
+auto AbslParseFlag(absl::string_view text, wait_option* result,
+                   std::string* error) -> bool;
+auto AbslUnparseFlag(const wait_option& value) -> std::string;
 
 /// Sets every flag from its environment variable PARSLEYLEDGE_NAME, then from
 /// the command line. Returns the positional arguments. Ends the process with
--- a/src/apps/ctl.cpp
+++ b/src/apps/ctl.cpp
@@ -3,12 +3,14 @@
 
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
+#include <charconv>
 #include <filesystem>
 #include <functional>
 #include <iostream>
 #include <random>
 #include <span>
 
+#include "adapters/clock.h"
 #include "adapters/log_trace.h"
 #include "adapters/operator_client.h"
 #include "adapters/settings.h"
@@ -20,7 +22,9 @@
 
 ABSL_FLAG(address_list, entry, {}, "ip:port,... of entries, tried in turn");
 ABSL_FLAG(bool, json, false, "print JSON in place of tables");
-ABSL_FLAG(bool, wait, false, "job submit: wait until the job has ended");
+ABSL_FLAG(wait_option, wait, {},
+          "job submit: wait until the job has ended; config push: wait for "
+          "workers that have not reported yet, 60 s or --wait=DURATION");
 ABSL_FLAG(std::string, customer, "", "job list, job cancel: this customer's");
 ABSL_FLAG(std::string, state, "", "job list: in this state");
 ABSL_FLAG(bool, undo, false, "drain: return the worker to service");
@@ -28,6 +32,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds wait_interval{200};
+constexpr std::chrono::seconds default_push_wait{60};
 
 using arguments = std::span<const std::string>;
 
@@ -124,10 +129,44 @@
   return std::to_string((std::uint64_t{random()} << 32) | random());
 }
 
+/// After how many seconds a change that was not accepted may be sent again: the
+/// Retry-After of a response that says that workers may still report. Nullopt
+/// for any other result.
+auto retry_delay(const exchange_result& result)
+    -> std::optional<std::chrono::seconds> {
+  const auto* answered = std::get_if<exchange_completed>(&result);
+  if (answered == nullptr || answered->response.status != 409) return {};
+  auto header = answered->response.header("Retry-After");
+  int seconds = 0;
+  auto parsed =
+      std::from_chars(header.data(), header.data() + header.size(), seconds);
+  if (parsed.ec != std::errc() || seconds < 1) return {};
+  return std::chrono::seconds(seconds);
+}
+
+/// Sends a change, and again until `deadline` while workers may still report.
+/// Prints each response that says so to stderr, but for the last one.
+auto send_until(operator_client& client, const http_request& request,
+                time_point deadline) -> exchange_result {
+  boost::asio::thread_pool pool(1);
+  boost::asio::steady_timer timer(pool);
+  while (true) {
+    auto result = client.send(request, true);
+    auto delay = retry_delay(result);
+    auto now = steady_now();
+    if (!delay || now >= deadline) return result;
+    std::cerr << "waiting for workers: "
+              << std::get<exchange_completed>(result).response.body << "\n";
+    timer.expires_after(std::min<milliseconds>(*delay, deadline - now));
+    timer.wait();
+  }
+}
+
 /// Sends one change of a file; updates `version` when the change is accepted.
+/// Waits until `deadline` for workers that have not reported yet.
 auto send_change(operator_client& client, std::string_view method,
                  std::string_view name, std::string_view body,
-                 std::uint64_t& version) -> exit_code {
+                 time_point deadline, std::uint64_t& version) -> exit_code {
   http_request request;
   request.method = method;
   request.target = "/v1/config/files/";
@@ -135,7 +174,7 @@
   request.body = body;
   request.headers = {{"If-Match", std::to_string(version)},
                      {"Change-Id", generate_change_id()}};
-  auto result = client.send(request, true);
+  auto result = send_until(client, request, deadline);
   auto code = report_failure(result);
   if (code != exit_code::done) return code;
   const auto& accepted = std::get<exchange_completed>(result);
@@ -148,17 +187,20 @@
 
 auto push_config(operator_client& client, arguments args) -> exit_code {
   auto desired = read_valid_directory(args[0]);
+  auto wait = absl::GetFlag(FLAGS_wait);
+  auto deadline = steady_now();
+  if (wait.enabled) deadline += wait.limit.value_or(default_push_wait);
   std::uint64_t version = 0;
   auto current = fetch_active_files(client, version);
   for (const auto& [name, body] : current) {
     if (desired.contains(name)) continue;
-    auto code = send_change(client, "DELETE", name, "", version);
+    auto code = send_change(client, "DELETE", name, "", deadline, version);
     if (code != exit_code::done) return code;
   }
   for (const auto& [name, body] : desired) {
     auto it = current.find(name);
     if (it != current.end() && it->second == body) continue;
-    auto code = send_change(client, "PUT", name, body, version);
+    auto code = send_change(client, "PUT", name, body, deadline, version);
     if (code != exit_code::done) return code;
   }
   std::cout << "in force: version " << version << "\n";
@@ -229,6 +271,10 @@
 }
 
 auto submit_job(operator_client& client, arguments args) -> exit_code {
+  auto wait = absl::GetFlag(FLAGS_wait);
+  if (wait.limit) {
+    exit_with_flag_error("wait", "job submit waits without a time limit");
+  }
   http_request request;
   request.method = "POST";
   request.target = "/v1/jobs";
@@ -238,7 +284,7 @@
   if (code != exit_code::done) return code;
   const auto& body = std::get<exchange_completed>(result).response.body;
   auto id = as_text(json::parse(body).at("job"));
-  if (absl::GetFlag(FLAGS_wait)) return wait_for_job(client, id);
+  if (wait.enabled) return wait_for_job(client, id);
   std::cout << (absl::GetFlag(FLAGS_json) ? body : "job " + id) << "\n";
   return code;
 }
@@ -302,7 +348,9 @@
          std::cout << "the configuration is valid\n";
          return exit_code::done;
        }},
-      {"config push", 1, "DIR: put a folder in force", push_config},
+      {"config push", 1,
+       "DIR: put a folder in force; --wait[=DURATION] for late workers",
+       push_config},
       {"config show", 0, "print the files in force", show_config},
       {"config diff", 1, "DIR: compare a folder with the files in force",
        diff_config},
--- a/src/core/jobs/gang_tracker.cpp
+++ b/src/core/jobs/gang_tracker.cpp
@@ -1,6 +1,7 @@
 #include "core/jobs/gang_tracker.h"
 
 #include <algorithm>
+#include <set>
 
 #include "core/state/state_tables.h"
 
@@ -28,10 +29,12 @@
 }
 
 void gang_tracker::begin_leadership(time_point now) {
+  leads_ = true;
   leader_since_ = now;
   gangs_.clear();
   for (auto& [name, c] : contacts_) {
     c.received_at = std::max(c.received_at, now);
+    c.has_reported = false;
     c.renewal_pending = false;
   }
 }
@@ -57,6 +60,7 @@
   }
   auto& c = contacts_[announced.name];
   c.received_at = std::max(c.received_at, now);
+  c.has_reported = true;
   c.incarnation = announced.incarnation;
   for (const auto& report : reports) record_report(announced.name, report);
 }
@@ -95,6 +99,7 @@
     const auto* accepted = std::get_if<worker_accepted>(&response);
     if (accepted == nullptr) return;
     c.received_at = std::max(c.received_at, now);
+    c.has_reported = true;
     for (const auto& report : accepted->tasks) {
       record_report(renewal->worker, report);
     }
@@ -161,6 +166,32 @@
   return changed;
 }
 
+auto gang_tracker::roster(const home_table& homes,
+                          std::span<const job_record* const> jobs,
+                          time_point now) const -> worker_roster {
+  worker_roster roster;
+  roster.workers = workers_;
+  if (!leads_) return roster;
+  for (const auto& [name, c] : contacts_) {
+    if (c.has_reported) ++roster.reported;
+  }
+  std::set<std::string> awaited;
+  auto await_unknown = [&](std::span<const assignment> cells) {
+    for (const auto& a : cells) {
+      if (!std::ranges::binary_search(workers_, a.worker, {}, &worker::name)) {
+        awaited.insert(a.worker);
+      }
+    }
+  };
+  for (const auto& [slot, home] : homes) await_unknown(home);
+  for (const auto* job : jobs) await_unknown(job->assignments);
+  roster.awaited.assign(awaited.begin(), awaited.end());
+  roster.leading = now - leader_since_;
+  roster.is_complete =
+      roster.awaited.empty() && roster.leading >= timing_.announce_limit;
+  return roster;
+}
+
 void gang_tracker::set_draining(std::string_view name, bool draining) {
   draining_[std::string(name)] = draining;
 }
--- a/src/core/jobs/gang_tracker.h
+++ b/src/core/jobs/gang_tracker.h
@@ -9,8 +9,10 @@
 
 #include "core/config/site_config.h"
 #include "core/jobs/job.h"
+#include "core/jobs/scheduler.h"
 #include "core/jobs/worker.h"
 #include "core/jobs/worker_failure.h"
+#include "core/jobs/worker_roster.h"
 #include "core/state/command.h"
 #include "ports/platform.h"
 
@@ -23,6 +25,8 @@
   milliseconds renewal{1000};        // interval of renewals to a worker
   milliseconds retry{1000};          // until an unanswered request is repeated
   milliseconds prepare_limit{4000};  // from placement until all prepared
+  // From taking the lead until every running worker has announced itself.
+  milliseconds announce_limit{30'000};
 };
 
 /// An action of the leader: a command to commit or a request to a worker.
@@ -41,6 +45,9 @@
   /// after it has sent nothing for the time to live of a lease from `now`.
   void begin_leadership(time_point now);
 
+  /// Marks the leadership as over, so that the roster is not complete.
+  void end_leadership() { leads_ = false; }
+
   /// Adds or updates a worker that announced itself, and handles its reports.
   /// Ignores an earlier incarnation.
   void handle_announcement(const worker& announced,
@@ -73,9 +80,16 @@
   /// All known workers, sorted by name.
   auto workers() const -> std::span<const worker> { return workers_; }
 
+  /// The workers and how many of them have reported to this leader. It is
+  /// complete once all workers of the replicated homes and jobs are known and
+  /// the leadership has lasted long enough for others to announce themselves.
+  auto roster(const home_table& homes, std::span<const job_record* const> jobs,
+              time_point now) const -> worker_roster;
+
  private:
   struct contact {
     time_point received_at;
+    bool has_reported = false;  // since the leadership began
     time_point renewal_sent_at;
     bool renewal_pending = false;
     std::uint64_t incarnation = 0;
@@ -128,6 +142,7 @@
   auto find_task(std::string_view worker, const task_ref& ref) -> task*;
 
   lease_timing timing_;
+  bool leads_ = false;
   time_point leader_since_;
   std::vector<worker> workers_;  // sorted by name
   std::map<std::string, contact, std::less<>> contacts_;
--- a/src/core/jobs/scheduler.cpp
+++ b/src/core/jobs/scheduler.cpp
@@ -25,6 +25,7 @@
 constexpr seconds aging_time{3600};    // a wait of this length halves the score
 constexpr double failure_weight = 10;  // per failure, in the score
 constexpr seconds min_estimate{1};
+constexpr std::size_t max_listed_workers = 8;  // in the text of a problem
 
 auto need_of(const job_spec& spec) -> gang_need {
   return {spec.gang, spec.processors, spec.memory_mb};
@@ -83,6 +84,23 @@
   std::vector<gang_need> needs_;
 };
 
+/// How many workers have reported to the leader, in which time, and which ones
+/// are missing.
+auto describe(const worker_roster& roster) -> std::string {
+  auto text = std::to_string(roster.reported) +
+              (roster.reported == 1 ? " worker has" : " workers have") +
+              " reported to the leader, which has led for " +
+              std::to_string(roster.leading.count()) + " ms";
+  if (roster.awaited.empty()) return text;
+  text += "; not yet reported:";
+  auto listed = std::min(roster.awaited.size(), max_listed_workers);
+  for (std::size_t i = 0; i < listed; ++i) text += " " + roster.awaited[i];
+  if (listed < roster.awaited.size()) {
+    text += " and " + std::to_string(roster.awaited.size() - listed) + " more";
+  }
+  return text;
+}
+
 /// One scheduling pass over all waiting jobs.
 class scheduling_pass {
  public:
@@ -709,6 +727,18 @@
          " does not fit beside the other guarantees";
 }
 
+auto check_guarantees(const site_config& site, const worker_roster& roster,
+                      std::string_view file) -> std::optional<problem> {
+  auto conflict = check_guarantees(site, roster.workers);
+  if (!conflict) return {};
+  auto detail = std::string(file) + ": " + *conflict + "; " + describe(roster);
+  if (roster.is_complete) {
+    return problem{422, "Guarantees do not fit", detail, run_outcome::not_run};
+  }
+  return problem{409, "Guarantees do not fit yet",
+                 detail + "; others may still report", run_outcome::not_run};
+}
+
 auto largest_guaranteed(const site_config& site) -> gang_shape {
   gang_shape largest{1, adjacency::worker};
   for (const auto& [name, customer] : site.customers) {
--- a/src/core/jobs/scheduler.h
+++ b/src/core/jobs/scheduler.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/config/site_config.h"
@@ -11,6 +12,7 @@
 #include "core/jobs/job.h"
 #include "core/jobs/placement_policy.h"
 #include "core/jobs/worker.h"
+#include "core/jobs/worker_roster.h"
 #include "core/problem.h"
 #include "core/state/command.h"
 
@@ -54,6 +56,13 @@
 auto check_guarantees(const site_config& site, std::span<const worker> workers)
     -> std::optional<std::string>;
 
+/// Returns a problem if a guarantee of a configuration does not fit, else
+/// nothing: status 422 if it does not fit on the whole site, 409 if workers may
+/// still report, after which the same change may be accepted. `file` names the
+/// changed file.
+auto check_guarantees(const site_config& site, const worker_roster& roster,
+                      std::string_view file) -> std::optional<problem>;
+
 /// The largest guaranteed shape, which placement tries to keep placeable. One
 /// accelerator if nothing is guaranteed.
 auto largest_guaranteed(const site_config& site) -> gang_shape;
--- a/test/scheduler_test.cpp
+++ b/test/scheduler_test.cpp
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "core/jobs/cell_map.h"
+#include "core/jobs/gang_tracker.h"
 #include "core/jobs/home_planner.h"
 #include "core/jobs/scheduler.h"
 #include "core/state/replicated_state.h"
@@ -197,6 +198,7 @@
   CPPUNIT_TEST(homes_move_off_a_lost_rack_or_are_unmet);
   CPPUNIT_TEST(jobs_that_can_never_run_are_refused);
   CPPUNIT_TEST(guarantees_that_do_not_fit_are_refused);
+  CPPUNIT_TEST(guarantees_are_refused_once_the_roster_is_complete);
   CPPUNIT_TEST(many_jobs_are_cancelled_in_one_command);
   CPPUNIT_TEST_SUITE_END();
 
@@ -445,6 +447,63 @@
                     std::string::npos);
   }
 
+  void guarantees_are_refused_once_the_roster_is_complete() {
+    simulated_site s;
+    s.guarantee_to("a", 24, adjacency::rack, 1);
+    const lease_timing timing;
+    gang_tracker tracker(timing);
+    auto check = [&](time_point now) {
+      std::vector<const job_record*> jobs;
+      for (auto id : s.state.active_jobs())
+        jobs.push_back(s.state.find_job(id));
+      return check_guarantees(
+          s.site, tracker.roster(s.state.tables().homes, jobs, now), "a.toml");
+    };
+    auto status = [&](time_point now) {
+      auto rejection = check(now);
+      return rejection ? rejection->status : 0;
+    };
+    auto detail_contains = [&](time_point now, std::string_view part) {
+      return check(now)->detail.find(part) != std::string::npos;
+    };
+    auto lead_at = s.now;
+    auto settled_at = lead_at + timing.announce_limit;
+    // Announcements that arrive before the leadership is noted do not make the
+    // roster complete, however long ago an earlier leadership began.
+    tracker.handle_announcement(s.workers[0], {}, lead_at);
+    CPPUNIT_ASSERT_EQUAL(409, status(settled_at));
+    tracker.begin_leadership(lead_at);
+    CPPUNIT_ASSERT(detail_contains(lead_at, "0 workers have reported"));
+    tracker.handle_announcement(s.workers[0], {}, lead_at);
+    auto later = lead_at + milliseconds(1500);
+    CPPUNIT_ASSERT_EQUAL(409, status(later));
+    CPPUNIT_ASSERT(detail_contains(later, "a.toml: customers.a.guarantees.g"));
+    CPPUNIT_ASSERT(detail_contains(later, "1 worker has reported"));
+    CPPUNIT_ASSERT(detail_contains(later, "has led for 1500 ms"));
+    CPPUNIT_ASSERT_EQUAL(409, status(settled_at - milliseconds(1)));
+    CPPUNIT_ASSERT_EQUAL(422, status(settled_at));
+    // A worker of a replicated job is awaited after that, too.
+    auto id = s.submit(job("a", 24));
+    s.run_scheduler();
+    CPPUNIT_ASSERT_EQUAL(409, status(settled_at));
+    const auto& placed = s.state.find_job(id)->assignments;
+    CPPUNIT_ASSERT(detail_contains(settled_at, placed.back().worker));
+    // Once all workers are known, the answer is final.
+    s.site.customers["a"].guarantees["g"].shape.accelerators = 25;
+    for (const auto& w : s.workers) tracker.handle_announcement(w, {}, later);
+    CPPUNIT_ASSERT_EQUAL(409, status(settled_at - milliseconds(1)));
+    CPPUNIT_ASSERT_EQUAL(422, status(settled_at));
+    CPPUNIT_ASSERT(detail_contains(settled_at, "9 workers have reported"));
+    // The next leadership of this process begins anew.
+    tracker.end_leadership();
+    CPPUNIT_ASSERT_EQUAL(409, status(settled_at));
+    tracker.begin_leadership(settled_at);
+    CPPUNIT_ASSERT_EQUAL(409, status(settled_at));
+    CPPUNIT_ASSERT(detail_contains(settled_at, "0 workers have reported"));
+    s.site.customers["a"].guarantees["g"].shape.accelerators = 24;
+    CPPUNIT_ASSERT_EQUAL(0, status(settled_at));
+  }
+
   void many_jobs_are_cancelled_in_one_command() {
     simulated_site s;
     cancel_jobs request{"a", {}, {}, s.now};
