Refuse no job for good while workers may still report

The check of a job's capacity made the same mistake as that of guarantees: a new leader said "Job can never run" (422) of a job that fits on the whole site, if only some workers had reported. It now uses the same roster: 409 `not-run` with Retry-After until the roster is complete. What the configuration forbids is still refused at once with 422.

--- a/src/adapters/control_node.cpp
+++ b/src/adapters/control_node.cpp
@@ -179,6 +179,15 @@
   });
 }
 
+auto control_node::roster() -> worker_roster {
+  return replica_.read_state([&](const auto& state) {
+    std::vector<const job_record*> jobs;
+    for (auto id : state.active_jobs()) jobs.push_back(state.find_job(id));
+    ranked_lock lock(workers_mutex_);
+    return tracker_.roster(state.tables().homes, jobs, steady_now());
+  });
+}
+
 auto control_node::validate(const command& change) -> std::optional<problem> {
   using none = std::optional<problem>;
   return std::visit(
@@ -194,8 +203,7 @@
                                            submit.spec.key) != nullptr;
                    });
                    if (exists) return {};
-                   ranked_lock lock(workers_mutex_);
-                   return check_job(submit.spec, tracker_.workers(), *site());
+                   return check_job(submit.spec, roster(), *site());
                  },
                  [](const cancel_jobs&) -> none { return {}; },
                  [](const claim_key&) -> none { return {}; },
@@ -224,13 +232,7 @@
     return problem{422, "Configuration refused", error->text(),
                    run_outcome::not_run};
   }
-  auto roster = replica_.read_state([&](const auto& state) {
-    std::vector<const job_record*> jobs;
-    for (auto id : state.active_jobs()) jobs.push_back(state.find_job(id));
-    ranked_lock lock(workers_mutex_);
-    return tracker_.roster(state.tables().homes, jobs, steady_now());
-  });
-  return check_guarantees(std::get<site_config>(parsed), roster, name);
+  return check_guarantees(std::get<site_config>(parsed), roster(), name);
 }
 
 void control_node::handle_announcement(const wire::call& call) {
--- a/src/adapters/control_node.h
+++ b/src/adapters/control_node.h
@@ -84,6 +84,7 @@
   void handle_poll(const peer_token& from, const wire::call& call);
   void handle_query(const peer_token& from, const wire::call& call);
   void handle_members(const peer_token& from, const wire::call& call);
+  auto roster() -> worker_roster;
   auto validate(const command& change) -> std::optional<problem>;
   auto validate_file(std::string_view name, std::optional<std::string> body)
       -> std::optional<problem>;
--- a/src/adapters/entry_node.cpp
+++ b/src/adapters/entry_node.cpp
@@ -95,6 +95,19 @@
   return {target.substr(0, query_mark), target.substr(query_mark + 1)};
 }
 
+/// The response to a refused change, with a Retry-After header if the same
+/// change may be accepted later.
+auto make_refusal(const problem& refused) -> http_response {
+  auto response = make_response(refused);
+  bool may_be_accepted_later =
+      refused.status == 409 && refused.outcome == run_outcome::not_run;
+  if (may_be_accepted_later) {
+    response.headers.emplace_back("Retry-After",
+                                  std::to_string(change_retry_after.count()));
+  }
+  return response;
+}
+
 }  // namespace
 
 entry_node::entry_node(asio::thread_pool& pool, entry_settings settings)
@@ -334,7 +347,7 @@
         202, {{"job", job->job.value}, {"existed", job->existed}});
   }
   if (auto* refused = std::get_if<problem>(&result)) {
-    co_return make_response(*refused);
+    co_return make_refusal(*refused);
   }
   co_return problem_response(500, "Bad answer",
                              "the control group returned an unexpected result");
@@ -407,14 +420,7 @@
     co_return response;
   }
   if (auto* refused = std::get_if<problem>(&result)) {
-    auto response = make_response(*refused);
-    bool may_be_accepted_later =
-        refused->status == 409 && refused->outcome == run_outcome::not_run;
-    if (may_be_accepted_later) {
-      response.headers.emplace_back("Retry-After",
-                                    std::to_string(change_retry_after.count()));
-    }
-    co_return response;
+    co_return make_refusal(*refused);
   }
   co_return problem_response(500, "Bad answer",
                              "the control group returned an unexpected result");
--- a/src/core/jobs/scheduler.cpp
+++ b/src/core/jobs/scheduler.cpp
@@ -101,6 +101,42 @@
   return text;
 }
 
+/// Why the configuration does not allow a job, or nothing.
+auto find_permission_conflict(const job_spec& spec, const site_config& site)
+    -> std::optional<std::string> {
+  auto customer = site.customers.find(spec.customer);
+  if (customer == site.customers.end()) {
+    return "customer " + spec.customer + " is not configured";
+  }
+  if (spec.borrow) return {};
+  bool fits =
+      std::ranges::any_of(customer->second.guarantees, [&](const auto& item) {
+        const auto& shape = item.second.shape;
+        return shape.accelerators >= spec.gang.accelerators &&
+               shape.within <= spec.gang.within;
+      });
+  if (!fits) return "no guarantee fits and the job may not borrow";
+  return {};
+}
+
+/// Why a job does not fit on idle workers, or nothing. It fits if there are
+/// none.
+auto find_capacity_conflict(const job_spec& spec,
+                            std::span<const worker> workers)
+    -> std::optional<std::string> {
+  if (workers.empty()) return {};
+  cell_map cells(workers);
+  if (!cells.find(need_of(spec), cell_scope::all, {}).empty()) return {};
+  return "no " + std::string(to_string(spec.gang.within)) +
+         " has capacity for " + std::to_string(spec.gang.accelerators) +
+         " accelerators with " + std::to_string(spec.processors) +
+         " processors and " + std::to_string(spec.memory_mb) + " MB";
+}
+
+auto reject_job_for_good(std::string detail) -> problem {
+  return {422, "Job can never run", std::move(detail), run_outcome::not_run};
+}
+
 /// One scheduling pass over all waiting jobs.
 class scheduling_pass {
  public:
@@ -680,33 +716,23 @@
 
 auto check_job(const job_spec& spec, std::span<const worker> workers,
                const site_config& site) -> std::optional<problem> {
-  auto refuse = [](std::string detail) {
-    return problem{422, "Job can never run", std::move(detail),
-                   run_outcome::not_run};
-  };
-  auto customer = site.customers.find(spec.customer);
-  if (customer == site.customers.end()) {
-    return refuse("customer " + spec.customer + " is not configured");
-  }
-  if (!spec.borrow) {
-    bool fits =
-        std::ranges::any_of(customer->second.guarantees, [&](const auto& item) {
-          const auto& shape = item.second.shape;
-          return shape.accelerators >= spec.gang.accelerators &&
-                 shape.within <= spec.gang.within;
-        });
-    if (!fits) return refuse("no guarantee fits and the job may not borrow");
-  }
-  if (workers.empty()) return {};
-  cell_map cells(workers);
-  if (cells.find(need_of(spec), cell_scope::all, {}).empty()) {
-    return refuse("no " + std::string(to_string(spec.gang.within)) +
-                  " has capacity for " +
-                  std::to_string(spec.gang.accelerators) +
-                  " accelerators with " + std::to_string(spec.processors) +
-                  " processors and " + std::to_string(spec.memory_mb) + " MB");
-  }
-  return {};
+  auto detail = find_permission_conflict(spec, site);
+  if (!detail) detail = find_capacity_conflict(spec, workers);
+  if (!detail) return {};
+  return reject_job_for_good(std::move(*detail));
+}
+
+auto check_job(const job_spec& spec, const worker_roster& roster,
+               const site_config& site) -> std::optional<problem> {
+  if (auto detail = find_permission_conflict(spec, site)) {
+    return reject_job_for_good(std::move(*detail));
+  }
+  auto detail = find_capacity_conflict(spec, roster.workers);
+  if (!detail) return {};
+  *detail += "; " + describe(roster);
+  if (roster.is_complete) return reject_job_for_good(std::move(*detail));
+  return problem{409, "Job cannot run yet",
+                 *detail + "; others may still report", run_outcome::not_run};
 }
 
 auto check_guarantees(const site_config& site, std::span<const worker> workers)
--- a/src/core/jobs/scheduler.h
+++ b/src/core/jobs/scheduler.h
@@ -50,6 +50,11 @@
 auto check_job(const job_spec& spec, std::span<const worker> workers,
                const site_config& site) -> std::optional<problem>;
 
+/// As above with what the leader knows of the workers: status 409 if the job
+/// does not fit, but workers may still report.
+auto check_job(const job_spec& spec, const worker_roster& roster,
+               const site_config& site) -> std::optional<problem>;
+
 /// Returns a message that names the first guarantee of a configuration that
 /// does not fit on the known workers beside the others, else nothing. All
 /// workers count as ready; if there are none, every guarantee fits.
--- a/test/scheduler_test.cpp
+++ b/test/scheduler_test.cpp
@@ -197,6 +197,7 @@
   CPPUNIT_TEST(a_large_gang_does_not_starve);
   CPPUNIT_TEST(homes_move_off_a_lost_rack_or_are_unmet);
   CPPUNIT_TEST(jobs_that_can_never_run_are_refused);
+  CPPUNIT_TEST(a_job_is_not_refused_for_good_while_workers_may_report);
   CPPUNIT_TEST(guarantees_that_do_not_fit_are_refused);
   CPPUNIT_TEST(guarantees_are_refused_once_the_roster_is_complete);
   CPPUNIT_TEST(many_jobs_are_cancelled_in_one_command);
@@ -435,6 +436,28 @@
     CPPUNIT_ASSERT(!check_job(job("a", 24), s.workers, s.site).has_value());
   }
 
+  void a_job_is_not_refused_for_good_while_workers_may_report() {
+    simulated_site s;
+    s.site.customers["a"];
+    worker_roster roster;
+    roster.workers.assign(s.workers.begin(), s.workers.begin() + 2);
+    roster.reported = 2;
+    auto large = job("a", 24);
+    auto early = check_job(large, roster, s.site);
+    CPPUNIT_ASSERT(early.has_value());
+    CPPUNIT_ASSERT_EQUAL(409, early->status);
+    CPPUNIT_ASSERT_MESSAGE(
+        early->detail,
+        early->detail.find("2 workers have reported") != std::string::npos);
+    // More workers do not change what the configuration forbids.
+    CPPUNIT_ASSERT_EQUAL(422,
+                         check_job(job("nobody", 1), roster, s.site)->status);
+    roster.is_complete = true;
+    CPPUNIT_ASSERT_EQUAL(422, check_job(large, roster, s.site)->status);
+    roster.workers = s.workers;
+    CPPUNIT_ASSERT(!check_job(large, roster, s.site).has_value());
+  }
+
   void guarantees_that_do_not_fit_are_refused() {
     simulated_site s;
     s.guarantee_to("a", 24, adjacency::rack, 2);
