Wait in the system tests for the condition that the next step needs

Cause of the failure of a_paused_leader_reverts_no_change beside a parallel build: the test waits until entry 2 has version 2 and then requires it of entry 1 at once. Entries learn of a change by their next poll, 250 ms apart, also of one that they sent themselves.

The test now waits for both entries, and then requires 20 answered dumps of each with at least version 2; a dump that is not answered is read again rather than taken for version 0.

The same mistake elsewhere: - preserves_acknowledged_changes took a control process for dead when its dump did not arrive within 2 s, and started a second one under its name. It starts the one that it killed. - It read the configuration once, without regard to the status. - process_site::configure sent its change once and ignored the response.

--- a/test/fakes/process_site.cpp
+++ b/test/fakes/process_site.cpp
@@ -182,7 +182,16 @@
 
 void process_site::configure(std::string_view toml) {
   auto before = config_version(1);
-  put_file(1, "10-site.toml", toml, before, "test-configuration");
+  http_response response;
+  bool accepted = eventually([&] {
+    response = put_file(1, "10-site.toml", toml, before, "test-configuration");
+    return response.status == 200;
+  });
+  if (!accepted) {
+    throw std::runtime_error("the configuration was not accepted: " +
+                             std::to_string(response.status) + " " +
+                             response.body);
+  }
   bool done = eventually([&] {
     return config_version(1) == before + 1 && config_version(2) == before + 1;
   });
--- a/test/system_test.cpp
+++ b/test/system_test.cpp
@@ -38,11 +38,23 @@
   return std::string(boost::json::parse(response.body).at("state").as_string());
 }
 
-/// Kills the control process that is the leader.
-void kill_leader(process_site& site) {
+/// Kills the control process that is the leader and returns its number.
+auto kill_leader(process_site& site) -> int {
   int leader = 0;
   CPPUNIT_ASSERT(eventually([&] { return (leader = site.leader()) != 0; }));
   site.kill("control-" + std::to_string(leader));
+  return leader;
+}
+
+/// Returns the configuration version of an entry, once its dump arrives.
+auto reported_version(process_site& site, int entry) -> std::uint64_t {
+  boost::json::value dump;
+  bool answered = eventually([&] {
+    dump = site.state(site.entry_port(entry));
+    return dump.as_object().contains("config_version");
+  });
+  CPPUNIT_ASSERT_MESSAGE("no dump of entry " + std::to_string(entry), answered);
+  return dump.at("config_version").to_number<std::uint64_t>();
 }
 
 /// Returns the mean number of endpoints in the routing tables of both entries.
@@ -323,12 +335,9 @@
       ++version;
     };
     change("one");
-    kill_leader(site);
+    int killed = kill_leader(site);
     change("two");
-    for (int i = 1; i <= 3; ++i) {
-      if (site.state(site.control_port(i)).as_object().empty())
-        site.start_control(i);
-    }
+    site.start_control(killed);
     change("three");
     // All control processes are killed and restarted.
     for (int i = 1; i <= 3; ++i) site.kill("control-" + std::to_string(i));
@@ -347,7 +356,11 @@
     }));
     kill_leader(site);
     change("five");
-    auto config = site.get(1, "/v1/config");
+    http_response config;
+    CPPUNIT_ASSERT(eventually([&] {
+      config = site.get(1, "/v1/config");
+      return config.status == 200;
+    }));
     for (const char* id : {"one", "two", "three", "four", "five"}) {
       CPPUNIT_ASSERT_MESSAGE(
           id, config.body.find(std::string("20-") + id) != std::string::npos);
@@ -373,11 +386,14 @@
       return site.put_file(1, "20-a.toml", "[customers.a]\n", 1, "a").status ==
              200;
     }));
-    CPPUNIT_ASSERT(eventually([&] { return site.config_version(2) == 2; }));
+    // An entry learns of a change by its next poll, also of one that it sent.
+    CPPUNIT_ASSERT(eventually([&] {
+      return site.config_version(1) == 2 && site.config_version(2) == 2;
+    }));
     site.signal(name, SIGCONT);
     for (int i = 0; i < 20; ++i) {
-      CPPUNIT_ASSERT(site.config_version(1) >= 2);
-      CPPUNIT_ASSERT(site.config_version(2) >= 2);
+      CPPUNIT_ASSERT(reported_version(site, 1) >= 2);
+      CPPUNIT_ASSERT(reported_version(site, 2) >= 2);
     }
     CPPUNIT_ASSERT(eventually([&] {
       auto dump = site.state(site.control_port(old_leader));
