--- a/src/core/jobs/scheduler.cpp
+++ b/src/core/jobs/scheduler.cpp
@@ -25,6 +25,7 @@
 constexpr seconds aging_time{3600};    // a wait of this length halves the score
 constexpr double failure_weight = 10;  // per failure, in the score
 constexpr seconds min_estimate{1};
+constexpr std::size_t max_listed_workers = 8;  // in the text of a problem
 
 auto need_of(const job_spec& spec) -> gang_need {
   return {spec.gang, spec.processors, spec.memory_mb};
@@ -83,6 +84,59 @@
   std::vector<gang_need> needs_;
 };
 
+/// How many workers have reported to the leader, in which time, and which ones
+/// are missing.
+auto describe(const worker_roster& roster) -> std::string {
+  auto text = std::to_string(roster.reported) +
+              (roster.reported == 1 ? " worker has" : " workers have") +
+              " reported to the leader, which has led for " +
+              std::to_string(roster.leading.count()) + " ms";
+  if (roster.awaited.empty()) return text;
+  text += "; not yet reported:";
+  auto listed = std::min(roster.awaited.size(), max_listed_workers);
+  for (std::size_t i = 0; i < listed; ++i) text += " " + roster.awaited[i];
+  if (listed < roster.awaited.size()) {
+    text += " and " + std::to_string(roster.awaited.size() - listed) + " more";
+  }
+  return text;
+}
+
+/// Why the configuration does not allow a job, or nothing.
+auto find_permission_conflict(const job_spec& spec, const site_config& site)
+    -> std::optional<std::string> {
+  auto customer = site.customers.find(spec.customer);
+  if (customer == site.customers.end()) {
+    return "customer " + spec.customer + " is not configured";
+  }
+  if (spec.borrow) return {};
+  bool fits =
+      std::ranges::any_of(customer->second.guarantees, [&](const auto& item) {
+        const auto& shape = item.second.shape;
+        return shape.accelerators >= spec.gang.accelerators &&
+               shape.within <= spec.gang.within;
+      });
+  if (!fits) return "no guarantee fits and the job may not borrow";
+  return {};
+}
+
+/// Why a job does not fit on idle workers, or nothing. It fits if there are
+/// none.
+auto find_capacity_conflict(const job_spec& spec,
+                            std::span<const worker> workers)
+    -> std::optional<std::string> {
+  if (workers.empty()) return {};
+  cell_map cells(workers);
+  if (!cells.find(need_of(spec), cell_scope::all, {}).empty()) return {};
+  return "no " + std::string(to_string(spec.gang.within)) +
+         " has capacity for " + std::to_string(spec.gang.accelerators) +
+         " accelerators with " + std::to_string(spec.processors) +
+         " processors and " + std::to_string(spec.memory_mb) + " MB";
+}
+
+auto reject_job_for_good(std::string detail) -> problem {
+  return {422, "Job can never run", std::move(detail), run_outcome::not_run};
+}
+
 /// One scheduling pass over all waiting jobs.
 class scheduling_pass {
  public:
@@ -662,33 +716,23 @@
 
 auto check_job(const job_spec& spec, std::span<const worker> workers,
                const site_config& site) -> std::optional<problem> {
-  auto refuse = [](std::string detail) {
-    return problem{422, "Job can never run", std::move(detail),
-                   run_outcome::not_run};
-  };
-  auto customer = site.customers.find(spec.customer);
-  if (customer == site.customers.end()) {
-    return refuse("customer " + spec.customer + " is not configured");
-  }
-  if (!spec.borrow) {
-    bool fits =
-        std::ranges::any_of(customer->second.guarantees, [&](const auto& item) {
-          const auto& shape = item.second.shape;
-          return shape.accelerators >= spec.gang.accelerators &&
-                 shape.within <= spec.gang.within;
-        });
-    if (!fits) return refuse("no guarantee fits and the job may not borrow");
-  }
-  if (workers.empty()) return {};
-  cell_map cells(workers);
-  if (cells.find(need_of(spec), cell_scope::all, {}).empty()) {
-    return refuse("no " + std::string(to_string(spec.gang.within)) +
-                  " has capacity for " +
-                  std::to_string(spec.gang.accelerators) +
-                  " accelerators with " + std::to_string(spec.processors) +
-                  " processors and " + std::to_string(spec.memory_mb) + " MB");
-  }
-  return {};
+  auto detail = find_permission_conflict(spec, site);
+  if (!detail) detail = find_capacity_conflict(spec, workers);
+  if (!detail) return {};
+  return reject_job_for_good(std::move(*detail));
+}
+
+auto check_job(const job_spec& spec, const worker_roster& roster,
+               const site_config& site) -> std::optional<problem> {
+  if (auto detail = find_permission_conflict(spec, site)) {
+    return reject_job_for_good(std::move(*detail));
+  }
+  auto detail = find_capacity_conflict(spec, roster.workers);
+  if (!detail) return {};
+  *detail += "; " + describe(roster);
+  if (roster.is_complete) return reject_job_for_good(std::move(*detail));
+  return problem{409, "Job cannot run yet",
+                 *detail + "; others may still report", run_outcome::not_run};
 }
 
 auto check_guarantees(const site_config& site, std::span<const worker> workers)
@@ -709,6 +753,18 @@
          " does not fit beside the other guarantees";
 }
 
+auto check_guarantees(const site_config& site, const worker_roster& roster,
+                      std::string_view file) -> std::optional<problem> {
+  auto conflict = check_guarantees(site, roster.workers);
+  if (!conflict) return {};
+  auto detail = std::string(file) + ": " + *conflict + "; " + describe(roster);
+  if (roster.is_complete) {
+    return problem{422, "Guarantees do not fit", detail, run_outcome::not_run};
+  }
+  return problem{409, "Guarantees do not fit yet",
+                 detail + "; others may still report", run_outcome::not_run};
+}
+
 auto largest_guaranteed(const site_config& site) -> gang_shape {
   gang_shape largest{1, adjacency::worker};
   for (const auto& [name, customer] : site.customers) {
