Refuse the claim of a key after its release

A release without a record did nothing.

Change: a release marks the record, or adds one, and refuses the claims of its owner; any other request may claim the key, also with another digest, as before when the record was erased. A release has no time of its own and gets that of the next claim, for the erasure of old keys.

--- a/src/adapters/codec.cpp
+++ b/src/adapters/codec.cpp
@@ -650,11 +650,9 @@
         to_container<std::vector<std::uint32_t>>(row.ratios());
   }
   for (const auto& row : from.keys()) {
-    key_record record{row.digest(),
-                      row.owner(),
-                      at_ms(row.claimed_at()),
-                      at_ms(row.deadline()),
-                      {}};
+    key_record record{
+        row.digest(),          row.owner(), at_ms(row.claimed_at()),
+        at_ms(row.deadline()), {},          row.deadline() == 0};
     if (row.has_what()) record.response = read(row.what());
     tables.keys[read(row.name())] = std::move(record);
   }
--- a/src/core/state/command.h
+++ b/src/core/state/command.h
@@ -147,8 +147,8 @@
   time_point at;
 };
 
-/// Removes a claim whose request provably did not run, so that the key can be
-/// claimed again.
+/// Ends a claim whose request provably did not run, so that other requests can
+/// claim the key. It may come before the claim, which is refused then.
 struct release_key {
   key_name name;
   std::string owner;
--- a/src/core/state/idempotency_key.h
+++ b/src/core/state/idempotency_key.h
@@ -35,6 +35,9 @@
   time_point claimed_at;
   time_point deadline;
   std::optional<stored_response> response;
+  /// The owner's request did not run and never will: its claim is refused from
+  /// now on, and any other request may claim the key.
+  bool released = false;
 };
 
 }  // namespace parsleyledge
--- a/src/core/state/replicated_state.cpp
+++ b/src/core/state/replicated_state.cpp
@@ -260,11 +260,19 @@
 }
 
 auto replicated_state::apply_one(const claim_key& cmd) -> command_result {
+  if (cmd.deadline == time_point{}) {
+    return problem{400, "Bad request", "the claim of a key has no deadline",
+                   run_outcome::not_run};
+  }
+  date_releases(cmd.at);
   erase_old_keys(cmd.at);
   auto [it, inserted] = tables_.keys.try_emplace(cmd.name);
   auto& record = it->second;
-  if (inserted) {
-    record = {cmd.digest, cmd.owner, cmd.at, cmd.deadline, {}};
+  if (record.released && record.owner == cmd.owner) {
+    return make_conflict("the request has released the key");
+  }
+  if (inserted || record.released) {
+    record = {cmd.digest, cmd.owner, cmd.at, cmd.deadline, {}, false};
     tables_.key_order.push_back(cmd.name);
     return key_claimed{};
   }
@@ -282,7 +290,8 @@
 
 auto replicated_state::apply_one(const complete_key& cmd) -> command_result {
   auto it = tables_.keys.find(cmd.name);
-  if (it == tables_.keys.end() || it->second.owner != cmd.owner) {
+  if (it == tables_.keys.end() || it->second.owner != cmd.owner ||
+      it->second.released) {
     return make_conflict("key belongs to another request");
   }
   if (it->second.response) return command_done{};
@@ -301,12 +310,16 @@
 }
 
 auto replicated_state::apply_one(const release_key& cmd) -> command_result {
-  auto it = tables_.keys.find(cmd.name);
-  if (it == tables_.keys.end() || it->second.owner != cmd.owner ||
-      it->second.response) {
+  auto [it, inserted] = tables_.keys.try_emplace(cmd.name);
+  auto& record = it->second;
+  if (inserted) {
+    record.owner = cmd.owner;
+    tables_.key_order.push_back(cmd.name);
+  } else if (record.owner != cmd.owner || record.response) {
     return make_conflict("key belongs to another request");
   }
-  tables_.keys.erase(it);
+  record.released = true;
+  record.deadline = {};
   return command_done{};
 }
 
@@ -359,6 +372,19 @@
   }
 }
 
+// A release without a claim carries no time. It gets that of the next claim;
+// until then it is among the latest in the order.
+void replicated_state::date_releases(time_point now) {
+  auto& order = tables_.key_order;
+  for (auto name = order.rbegin(); name != order.rend(); ++name) {
+    auto it = tables_.keys.find(*name);
+    if (it == tables_.keys.end()) return;
+    auto& record = it->second;
+    if (!record.released || record.claimed_at != time_point{}) return;
+    record.claimed_at = now;
+  }
+}
+
 void replicated_state::erase_old_keys(time_point now) {
   auto& order = tables_.key_order;
   while (!order.empty()) {
--- a/src/core/state/replicated_state.h
+++ b/src/core/state/replicated_state.h
@@ -64,6 +64,7 @@
   void record_success(const job_record& job, time_point at);
   void erase_old_jobs(time_point now);
   void erase_old_keys(time_point now);
+  void date_releases(time_point now);
   void evict_response_body(const key_name& name);
   void update_active(const job_record& job);
 
--- a/test/state_test.cpp
+++ b/test/state_test.cpp
@@ -26,6 +26,17 @@
   return s;
 }
 
+const key_name order_key{"grocer", "orders", "order"};
+
+auto claim(const std::string& owner, std::uint64_t digest, std::int64_t at)
+    -> claim_key {
+  return {order_key, digest, owner, at_ms(at + 100), at_ms(at)};
+}
+
+auto release(const std::string& owner) -> release_key {
+  return {order_key, owner};
+}
+
 }  // namespace
 
 class state_test : public CppUnit::TestFixture {
@@ -37,6 +48,10 @@
   CPPUNIT_TEST(a_job_ends_once);
   CPPUNIT_TEST(accelerators_stay_occupied_until_released);
   CPPUNIT_TEST(a_key_runs_once);
+  CPPUNIT_TEST(a_released_key_can_be_claimed_by_another_request);
+  CPPUNIT_TEST(a_claim_that_arrives_after_its_release_is_refused);
+  CPPUNIT_TEST(a_snapshot_keeps_released_keys);
+  CPPUNIT_TEST(a_release_without_a_claim_is_erased_with_old_keys);
   CPPUNIT_TEST(large_responses_are_not_stored);
   CPPUNIT_TEST(a_failing_job_does_not_count_against_workers);
   CPPUNIT_TEST_SUITE_END();
@@ -157,6 +172,75 @@
     CPPUNIT_ASSERT(is<key_claimed>(claim("b", 1, 1)));
   }
 
+  void a_released_key_can_be_claimed_by_another_request() {
+    replicated_state state;
+    state.apply(claim("a", 1, 0), {});
+    CPPUNIT_ASSERT(is<command_done>(state.apply(release("a"), {})));
+    // The entry repeats a release whose reply was lost.
+    CPPUNIT_ASSERT(is<command_done>(state.apply(release("a"), {})));
+    // Nothing ran under the key, so another request may use it.
+    CPPUNIT_ASSERT(is<key_claimed>(state.apply(claim("b", 2, 1), {})));
+    CPPUNIT_ASSERT(is<problem>(state.apply(release("a"), {})));
+    CPPUNIT_ASSERT(
+        is<problem>(state.apply(complete_key{order_key, "a", {}, {}}, {})));
+    auto busy = std::get<key_busy>(state.apply(claim("c", 2, 2), {}));
+    CPPUNIT_ASSERT(busy.since == at_ms(1));
+    complete_key done{order_key, "b", {200, "text/plain", "ok", true}, {}};
+    CPPUNIT_ASSERT(is<command_done>(state.apply(done, {})));
+    CPPUNIT_ASSERT(is<key_completed>(state.apply(claim("a", 2, 3), {})));
+  }
+
+  // Guards against a key that stays claimed after its owner told the caller
+  // that nothing ran: the claim may be committed after the release.
+  void a_claim_that_arrives_after_its_release_is_refused() {
+    for (bool first_claim_arrives : {false, true}) {
+      replicated_state state;
+      if (first_claim_arrives) state.apply(claim("a", 1, 0), {});
+      CPPUNIT_ASSERT(is<command_done>(state.apply(release("a"), {})));
+      CPPUNIT_ASSERT(is<problem>(state.apply(claim("a", 1, 1), {})));
+      complete_key done{order_key, "a", {200, "text/plain", "ok", true}, {}};
+      CPPUNIT_ASSERT(is<problem>(state.apply(done, {})));
+      CPPUNIT_ASSERT(is<key_claimed>(state.apply(claim("b", 1, 2), {})));
+      // It must not take the key from a running request either.
+      CPPUNIT_ASSERT(is<key_busy>(state.apply(claim("a", 1, 3), {})));
+    }
+  }
+
+  void a_snapshot_keeps_released_keys() {
+    for (bool claimed : {false, true}) {
+      replicated_state state;
+      if (claimed) state.apply(claim("a", 1, 0), {});
+      state.apply(release("a"), {});
+      auto bytes = encode(state.tables());
+      replicated_state restored(*decode_state(bytes));
+      CPPUNIT_ASSERT(bytes == encode(restored.tables()));
+      for (auto* replica : {&state, &restored}) {
+        CPPUNIT_ASSERT(is<problem>(replica->apply(claim("a", 1, 1), {})));
+        CPPUNIT_ASSERT(is<key_claimed>(replica->apply(claim("b", 2, 2), {})));
+        CPPUNIT_ASSERT(is<key_busy>(replica->apply(claim("c", 2, 3), {})));
+      }
+      CPPUNIT_ASSERT(encode(state.tables()) == encode(restored.tables()));
+    }
+  }
+
+  // Guards against records that stay forever: a release carries no time.
+  void a_release_without_a_claim_is_erased_with_old_keys() {
+    constexpr std::int64_t day = 86'400'000;
+    replicated_state state;
+    state.apply(release("a"), {});
+    auto other = [](const std::string& key, std::int64_t at) {
+      return claim_key{
+          {"grocer", "orders", key}, 1, "b", at_ms(at + 100), at_ms(at)};
+    };
+    state.apply(other("x", 1000), {});
+    state.apply(other("y", day), {});
+    CPPUNIT_ASSERT(is<problem>(state.apply(claim("a", 1, day), {})));
+    state.apply(other("z", 1001 + day), {});
+    CPPUNIT_ASSERT(!state.tables().keys.contains(order_key));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, state.tables().keys.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, state.tables().key_order.size());
+  }
+
   void large_responses_are_not_stored() {
     replicated_state state;
     key_name name{"grocer", "orders", "k"};
