Report a command as unknown if an earlier attempt may be committed

Cause: commit() returned the result of the last attempt alone. "The change was not committed" was passed on as not-run though an earlier attempt without a response may have been committed.

--- a/src/adapters/control_client.cpp
+++ b/src/adapters/control_client.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds retry_delay{50};
 constexpr milliseconds document_timeout{3000};
 constexpr std::uint64_t ids_per_millisecond = 1'000'000;
+constexpr int unavailable_status = 503;
 
 }  // namespace
 
@@ -178,12 +179,19 @@
     -> asio::awaitable<command_result> {
   wire::call request;
   write(change, *request.mutable_change());
-  auto result = co_await call(std::move(request), deadline);
+  auto result = co_await call_and_track(std::move(request), deadline);
   if (auto* refused = std::get_if<problem>(&result)) co_return *refused;
-  auto& reply = std::get<wire::call_reply>(result);
-  auto decoded = reply.has_result() ? read(reply.result())
-                                    : std::optional<command_result>();
-  if (decoded) co_return std::move(*decoded);
+  auto& response = std::get<call_response>(result);
+  auto decoded = response.reply.has_result() ? read(response.reply.result())
+                                             : std::optional<command_result>();
+  if (decoded) {
+    auto* refused = std::get_if<problem>(&*decoded);
+    // This attempt was not committed; an earlier one may have been.
+    if (refused != nullptr && refused->status == unavailable_status &&
+        response.may_have_run)
+      refused->outcome = run_outcome::unknown;
+    co_return std::move(*decoded);
+  }
   co_return problem{502, "Bad answer",
                     "the control group returned an unexpected result",
                     run_outcome::unknown};
