Release the key of a request that did not run until it is confirmed

Cause: an entry waits one second for the claim of a key and two for its release.

Change: the entry goes on releasing the key in the background, with pauses of 0.25 to 4 s, for a minute at the most and until it stops. It logs and counts what it gives up. The limit is not the deadline of the claim: with a short one, the release would end before a leader is elected.

--- a/src/adapters/entry_node.cpp
+++ b/src/adapters/entry_node.cpp
@@ -131,6 +131,7 @@
 
 void entry_node::stop() {
   stopped_ = true;
+  forwarder_.stop();
   members_.stop();
   peers_.stop();
 }
--- a/src/adapters/forwarder.cpp
+++ b/src/adapters/forwarder.cpp
@@ -10,6 +10,7 @@
 #include "adapters/config_holder.h"
 #include "adapters/control_client.h"
 #include "adapters/json.h"
+#include "adapters/log.h"
 #include "adapters/membership_node.h"
 #include "adapters/slot_allocator.h"
 #include "core/overloaded.h"
@@ -21,9 +22,14 @@
 namespace asio = boost::asio;
 
 constexpr milliseconds connect_timeout{500};
-constexpr milliseconds claim_timeout{1000};  // longest wait for a claim
-constexpr milliseconds store_timeout{2000};  // to store the outcome of a key
-constexpr milliseconds claim_margin{1000};   // added to the deadline
+constexpr milliseconds claim_timeout{1000};   // longest wait for a claim
+constexpr milliseconds store_timeout{2000};   // to store the outcome of a key
+constexpr milliseconds release_timeout{500};  // of an attempt in the background
+constexpr milliseconds min_release_delay{250};  // between two attempts
+constexpr milliseconds max_release_delay{4000};
+constexpr milliseconds release_limit{60'000};  // from the first attempt
+constexpr std::size_t max_pending_releases = 10'000;
+constexpr milliseconds claim_margin{1000};  // added to the deadline
 constexpr milliseconds max_deadline{600'000};
 constexpr std::size_t max_key_bytes = 200;
 constexpr std::string_view service_prefix = "/s/";
@@ -231,6 +237,7 @@
   change.deadline = wall_now() + remaining + claim_margin;
   auto until = steady_now() + std::min(remaining, claim_timeout);
   auto result = co_await control_.commit(command(change), until);
+  auto executor = co_await asio::this_coro::executor;
   co_return std::visit(
       overloaded{
           [](const key_claimed&) { return std::optional<http_response>(); },
@@ -250,12 +257,15 @@
           [&](const problem& refused) {
             // Nothing was sent to an endpoint, whether the claim succeeded or
             // not.
+            if (refused.outcome == run_outcome::unknown)
+              release_later(executor, forwarded);
             count("not-run");
             auto rejection = refused;
             rejection.outcome = run_outcome::not_run;
             return std::optional(make_response(rejection));
           },
           [&](const auto&) {
+            release_later(executor, forwarded);
             return std::optional(make_response(not_run_problem(
                 500, "Bad answer",
                 "the control group returned an unexpected result")));
@@ -342,7 +352,6 @@
 auto forwarder::store_outcome(forwarded_request& forwarded,
                               const delivery_result& delivery)
     -> asio::awaitable<void> {
-  auto until = steady_now() + store_timeout;
   if (delivery.has_response) {
     complete_key change;
     change.name = forwarded.key;
@@ -350,13 +359,76 @@
     change.response = {static_cast<std::uint32_t>(delivery.response.status),
                        std::string(delivery.response.header("Content-Type")),
                        delivery.response.body, true};
+    auto until = steady_now() + store_timeout;
     co_await control_.commit(command(std::move(change)), until);
   } else if (delivery.outcome == run_outcome::not_run) {
-    release_key change;
-    change.name = forwarded.key;
-    change.owner = forwarded.owner;
-    co_await control_.commit(command(std::move(change)), until);
+    bool released =
+        co_await release(forwarded.key, forwarded.owner, store_timeout);
+    if (!released) {
+      release_later(co_await asio::this_coro::executor, forwarded);
+    }
+  }
+}
+
+auto forwarder::release(key_name key, std::string owner, milliseconds timeout)
+    -> asio::awaitable<bool> {
+  auto until = steady_now() + timeout;
+  release_key change{std::move(key), std::move(owner)};
+  auto result = co_await control_.commit(command(std::move(change)), until);
+  const auto* refused = std::get_if<problem>(&result);
+  // A conflict says that the key belongs to another request.
+  co_return refused == nullptr || refused->outcome == run_outcome::conflict;
+}
+
+void forwarder::release_later(const asio::any_io_executor& executor,
+                              const forwarded_request& forwarded) {
+  if (stopped_ || pending_releases_ >= max_pending_releases) {
+    report_abandoned_release(forwarded.key, forwarded.owner);
+    return;
   }
+  ++pending_releases_;
+  asio::co_spawn(executor, release_with_retries(forwarded.key, forwarded.owner),
+                 asio::detached);
+}
+
+// The claim may be committed after the caller was told that nothing ran, and a
+// key that stays claimed would refuse the caller's next attempts.
+auto forwarder::release_with_retries(key_name key, std::string owner)
+    -> asio::awaitable<void> {
+  auto until = steady_now() + release_limit;
+  auto delay = min_release_delay;
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  bool released = false;
+  while (!stopped_) {
+    released = co_await release(key, owner, release_timeout);
+    if (released || steady_now() + delay >= until) break;
+    timer.expires_after(delay);
+    delay = std::min(delay * 2, max_release_delay);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+  }
+  --pending_releases_;
+  if (released) {
+    ++metrics_.counter("keys_released_later_total");
+  } else if (!stopped_) {
+    report_abandoned_release(key, owner);
+  }
+}
+
+void forwarder::report_abandoned_release(const key_name& key,
+                                         std::string_view owner) {
+  ++metrics_.counter("key_releases_abandoned_total");
+  log_event(
+      log_level::warning, "key_release_abandoned",
+      {{"customer", key.customer}, {"service", key.service}, {"owner", owner}});
+}
+
+void forwarder::stop() {
+  stopped_ = true;
+  auto pending = pending_releases_.load();
+  if (pending == 0) return;
+  log_event(log_level::warning, "key_releases_abandoned",
+            {{"count", static_cast<std::int64_t>(pending)}});
 }
 
 }  // namespace parsleyledge
--- a/src/adapters/forwarder.h
+++ b/src/adapters/forwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <string>
 #include <string_view>
@@ -10,6 +11,7 @@
 #include "adapters/metrics.h"
 #include "core/config/site_config.h"
 #include "core/state/command.h"
+#include "core/time.h"
 
 namespace parsleyledge {
 
@@ -30,6 +32,10 @@
   /// from an endpoint names its outcome (RFC 9457).
   auto forward(http_request request) -> boost::asio::awaitable<http_response>;
 
+  /// Ends the releases of keys that continue in the background, and logs how
+  /// many keys stay claimed.
+  void stop();
+
  private:
   struct forwarded_request;
   struct delivery_result;
@@ -43,6 +49,16 @@
   auto store_outcome(forwarded_request& forwarded,
                      const delivery_result& delivery)
       -> boost::asio::awaitable<void>;
+  /// Tries to release a key for `timeout`. Returns false if it may still be
+  /// claimed by `owner`.
+  auto release(key_name key, std::string owner, milliseconds timeout)
+      -> boost::asio::awaitable<bool>;
+  /// Releases the key of a request that did not run, in the background.
+  void release_later(const boost::asio::any_io_executor& executor,
+                     const forwarded_request& forwarded);
+  auto release_with_retries(key_name key, std::string owner)
+      -> boost::asio::awaitable<void>;
+  void report_abandoned_release(const key_name& key, std::string_view owner);
   void count(std::string_view outcome);
 
   std::string entry_;
@@ -53,6 +69,8 @@
   metrics& metrics_;
   http_client client_;
   std::atomic<std::uint64_t> next_request_;
+  std::atomic<std::size_t> pending_releases_{0};  // in the background
+  std::atomic<bool> stopped_{false};
 };
 
 }  // namespace parsleyledge
