Test that a claim without a response frees its key

The followers are paused while an order is sent, so the leader commits its claim after the entry has answered 503 not-run.

--- a/test/system_test.cpp
+++ b/test/system_test.cpp
@@ -58,6 +58,7 @@
   CPPUNIT_TEST(rejects_invalid_requests_with_a_reason);
   CPPUNIT_TEST(forwards_no_invalid_response);
   CPPUNIT_TEST(executes_an_idempotency_key_at_most_once);
+  CPPUNIT_TEST(a_claim_without_a_response_frees_its_key);
   CPPUNIT_TEST(preserves_acknowledged_changes);
   CPPUNIT_TEST(a_paused_leader_reverts_no_change);
   CPPUNIT_TEST(an_isolated_entry_rejects_requests);
@@ -289,6 +290,47 @@
     CPPUNIT_ASSERT(site.execution_count("leader") <= 1);
   }
 
+  // Guards against a key that stays claimed though the caller was told that
+  // nothing ran: its claim is committed once the followers resume.
+  void a_claim_without_a_response_frees_its_key() {
+    process_site site(22400);
+    site.start_all();
+    site.configure(site_file);
+    site.start_endpoint(1, {"--work_ms", "5", "--service", "orders"});
+    auto post_order = [&](const std::string& key) {
+      return site.send_as_customer(1, "POST", "/s/orders/" + key,
+                                   {{"Idempotency-Key", key}});
+    };
+    CPPUNIT_ASSERT(
+        eventually([&] { return post_order("warm").status == 200; }));
+    for (int i = 0; i < 5; ++i) {
+      auto key = "late-" + std::to_string(i);
+      int leader = 0;
+      CPPUNIT_ASSERT(eventually([&] { return (leader = site.leader()) != 0; }));
+      auto signal_followers = [&](int signal_number) {
+        for (int n = 1; n <= 3; ++n) {
+          if (n == leader) continue;
+          site.signal("control-" + std::to_string(n), signal_number);
+        }
+      };
+      signal_followers(SIGSTOP);
+      auto refused = post_order(key);
+      signal_followers(SIGCONT);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(refused.body, 503, refused.status);
+      CPPUNIT_ASSERT(refused.header("Parsley-Outcome") == "not-run");
+      http_response last;
+      bool served = eventually(
+          [&] {
+            last = post_order(key);
+            return last.status == 200;
+          },
+          std::chrono::seconds(15));
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(last.status) + " " + last.body,
+                             served);
+      CPPUNIT_ASSERT_EQUAL(1, site.execution_count(key));
+    }
+  }
+
   void preserves_acknowledged_changes() {
     process_site site(21300);
     site.start_all();
