Expect the allowed outcomes in the test of idempotency keys

- The first order was resent under one key until it got 200.
Entries have no slots for about three seconds after an election, and its deadline is three seconds.
Each attempt now has a key of its own and may run once at most.
- Of two requests at once, one had to get 409.
The sum of the statuses is replaced by: one ran, and the other got 409 or the replay of the same response.

That a key is free after a true not-run, which the resent order showed in passing, is a test of its own.

--- a/test/system_test.cpp
+++ b/test/system_test.cpp
@@ -244,21 +244,41 @@
       return site.send_as_customer(entry, "POST", "/s/orders/" + key,
                                    {{"Idempotency-Key", key}});
     };
-    // The same key is sent through both entries concurrently and then resent.
+    // Entries get no slots for some seconds after an election. The outcome of
+    // an order whose deadline passes while it runs is unknown for good, so that
+    // each attempt has a key of its own.
     http_response warm;
+    int attempts = 0;
     bool ready = eventually([&] {
-      warm = post_order(1, "warm");
+      auto key = "warm-" + std::to_string(++attempts);
+      warm = post_order(1, key);
+      CPPUNIT_ASSERT_MESSAGE(key, site.execution_count(key) <= 1);
       return warm.status == 200;
     });
     CPPUNIT_ASSERT_MESSAGE(std::to_string(warm.status) + " " + warm.body,
                            ready);
+    // The same key is sent through both entries concurrently and then resent.
     auto first =
         std::async(std::launch::async, [&] { return post_order(1, "a"); });
     auto second =
         std::async(std::launch::async, [&] { return post_order(2, "a"); });
     auto one = first.get();
     auto two = second.get();
-    CPPUNIT_ASSERT_EQUAL(609, one.status + two.status);  // 200 and 409
+    // One of them runs. The other is refused, or gets the stored response if
+    // it comes after the end.
+    auto is_replayed = [](const http_response& response) {
+      return response.header("Idempotency-Replayed") == "true";
+    };
+    bool first_ran = one.status == 200 && !is_replayed(one);
+    const auto& ran = first_ran ? one : two;
+    const auto& other = first_ran ? two : one;
+    auto description = std::to_string(ran.status) + " " + ran.body + "; " +
+                       std::to_string(other.status) + " " + other.body;
+    CPPUNIT_ASSERT_MESSAGE(description, ran.status == 200 && !is_replayed(ran));
+    bool is_refused = other.status == 409;
+    bool has_same_response =
+        other.status == 200 && is_replayed(other) && other.body == ran.body;
+    CPPUNIT_ASSERT_MESSAGE(description, is_refused || has_same_response);
     CPPUNIT_ASSERT_EQUAL(1, site.execution_count("a"));
     auto again = post_order(2, "a");
     CPPUNIT_ASSERT_EQUAL(200, again.status);
