Send no start to a worker that drains

Cause: a start without a response is sent again until the worker responds. Placements of a former leader were started the same way. The platform allows such starts for two seconds after the drain is acknowledged only.

Change: a run that is not started is abandoned once its worker drains.

Ruled out: a report not yet committed, and requests carried out late: the drain was in the tables and the requests were not late.

--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -191,6 +191,9 @@
          now.steady);
     return;
   }
+  if (record.draining) {
+    return abandon_start(run, "the worker is draining", now);
+  }
   auto lease = lease_for(worker, now);
   if (lease == 0) return;  // a poll has to read the worker's clock first
   const auto& job = tables.jobs.at(ref.job);
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -47,6 +47,8 @@
   CPPUNIT_TEST(a_gang_gets_capacity_beside_a_stream_of_small_tasks);
   CPPUNIT_TEST(a_cancelled_job_is_stopped);
   CPPUNIT_TEST(a_draining_worker_gets_no_work);
+  CPPUNIT_TEST(a_start_is_not_repeated_on_a_draining_worker);
+  CPPUNIT_TEST(a_new_leader_starts_no_work_on_a_draining_worker);
   CPPUNIT_TEST(a_worker_that_fails_its_tasks_is_quarantined);
   CPPUNIT_TEST(a_stalled_task_starts_elsewhere);
   CPPUNIT_TEST(a_stalled_gang_starts_elsewhere);
@@ -325,6 +327,37 @@
     assert_clean(site);
   }
 
+  // Guards against a start that is sent again after its worker has begun to
+  // drain.
+  void a_start_is_not_repeated_on_a_draining_worker() {
+    fleet_site site(2);
+    for (auto& w : site.workers) w.unreachable = true;
+    auto id = site.submit("q1", make_step(2, 8));
+    site.run_for(milliseconds(300));
+    for (auto& w : site.workers) w.unreachable = false;
+    site.drain(0);
+    site.run_for(seconds(5));
+    assert_state(job_state::complete, site, id);
+    CPPUNIT_ASSERT_EQUAL(0, site.workers[0].starts);
+    assert_clean(site);
+  }
+
+  // Guards against a start that a new leader sends for a placement of the
+  // former one, although the worker has begun to drain since.
+  void a_new_leader_starts_no_work_on_a_draining_worker() {
+    fleet_site site(2);
+    for (auto& w : site.workers) w.unreachable = true;
+    auto id = site.submit("q1", make_gang(2, 4));
+    site.run_for(milliseconds(300));
+    for (auto& w : site.workers) w.unreachable = false;
+    site.drain(0);
+    site.change_leader();
+    site.run_for(seconds(5));
+    assert_state(job_state::complete, site, id);
+    CPPUNIT_ASSERT_EQUAL(0, site.workers[0].starts);
+    assert_clean(site);
+  }
+
   void a_worker_that_fails_its_tasks_is_quarantined() {
     fleet_site site(4);
     site.configure(0, 0, 3);
