Check starts on draining workers when they are sent, too

The simulated site counted each start that a draining worker carried out. The platform exempts requests that workers carry out late from its limit of two seconds.

A start that was sent before the drain began no longer counts when it is carried out late. In exchange every start that is sent to a worker whose drain is in the tables counts, also if it never arrives.

--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -187,6 +187,7 @@
 
 void fleet_site::drain(int worker, milliseconds remaining) {
   auto& w = workers[static_cast<std::size_t>(worker)];
+  if (!w.record.draining) w.drains_since = now_;
   w.record.draining = true;
   w.drains_until = now_ + remaining;
   report_all();
@@ -309,7 +310,7 @@
       if (now_ < late.at) {
         late_requests_.push_back(std::move(late));
       } else {
-        respond(find(late.request.worker.name), late.request);
+        respond(find(late.request.worker.name), late.request, late.sent_at);
       }
     }
     if (to_ms(now_) % tick_time.count() == 0) {
@@ -432,12 +433,17 @@
 
 void fleet_site::handle(const fleet::send_worker_request& request) {
   auto& w = find(request.worker.name);
+  const auto* record = find_worker(state_.tables(), request.worker);
+  if (std::holds_alternative<fleet::start_request>(request.request) &&
+      record != nullptr && record->draining) {
+    violations.insert("start sent to a draining worker");
+  }
   if (w.unreachable) {
     timeouts_.emplace_back(request.id, now_ + request.timeout);
     return;
   }
   if (w.late_by.count() > 0) {
-    late_requests_.push_back({request, now_ + w.late_by});
+    late_requests_.push_back({request, now_, now_ + w.late_by});
     timeouts_.emplace_back(request.id, now_ + request.timeout);
     return;
   }
@@ -451,7 +457,7 @@
         {request.id, request.worker.name, *long_poll, now_ + long_poll->wait});
     return;
   }
-  auto response = respond(w, request);
+  auto response = respond(w, request, now_);
   if (w.drops_responses) {
     timeouts_.emplace_back(request.id, now_ + request.timeout);
     return;
@@ -460,8 +466,8 @@
 }
 
 auto fleet_site::respond(fake_worker& w,
-                         const fleet::send_worker_request& request)
-    -> fleet::worker_response {
+                         const fleet::send_worker_request& request,
+                         time_point sent_at) -> fleet::worker_response {
   if (w.record.incarnation != request.worker) return fleet::wrong_incarnation{};
   if (request.fence < w.fence) {
     return fleet::request_rejected{fleet::rejection::stale_fence, to_ms(now_)};
@@ -469,7 +475,9 @@
   w.fence = request.fence;
   return std::visit(
       overloaded{
-          [&](const fleet::start_request& o) { return start_run(w, o); },
+          [&](const fleet::start_request& o) {
+            return start_run(w, o, sent_at);
+          },
           [&](const fleet::stop_request& o) -> fleet::worker_response {
             auto& rejected = w.rejected_up_to[o.task];
             rejected = std::max(rejected, o.run);
@@ -488,8 +496,8 @@
       request.request);
 }
 
-auto fleet_site::start_run(fake_worker& w, const fleet::start_request& o)
-    -> fleet::worker_response {
+auto fleet_site::start_run(fake_worker& w, const fleet::start_request& o,
+                           time_point sent_at) -> fleet::worker_response {
   using fleet::rejection;
   if (o.lease_end <= to_ms(now_)) {
     return fleet::request_rejected{rejection::lease_expired, to_ms(now_)};
@@ -509,7 +517,9 @@
   }
   if (acknowledged_done_.contains(o.task))
     violations.insert("start of a task that is done");
-  if (w.record.draining) violations.insert("start on a draining worker");
+  // A start that is carried out late may have been sent before the drain.
+  if (w.record.draining && sent_at >= w.drains_since)
+    violations.insert("start on a draining worker");
   const auto& spec = job(o.task.job).spec.steps[o.task.step];
   record_event("starts", o.task, o.run, w);
   const auto* job_queue = find_queue(*site_, job(o.task.job).spec.queue);
--- a/test/fakes/fleet_site.h
+++ b/test/fakes/fleet_site.h
@@ -42,7 +42,8 @@
   int slowdown = 1;              // factor on the duration of tasks
   bool stalls_runs = false;      // its runs make no progress
   milliseconds late_by{0};       // requests are carried out late; 0: never
-  time_point drains_until;       // while it drains
+  time_point drains_since;       // while it drains
+  time_point drains_until;
 };
 
 /// How long the dispatcher took for its inputs, in microseconds.
@@ -144,12 +145,12 @@
       -> fleet::machine_response;
   auto load_of(const fake_worker& worker, const fleet::task_ref& task) const
       -> std::int64_t;
-  auto respond(fake_worker& worker, const fleet::send_worker_request& request)
-      -> fleet::worker_response;
+  auto respond(fake_worker& worker, const fleet::send_worker_request& request,
+               time_point sent_at) -> fleet::worker_response;
   auto poll(fake_worker& worker, const fleet::poll_request& request)
       -> fleet::worker_response;
-  auto start_run(fake_worker& worker, const fleet::start_request& request)
-      -> fleet::worker_response;
+  auto start_run(fake_worker& worker, const fleet::start_request& request,
+                 time_point sent_at) -> fleet::worker_response;
   void advance(fake_worker& worker);
   void end_run(fake_worker& worker, fleet::task_ref task,
                fleet::run_end outcome);
@@ -182,6 +183,7 @@
   /// A request that is carried out after its response was given up.
   struct late_request {
     fleet::send_worker_request request;
+    time_point sent_at;
     time_point at;
   };
 
