Do not start a run that is marked as lost

Cause: a new leader had no ticket for an inherited run and proposed its end as lost. Once that was committed, and before the leader was notified, a pass asked for advice and placed the next run; the tickets that it got were valid for the lost run, too, which was still tracked and was started.

Change: no start is sent for a run whose end as lost has been proposed.

The new test fails without the change.

--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -191,6 +191,7 @@
          now.steady);
     return;
   }
+  if (lost_runs_.contains(ref)) return;  // its end is proposed
   if (record.draining) {
     return abandon_start(run, "the worker is draining", now);
   }
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(capacity_of_urgent_work_is_retained_for_the_next);
   CPPUNIT_TEST(a_gang_gets_capacity_beside_a_stream_of_small_tasks);
   CPPUNIT_TEST(a_cancelled_job_is_stopped);
+  CPPUNIT_TEST(a_lost_run_is_not_started);
   CPPUNIT_TEST(a_draining_worker_gets_no_work);
   CPPUNIT_TEST(a_start_is_not_repeated_on_a_draining_worker);
   CPPUNIT_TEST(a_new_leader_starts_no_work_on_a_draining_worker);
@@ -317,6 +318,28 @@
     assert_clean(site);
   }
 
+  // Guards against two runs of one task: a new leader has no ticket for a
+  // placement of the former one and marks the run as lost. The ticket for the
+  // next run arrives before the leader is notified of the end.
+  void a_lost_run_is_not_started() {
+    fleet_site site(2, 1);
+    site.set_policy({"w0", "w1"}, seconds(5));
+    for (auto& w : site.workers) w.unreachable = true;
+    auto id = site.submit("q1", make_step(1, 2));
+    // Less of the other worker is free, so that it is chosen for the next run.
+    auto other = make_step(1, 5);
+    other.label = "r1";
+    site.submit("q0", other);
+    site.run_for(milliseconds(300));
+    for (auto& w : site.workers) w.unreachable = false;
+    site.change_leader();
+    site.run_for(seconds(3));
+    assert_state(job_state::complete, site, id);
+    CPPUNIT_ASSERT_EQUAL(0, site.workers[0].starts);
+    CPPUNIT_ASSERT_EQUAL(2, site.workers[1].starts);
+    assert_clean(site);
+  }
+
   void a_draining_worker_gets_no_work() {
     fleet_site site(2);
     site.drain(0);
