--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -28,6 +28,9 @@
 // Also the limit on what an urgent step beyond its guarantee may cost: as much
 // work of the next lower priority as it has itself.
 constexpr std::int64_t loss_factor = 3;
+// A step that has waited for this time takes any capacity that it fits twice,
+// since a job may have nothing running for three seconds at most.
+constexpr milliseconds last_resort_delay{2000};
 
 auto cores_of(const step_spec& spec) -> std::int64_t {
   return spec.per_task.cpu_milli / 1000 +
@@ -56,6 +59,19 @@
   return sum;
 }
 
+/// Chooses among all workers and racks, if there is capacity for twice the
+/// need.
+auto choose_last_resort(std::span<const candidate> workers, placement_need need)
+    -> std::vector<choice> {
+  need.any_rack = true;
+  need.explore = false;
+  auto twice = need;
+  twice.tasks = need.all_or_nothing ? 2 * need.tasks : 2;
+  twice.all_or_nothing = true;
+  if (choose_workers(workers, twice).empty()) return {};
+  return choose_workers(workers, need);
+}
+
 auto fits_one_rack(std::span<const candidate> workers,
                    const placement_need& need, std::string_view required_rack)
     -> bool {
@@ -77,9 +93,7 @@
       worker.incarnation != record.incarnation) {
     return false;
   }
-  if (worker.quarantined_until > now.steady || worker.missed_responses > 0) {
-    return false;
-  }
+  if (worker.missed_responses > 0) return false;
   auto received_at = std::max(worker.reported_at, worker.responded_at);
   return now.steady - received_at <= limits_.report_timeout;
 }
@@ -108,7 +122,8 @@
               worker.retained.total(now.steady),
               {},
               std::exp(speed.log_speed),
-              speed.weight > 0});
+              speed.weight > 0,
+              worker.quarantined_until > now.steady});
   }
   auto subtract = [&](std::span<const placement> placements) {
     for (const auto& p : placements) {
@@ -129,6 +144,7 @@
                                  clock_reading now) {
   propose_ready_reservations(tables, now);
   auto backlog = collect_backlog(tables, *site_, now.wall);
+  track_waiting(backlog, now.steady);
   if (backlog.empty()) return;
   auto pass = begin_pass(tables, now);
   renew_gang_reservations(tables, pass, now);
@@ -218,6 +234,30 @@
   return need;
 }
 
+// Notes since when steps wait. Of a job with other runs only long-running tasks
+// count.
+void dispatcher::track_waiting(std::span<const backlog_item> backlog,
+                               time_point now) {
+  auto previous = std::exchange(waiting_since_, {});
+  for (const auto& item : backlog) {
+    if (!item.spec->long_running && has_assigned_tasks(*item.job)) continue;
+    auto known = previous.find(item.step);
+    waiting_since_[item.step] = known == previous.end() ? now : known->second;
+  }
+}
+
+// Whether a step has waited for so long that it may take capacity which is
+// kept for others: long-running tasks always, others while the service is
+// under half used.
+auto dispatcher::is_overdue(const backlog_item& item, const planning_pass& pass,
+                            time_point now) const -> bool {
+  auto it = waiting_since_.find(item.step);
+  if (it == waiting_since_.end() || now - it->second < last_resort_delay) {
+    return false;
+  }
+  return item.spec->long_running || pass.is_half_free(item.job_queue->service);
+}
+
 void dispatcher::place_step(const backlog_item& item,
                             const fleet_tables& tables, planning_pass& pass,
                             clock_reading now) {
@@ -226,22 +266,39 @@
   const auto& label = item.spec->label;
   bool urgent = item.job_queue->priority == 0;
   bool failed_before = pass.has_failed(service, label, need);
-  if (failed_before && !urgent && !gang_reservations_.contains(item.step))
+  bool overdue = is_overdue(item, pass, now.steady);
+  if (failed_before && !urgent && !overdue &&
+      !gang_reservations_.contains(item.step)) {
     return;
+  }
   auto rows = pass.rows_of(service, label);
   auto all_rows = rows;
-  if (item.job_queue->advice) {
-    std::erase_if(rows, [&](std::size_t i) {
-      return permission_of(item, pass.row(i).record->incarnation, now) !=
-             permission::allowed;
-    });
-  }
+  auto is_not_allowed = [&](std::size_t i) {
+    return permission_of(item, pass.row(i).record->incarnation, now) !=
+           permission::allowed;
+  };
+  std::erase_if(rows, is_not_allowed);
   auto candidates = candidates_for(item, rows, pass);
   bool needs_rack = need.same_rack || !need.data_rack.empty();
   if (needs_rack && !need.any_rack) {
     need.any_rack = !fits_one_rack(candidates, need, need.data_rack);
   }
   auto chosen = choose_workers(candidates, need);
+  if (chosen.empty() && overdue) {
+    all_rows = pass.all_rows_of(service, label);
+    auto last_rows = all_rows;
+    std::erase_if(last_rows, is_not_allowed);
+    auto last = candidates_for(item, last_rows, pass);
+    for (std::size_t i = 0; i < last.size(); ++i) {
+      const auto& row = pass.row(last_rows[i]);
+      last[i].free = urgent ? row.available : row.available - row.retained;
+    }
+    chosen = choose_last_resort(last, need);
+    if (!chosen.empty()) {
+      rows = std::move(last_rows);
+      candidates = std::move(last);
+    }
+  }
   if (item.job_queue->advice && placed_tasks(chosen) < need.tasks) {
     request_advice(item, all_rows, pass, now);
   }
--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -57,6 +57,7 @@
   reclaim_reservations_.clear();
   reclaim_tried_at_.clear();
   gang_reservations_.clear();
+  waiting_since_.clear();
   failed_steps_ = {};
   tickets_ = {};
   pending_advice_.reset();
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -310,6 +310,9 @@
       -> placement_need;
   void place_step(const backlog_item& item, const fleet_tables& tables,
                   planning_pass& pass, clock_reading now);
+  void track_waiting(std::span<const backlog_item> backlog, time_point now);
+  auto is_overdue(const backlog_item& item, const planning_pass& pass,
+                  time_point now) const -> bool;
   auto is_guaranteed(const backlog_item& item, const fleet_tables& tables) const
       -> bool;
   auto urgent_accelerators(const fleet_tables& tables) const
@@ -352,6 +355,9 @@
   std::map<step_ref, reclaim_reservation> reclaim_reservations_;
   std::map<step_ref, time_point> reclaim_tried_at_;
   std::map<step_ref, gang_reservation> gang_reservations_;
+  // Since when steps wait, of jobs of which nothing runs and of long-running
+  // tasks.
+  std::map<step_ref, time_point> waiting_since_;
   speed_table speeds_;
   time_point speeds_recorded_at_;
   failure_log failed_steps_;
--- a/src/core/fleet/planning_pass.cpp
+++ b/src/core/fleet/planning_pass.cpp
@@ -56,12 +56,21 @@
 auto planning_pass::available(std::string_view worker) const
     -> const resources* {
   auto it = index_.find(worker);
-  return it == index_.end() ? nullptr : &rows_[it->second].available;
+  bool missing = it == index_.end() || rows_[it->second].quarantined;
+  return missing ? nullptr : &rows_[it->second].available;
 }
 
 auto planning_pass::rows_of(std::string_view service,
                             std::string_view label) const
     -> std::vector<std::size_t> {
+  auto found = all_rows_of(service, label);
+  std::erase_if(found, [&](std::size_t i) { return rows_[i].quarantined; });
+  return found;
+}
+
+auto planning_pass::all_rows_of(std::string_view service,
+                                std::string_view label) const
+    -> std::vector<std::size_t> {
   std::vector<std::size_t> found;
   for (std::size_t i = 0; i < rows_.size(); ++i) {
     const auto& record = *rows_[i].record;
@@ -72,6 +81,17 @@
   return found;
 }
 
+auto planning_pass::is_half_free(std::string_view service) const -> bool {
+  resources available;
+  resources capacity;
+  for (const auto& row : rows_) {
+    if (row.record->service != service) continue;
+    available += row.available;
+    capacity += row.record->capacity;
+  }
+  return fits(available * 2, capacity);
+}
+
 void planning_pass::record_failure(std::string_view service,
                                    std::string_view label,
                                    const placement_need& need) {
--- a/src/core/fleet/planning_pass.h
+++ b/src/core/fleet/planning_pass.h
@@ -19,7 +19,8 @@
   resources retained;  // part of `available`, for urgent work only
   resources reserved;  // for waiting gangs; it may not be free yet
   double speed = 1;
-  bool speed_known = true;  // whether its speed has been measured
+  bool speed_known = true;   // whether its speed has been measured
+  bool quarantined = false;  // for work that has waited too long only
 };
 
 /// The workers and their capacity during one pass over the backlog. A need that
@@ -32,14 +33,21 @@
   /// Allocates capacity on a worker, if the worker has a row.
   void allocate(std::string_view worker, const resources& amount);
 
-  /// The capacity left on a worker; null if the worker has no row.
+  /// The capacity left on a worker; null if it has no row or is quarantined.
   auto available(std::string_view worker) const -> const resources*;
 
-  /// The indexes of the rows of a service whose workers have a label. An empty
-  /// label matches all.
+  /// The indexes of the rows of a service whose workers have a label, but for
+  /// those in quarantine. An empty label matches all.
   auto rows_of(std::string_view service, std::string_view label) const
       -> std::vector<std::size_t>;
 
+  /// The same rows and those in quarantine.
+  auto all_rows_of(std::string_view service, std::string_view label) const
+      -> std::vector<std::size_t>;
+
+  /// Whether at least half of the capacity of a service is left.
+  auto is_half_free(std::string_view service) const -> bool;
+
   auto row(std::size_t i) const -> const planning_row& { return rows_[i]; }
   void allocate_on(std::size_t i, const resources& amount) {
     rows_[i].available -= amount;
