Look up the records of draining workers only

evacuate() looked up the record of each worker at each tick; perf showed it at 7 % of work_goes_on_after_random_events. The deadline is now checked first. The simulated site moves pending polls instead of copying them.

work_goes_on_after_random_events, 300 cases, processor time, RelWithDebInfo: 2.42, 2.57 and 2.47 s before; 2.05, 2.07 and 2.09 s after.

--- a/src/core/fleet/dispatch_health.cpp
+++ b/src/core/fleet/dispatch_health.cpp
@@ -147,10 +147,10 @@
 // are stopped at once, so that they start elsewhere.
 void dispatcher::evacuate(const fleet_tables& tables,
                           const worker_state& worker, clock_reading now) {
-  const auto* record = find_worker(tables, worker.incarnation);
-  if (record == nullptr || !record->draining) return;
   auto remaining = worker.drain_deadline - now.steady;
   if (worker.drain_deadline == time_point{} || remaining.count() < 0) return;
+  const auto* record = find_worker(tables, worker.incarnation);
+  if (record == nullptr || !record->draining) return;
   for (auto* run : worker.runs) {
     if (run->phase != run_phase::started) continue;
     const auto& spec = tables.jobs.at(run->task.job).spec.steps[run->task.step];
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -285,6 +285,7 @@
     auto commands = std::exchange(delayed_commands_, {});
     for (auto& [command, token] : commands) apply(command, token);
     auto polls = std::exchange(polls_, {});
+    polls_.reserve(polls.size());
     for (auto& pending : polls) {
       auto& w = find(pending.worker);
       bool has_new_end = std::ranges::any_of(w.ended, [&](const auto& e) {
@@ -295,7 +296,7 @@
       } else if (has_new_end || now_ >= pending.until) {
         deliver(pending.id, poll(w, pending.request));
       } else {
-        polls_.push_back(pending);
+        polls_.push_back(std::move(pending));
       }
     }
     auto timeouts = std::exchange(timeouts_, {});
