--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -249,7 +249,7 @@
 // Whether a step has waited for so long that it may take capacity which is
 // kept for others: long-running tasks always, others while the service is
 // under half used.
-auto dispatcher::is_overdue(const backlog_item& item, const planning_pass& pass,
+auto dispatcher::is_overdue(const backlog_item& item, planning_pass& pass,
                             time_point now) const -> bool {
   auto it = waiting_since_.find(item.step);
   if (it == waiting_since_.end() || now - it->second < last_resort_delay) {
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -311,7 +311,7 @@
   void place_step(const backlog_item& item, const fleet_tables& tables,
                   planning_pass& pass, clock_reading now);
   void track_waiting(std::span<const backlog_item> backlog, time_point now);
-  auto is_overdue(const backlog_item& item, const planning_pass& pass,
+  auto is_overdue(const backlog_item& item, planning_pass& pass,
                   time_point now) const -> bool;
   auto is_guaranteed(const backlog_item& item, const fleet_tables& tables) const
       -> bool;
--- a/src/core/fleet/planning_pass.cpp
+++ b/src/core/fleet/planning_pass.cpp
@@ -81,7 +81,8 @@
   return found;
 }
 
-auto planning_pass::is_half_free(std::string_view service) const -> bool {
+auto planning_pass::is_half_free(std::string_view service) -> bool {
+  if (busy_services_.contains(service)) return false;
   resources available;
   resources capacity;
   for (const auto& row : rows_) {
@@ -89,7 +90,9 @@
     available += row.available;
     capacity += row.record->capacity;
   }
-  return fits(available * 2, capacity);
+  bool half_free = fits(available * 2, capacity);
+  if (!half_free) busy_services_.insert(service);
+  return half_free;
 }
 
 void planning_pass::record_failure(std::string_view service,
--- a/src/core/fleet/planning_pass.h
+++ b/src/core/fleet/planning_pass.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <span>
 #include <string_view>
 #include <unordered_map>
@@ -46,7 +47,7 @@
       -> std::vector<std::size_t>;
 
   /// Whether at least half of the capacity of a service is left.
-  auto is_half_free(std::string_view service) const -> bool;
+  auto is_half_free(std::string_view service) -> bool;
 
   auto row(std::size_t i) const -> const planning_row& { return rows_[i]; }
   void allocate_on(std::size_t i, const resources& amount) {
@@ -77,6 +78,7 @@
   std::vector<planning_row> rows_;
   std::unordered_map<std::string_view, std::size_t> index_;
   std::vector<failure> failures_;
+  std::set<std::string_view> busy_services_;  // those not half free
 };
 
 }  // namespace parsleyledge::fleet
