--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -57,6 +57,7 @@
   reclaim_reservations_.clear();
   reclaim_tried_at_.clear();
   gang_reservations_.clear();
+  waiting_since_.clear();
   failed_steps_ = {};
   tickets_ = {};
   pending_advice_.reset();
@@ -191,6 +192,10 @@
          now.steady);
     return;
   }
+  if (lost_runs_.contains(ref)) return;  // its end is proposed
+  if (record.draining) {
+    return abandon_start(run, "the worker is draining", now);
+  }
   auto lease = lease_for(worker, now);
   if (lease == 0) return;  // a poll has to read the worker's clock first
   const auto& job = tables.jobs.at(ref.job);
