--- a/src/adapters/peer_socket.cpp
+++ b/src/adapters/peer_socket.cpp
@@ -25,7 +25,7 @@
 constexpr std::size_t max_waiting_bytes = 1U << 20;  // per connection
 // How long a message without a time limit waits for a connection.
 constexpr milliseconds connection_wait{200};
-constexpr std::size_t max_senders = 4096;  // whose delays are tracked
+constexpr std::size_t max_connections = 4096;  // whose delays are tracked
 constexpr std::int64_t max_message_bytes = 64 << 20;
 constexpr int heartbeat_ms = 1000;
 // Without any traffic for this long, a connection is closed and reopened.
@@ -76,7 +76,7 @@
   bool wake_pending = false;
   bool stopping = false;
   std::map<std::string, peer> peers;
-  std::map<std::string, message_delay> delays;  // by sender
+  std::map<std::string, message_delay> delays;  // by connection
   std::thread thread;
   std::atomic<std::uint64_t> sent{0};
   std::atomic<std::uint64_t> received{0};
@@ -180,20 +180,21 @@
     bool parsed =
         message.ParseFromArray(body.data(), static_cast<int>(body.size()));
     if (!parsed || message.group() != self.group) return;
-    if (is_too_late(message)) {
+    if (message.sent_at() < 0 || message.deadline() < 0) return;
+    // A queue may deliver a message after the sender stopped waiting.
+    auto delay = record_delay(from, message);
+    auto time_limit = milliseconds(message.deadline() - message.sent_at());
+    if (message.deadline() != 0 && delay > time_limit) {
       ++dropped;
       return;
     }
     receive(from, std::move(message));
   }
 
-  // A queue may deliver a message after the sender stopped waiting.
-  auto is_too_late(const wire::envelope& message) -> bool {
-    if (delays.size() > max_senders) delays.clear();
-    auto delay =
-        delays[message.sender()].record(at_ms(message.sent_at()), steady_now());
-    return message.deadline() != 0 &&
-           delay > milliseconds(message.deadline() - message.sent_at());
+  auto record_delay(const std::string& from, const wire::envelope& message)
+      -> milliseconds {
+    if (delays.size() > max_connections) delays.clear();
+    return delays[from].record(at_ms(message.sent_at()), steady_now());
   }
 
   void read_router() {
--- a/test/peer_socket_test.cpp
+++ b/test/peer_socket_test.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(delivers_a_call_sent_before_the_connection);
   CPPUNIT_TEST(delivers_a_vote_sent_before_the_connection);
   CPPUNIT_TEST(delivers_calls_of_a_sender_whose_clock_differs);
+  CPPUNIT_TEST(delivers_calls_of_two_processes_of_one_name);
   CPPUNIT_TEST(drops_a_call_that_was_delayed_beyond_its_time_limit);
   CPPUNIT_TEST_SUITE_END();
 
@@ -84,6 +85,29 @@
     }
   }
 
+  // Guards against calls that are dropped because another process on the same
+  // machine, with the same name, was started with another time.
+  void delivers_calls_of_two_processes_of_one_name() {
+    std::promise<void> received;
+    auto is_received = received.get_future();
+    int count = 0;
+    peer_socket server({"g", "server"},
+                       [&](std::string_view, const wire::envelope&) {
+                         if (++count == 4) received.set_value();
+                       });
+    CPPUNIT_ASSERT_EQUAL(std::string(), server.start(server_address));
+    zmq::context_t context;
+    auto first = connect_sender(context);
+    auto second = connect_sender(context);
+    for (int i = 0; i < 2; ++i) {
+      send_call(first, 1, milliseconds(0));
+      send_call(second, 2, -clock_difference);
+    }
+    CPPUNIT_ASSERT(is_received.wait_for(call_limit) ==
+                   std::future_status::ready);
+    server.stop();
+  }
+
   // Guards against work for callers that stopped waiting, after a queue was
   // stopped.
   void drops_a_call_that_was_delayed_beyond_its_time_limit() {
@@ -94,6 +118,25 @@
   }
 
  private:
+  static auto connect_sender(zmq::context_t& context) -> zmq::socket_t {
+    zmq::socket_t sender(context, zmq::socket_type::dealer);
+    sender.set(zmq::sockopt::linger, 0);
+    sender.connect("tcp://" + std::string(server_address));
+    return sender;
+  }
+
+  /// Sends a call whose times differ from the clock by `offset`.
+  static void send_call(zmq::socket_t& sender, std::uint64_t id,
+                        milliseconds offset) {
+    wire::envelope call;
+    call.set_group("g");
+    call.set_sender("caller");
+    call.set_sent_at(to_ms(wall_now() + offset));
+    call.set_deadline(to_ms(wall_now() + offset + attempt_limit));
+    call.mutable_request()->set_id(id);
+    sender.send(zmq::buffer(call.SerializeAsString()), zmq::send_flags::none);
+  }
+
   /// Sends calls 1, 2 and so on, whose times differ from the clock by
   /// `offsets`, and returns which is delivered first after `ignored` others.
   static auto first_delivered(const std::vector<milliseconds>& offsets,
@@ -109,19 +152,9 @@
                        });
     CPPUNIT_ASSERT_EQUAL(std::string(), server.start(server_address));
     zmq::context_t context;
-    zmq::socket_t sender(context, zmq::socket_type::dealer);
-    sender.set(zmq::sockopt::linger, 0);
-    sender.connect("tcp://" + std::string(server_address));
+    auto sender = connect_sender(context);
     std::uint64_t next_id = 0;
-    for (auto offset : offsets) {
-      wire::envelope call;
-      call.set_group("g");
-      call.set_sender("caller");
-      call.set_sent_at(to_ms(wall_now() + offset));
-      call.set_deadline(to_ms(wall_now() + offset + attempt_limit));
-      call.mutable_request()->set_id(++next_id);
-      sender.send(zmq::buffer(call.SerializeAsString()), zmq::send_flags::none);
-    }
+    for (auto offset : offsets) send_call(sender, ++next_id, offset);
     bool delivered = id.wait_for(call_limit) == std::future_status::ready;
     server.stop();
     return delivered ? id.get() : 0;
