Choose each voter once in a leadership transfer

Found by review: with several voters that are shutting down, the choice could alternate between two of them until the transfer timed out.

--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -703,16 +703,21 @@
 
 // Only one voter is told to stand for election, because several would split the
 // votes. It is told again until it does, as a message may be lost, and after a
-// while the next one is told, as the first may have stopped.
+// while one that was not told yet is chosen, as the first may have stopped.
 void replica::continue_transfer(replica_id acknowledged_by) {
   const auto* voter = find_member(acknowledged_by);
   if (voter == nullptr || !voter->voter) return;
-  if (transfer_target_ != acknowledged_by &&
-      now_ >= transfer_target_since_ + settings_.delays.transfer_attempt) {
-    transfer_target_ = acknowledged_by;
+  bool may_choose =
+      transfer_targets_.empty() ||
+      now_ >= transfer_target_since_ + settings_.delays.transfer_attempt;
+  bool was_chosen = std::ranges::find(transfer_targets_, acknowledged_by) !=
+                    transfer_targets_.end();
+  if (may_choose && !was_chosen) {
+    transfer_targets_.push_back(acknowledged_by);
     transfer_target_since_ = now_;
   }
-  if (transfer_target_ == acknowledged_by) send(acknowledged_by, timeout_now{});
+  if (!transfer_targets_.empty() && transfer_targets_.back() == acknowledged_by)
+    send(acknowledged_by, timeout_now{});
 }
 
 void replica::handle(const message& in, const snapshot_chunk& chunk) {
@@ -855,8 +860,7 @@
   now_ = now;
   if (role_ != role::leader || transferring_) return take_effects();
   transferring_ = true;
-  transfer_target_ = {};
-  transfer_target_since_ = {};
+  transfer_targets_.clear();
   transfer_started_at_ = now;
   transfer_deadline_ = now + settings_.delays.transfer_timeout;
   broadcast(true);
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -207,8 +207,8 @@
   // Unknown replicas admitted for which no voter was removed yet.
   std::uint32_t pending_replacements_ = 0;
   bool transferring_ = false;
-  bool retiring_ = false;       // the process is about to end
-  replica_id transfer_target_;  // unset until a voter is chosen
+  bool retiring_ = false;                     // the process is about to end
+  std::vector<replica_id> transfer_targets_;  // the current one is the last
   time_point transfer_target_since_;
   bool in_pre_vote_ = false;
 
