Tell the truth about a change that is refused after it was committed

Found by review: if the reply to a committed change is lost, the next leader may refuse the repetition, and the caller was told that it did not run. A repeated change is recognized before it is checked, and a refusal after an attempt without a response leaves the outcome unknown.

--- a/src/adapters/control_client.cpp
+++ b/src/adapters/control_client.cpp
@@ -161,7 +161,11 @@
       co_return call_response{std::move(*reply), may_have_run};
     }
     auto* refused = std::get_if<problem>(&result);
-    if (refused->status != 503) co_return std::move(*refused);
+    if (refused->status != 503) {
+      // The refusal holds for this attempt; an earlier one may have run.
+      if (may_have_run) refused->outcome = run_outcome::unknown;
+      co_return std::move(*refused);
+    }
     may_have_run = may_have_run || refused->outcome == run_outcome::unknown;
     last = std::move(*refused);
     auto executor = co_await asio::this_coro::executor;
--- a/src/adapters/control_node.cpp
+++ b/src/adapters/control_node.cpp
@@ -188,13 +188,26 @@
   });
 }
 
+auto control_node::fits_known_workers(const job_spec& spec) -> bool {
+  ranked_lock lock(workers_mutex_);
+  return !check_job(spec, tracker_.workers(), *site()).has_value();
+}
+
 auto control_node::validate(const command& change) -> std::optional<problem> {
   using none = std::optional<problem>;
+  // A repeated change gets its first result, whatever fits now.
+  auto is_known = [&](const auto& one) {
+    return replica_.read_state([&](const auto& state) {
+      return state.find_change(one.change_id, one.digest).has_value();
+    });
+  };
   return std::visit(
-      overloaded{[&](const put_file& put) {
+      overloaded{[&](const put_file& put) -> none {
+                   if (is_known(put)) return {};
                    return validate_file(put.name, put.body);
                  },
-                 [&](const delete_file& removal) {
+                 [&](const delete_file& removal) -> none {
+                   if (is_known(removal)) return {};
                    return validate_file(removal.name, {});
                  },
                  [&](const submit_job& submit) -> none {
@@ -202,7 +215,7 @@
                      return state.find_job(submit.spec.customer,
                                            submit.spec.key) != nullptr;
                    });
-                   if (exists) return {};
+                   if (exists || fits_known_workers(submit.spec)) return {};
                    return check_job(submit.spec, roster(), *site());
                  },
                  [](const cancel_jobs&) -> none { return {}; },
--- a/src/adapters/control_node.h
+++ b/src/adapters/control_node.h
@@ -85,6 +85,7 @@
   void handle_query(const peer_token& from, const wire::call& call);
   void handle_members(const peer_token& from, const wire::call& call);
   auto roster() -> worker_roster;
+  auto fits_known_workers(const job_spec& spec) -> bool;
   auto validate(const command& change) -> std::optional<problem>;
   auto validate_file(std::string_view name, std::optional<std::string> body)
       -> std::optional<problem>;
--- a/src/core/state/replicated_state.h
+++ b/src/core/state/replicated_state.h
@@ -33,6 +33,11 @@
   auto find_job(std::string_view customer, std::string_view key) const
       -> const job_record*;
 
+  /// The result of a change of the configuration with this id, if it was
+  /// accepted before; a conflict if it was another change.
+  auto find_change(std::string_view id, std::uint64_t digest) const
+      -> std::optional<command_result>;
+
   /// Ids of the jobs that have not ended or still have accelerators.
   auto active_jobs() const -> const std::set<job_id>& { return active_; }
 
@@ -53,8 +58,6 @@
   auto apply_one(const complete_key& cmd) -> command_result;
   auto apply_one(const release_key& cmd) -> command_result;
 
-  auto find_change(std::string_view id, std::uint64_t digest) const
-      -> std::optional<command_result>;
   auto accept_change(std::string_view id, std::uint64_t digest,
                      std::string_view file, time_point at) -> command_result;
   auto find_placed_attempt(job_id id, std::uint32_t attempt) -> job_record*;
--- a/test/forwarder_test.cpp
+++ b/test/forwarder_test.cpp
@@ -26,7 +26,7 @@
 constexpr std::chrono::seconds release_limit{10};
 
 /// What happens to a command on its way to the state and back.
-enum class fate { answered, reply_lost, lost, not_committed };
+enum class fate { answered, reply_lost, lost, not_committed, refused };
 
 /// A control group of one replica that treats commands as a script says.
 class scripted_control {
@@ -48,6 +48,10 @@
     if (auto* claim = std::get_if<claim_key>(&*change)) claim->at = wall_now();
     auto fate_of_command = decide_(*change);
     if (fate_of_command == fate::lost) return;
+    if (fate_of_command == fate::refused) {
+      refuse(from, message.request().id());
+      return;
+    }
     auto result = fate_of_command == fate::not_committed
                       ? site_state_machine::not_committed()
                       : state_.apply(*change, {});
@@ -58,6 +62,14 @@
     peers_.reply(from, std::move(out));
   }
 
+  void refuse(std::string_view from, std::uint64_t call) {
+    wire::envelope out;
+    out.mutable_reply()->set_id(call);
+    write(problem{409, "Refused", "scripted", run_outcome::not_run},
+          *out.mutable_reply()->mutable_refused());
+    peers_.reply(from, std::move(out));
+  }
+
   script decide_;           // called on the socket's thread
   replicated_state state_;  // used on the socket's thread only
   peer_socket peers_{{"site", "control"},
@@ -136,6 +148,7 @@
   CPPUNIT_TEST_SUITE(forwarder_test);
   CPPUNIT_TEST(frees_the_key_of_a_claim_without_a_reply);
   CPPUNIT_TEST(frees_the_key_of_a_claim_refused_after_a_lost_reply);
+  CPPUNIT_TEST(frees_the_key_of_a_claim_that_another_leader_refuses);
   CPPUNIT_TEST(frees_the_key_after_lost_releases);
   CPPUNIT_TEST_SUITE_END();
 
@@ -169,6 +182,23 @@
     CPPUNIT_ASSERT(can_be_sent_again(entry));
   }
 
+  // Guards against "not run" for a change that is refused by the next leader
+  // after the former one committed it.
+  void frees_the_key_of_a_claim_that_another_leader_refuses() {
+    std::atomic<int> claims{0};
+    std::atomic<bool> replies{false};
+    scripted_control control([&](const command& change) {
+      if (!is_claim(change) || replies) return fate::answered;
+      return claims++ == 0 ? fate::reply_lost : fate::refused;
+    });
+    scripted_entry entry;
+    auto first = entry.post_order();
+    CPPUNIT_ASSERT(first.header("Parsley-Outcome") == "not-run");
+    CPPUNIT_ASSERT(claims > 1);
+    replies = true;
+    CPPUNIT_ASSERT(can_be_sent_again(entry));
+  }
+
   void frees_the_key_after_lost_releases() {
     std::atomic<bool> delivers{false};
     scripted_control control([&](const command& change) {
