--- a/src/adapters/peer_socket.cpp
+++ b/src/adapters/peer_socket.cpp
@@ -75,8 +75,8 @@
   std::deque<outgoing> outbox;
   bool wake_pending = false;
   bool stopping = false;
-  std::map<std::string, peer> peers;
-  std::map<std::string, message_delay> delays;  // by connection
+  std::map<std::string, peer, std::less<>> peers;
+  std::map<std::string, message_delay, std::less<>> delays;  // by connection
   std::thread thread;
   std::atomic<std::uint64_t> sent{0};
   std::atomic<std::uint64_t> received{0};
@@ -100,7 +100,7 @@
     wake_sender.send(zmq::message_t(), zmq::send_flags::dontwait);
   }
 
-  auto connect_peer(const std::string& address) -> peer* {
+  auto connect_peer(std::string_view address) -> peer* {
     auto it = peers.find(address);
     if (it == peers.end()) {
       zmq::socket_t socket(context, zmq::socket_type::dealer);
@@ -109,7 +109,7 @@
       socket.set(zmq::sockopt::reconnect_ivl, reconnect_ms);
       socket.set(zmq::sockopt::reconnect_ivl_max, reconnect_max_ms);
       try {
-        socket.connect("tcp://" + address);
+        socket.connect("tcp://" + std::string(address));
       } catch (const zmq::error_t& error) {
         log_event(
             log_level::error, "peer_address_invalid",
@@ -158,7 +158,7 @@
             id, zmq::send_flags::sndmore | zmq::send_flags::dontwait);
         if (result) result = router.send(body, zmq::send_flags::dontwait);
       } else {
-        auto address = item.is_reply ? item.to.substr(1) : item.to;
+        auto address = std::string_view(item.to).substr(item.is_reply ? 1 : 0);
         if (auto* to = connect_peer(address)) {
           result = to->socket.send(body, zmq::send_flags::dontwait);
           waits = !result && wait_for_connection(*to, item);
@@ -174,7 +174,7 @@
     }
   }
 
-  void deliver(std::string from, const zmq::message_t& body) {
+  void deliver(std::string_view from, const zmq::message_t& body) {
     received += body.size();
     wire::envelope message;
     bool parsed =
@@ -191,10 +191,12 @@
     receive(from, std::move(message));
   }
 
-  auto record_delay(const std::string& from, const wire::envelope& message)
+  auto record_delay(std::string_view from, const wire::envelope& message)
       -> milliseconds {
     if (delays.size() > max_connections) delays.clear();
-    return delays[from].record(at_ms(message.sent_at()), steady_now());
+    auto it = delays.find(from);
+    if (it == delays.end()) it = delays.emplace(from, message_delay{}).first;
+    return it->second.record(at_ms(message.sent_at()), steady_now());
   }
 
   void read_router() {
@@ -207,11 +209,11 @@
     }
   }
 
-  void read_peer(const std::string& address, zmq::socket_t& socket) {
+  void read_peer(std::string_view address, zmq::socket_t& socket) {
     while (true) {
       zmq::message_t body;
       if (!socket.recv(body, zmq::recv_flags::dontwait)) return;
-      deliver("D" + address, body);
+      deliver("D" + std::string(address), body);
     }
   }
 
