--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -246,9 +246,9 @@
   }
 }
 
-// Whether a step has waited for so long that it may take capacity which is
-// kept for others: long-running tasks always, others while the service is
-// under half used.
+// Whether a step is past last_resort_delay and may use capacity that is kept
+// for others: long-running tasks always, other tasks while at least half of
+// the service is free.
 auto dispatcher::is_overdue(const backlog_item& item, planning_pass& pass,
                             time_point now) const -> bool {
   auto it = waiting_since_.find(item.step);
--- a/test/scheduler_test.cpp
+++ b/test/scheduler_test.cpp
@@ -517,7 +517,7 @@
     CPPUNIT_ASSERT_EQUAL(409, status(settled_at - milliseconds(1)));
     CPPUNIT_ASSERT_EQUAL(422, status(settled_at));
     CPPUNIT_ASSERT(detail_contains(settled_at, "9 workers have reported"));
-    // The next leadership of this process begins anew.
+    // Reports to an earlier leadership of this process do not count.
     tracker.end_leadership();
     CPPUNIT_ASSERT_EQUAL(409, status(settled_at));
     tracker.begin_leadership(settled_at);
--- a/test/system_test.cpp
+++ b/test/system_test.cpp
@@ -281,9 +281,9 @@
       return site.send_as_customer(entry, "POST", "/s/orders/" + key,
                                    {{"Idempotency-Key", key}});
     };
-    // Entries get no slots for some seconds after an election. The outcome of
-    // an order whose deadline passes while it runs is unknown for good, so that
-    // each attempt has a key of its own.
+    // Entries get no slots for three seconds after an election. An order whose
+    // deadline passes while it runs is never repeated under its key, so each
+    // attempt has a new one.
     http_response warm;
     int attempts = 0;
     bool ready = eventually([&] {
