Call two crashes conclusive only if both workers had started the task

Cause: after two crashes a task counted as the cause if the last worker had started it. The first one may have crashed before the start was sent, which a new leader cannot know, so two coincidences failed an innocent job.

Change: the tables count the crashes after a confirmed start as well; two of these are needed, or three crashes in all.

Evidence: dispatcher_test::a_crash_before_a_confirmed_start_proves_nothing fails before (the job is failed) and passes now.

--- a/src/adapters/fleet_codec.cpp
+++ b/src/adapters/fleet_codec.cpp
@@ -340,6 +340,7 @@
     one.set_failures(task.failures);
     one.set_crashes(task.crashes);
     one.set_crashed_alone(task.crashed_alone);
+    one.set_started_crashes(task.started_crashes);
     one.set_holding(task.assigned);
     one.set_done(task.done);
     write(task.worker, *one.mutable_worker());
@@ -356,8 +357,9 @@
   step_record to;
   for (const auto& task : from.tasks()) {
     to.tasks.push_back({task.run(), task.failures(), task.crashes(),
-                        task.crashed_alone(), task.holding(), task.done(),
-                        read(task.worker()), task.snapshot()});
+                        task.crashed_alone(), task.started_crashes(),
+                        task.holding(), task.done(), read(task.worker()),
+                        task.snapshot()});
   }
   to.done = from.done();
   to.failures = from.failures();
--- a/src/core/fleet/fleet_state.cpp
+++ b/src/core/fleet/fleet_state.cpp
@@ -224,6 +224,7 @@
       continue;
     }
     ++task->crashes;
+    if (suspect.started) ++task->started_crashes;
     task->crashed_alone = alone && suspect.started;
     update_revision(it->second);
   }
--- a/src/core/fleet/records.cpp
+++ b/src/core/fleet/records.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 // A worker also crashes because of another of its tasks, or of none. So two
-// crashes prove that a task is at fault only if the last worker had started
-// tasks of the same job only.
+// crashes prove that a task is at fault only if both workers had started it,
+// and the last one started tasks of the same job only.
 constexpr std::uint32_t max_crashes = 3;
 constexpr std::uint32_t max_crashes_alone = 2;
 
@@ -16,8 +16,9 @@
 
 auto crashes_workers(const step_record& step) -> bool {
   return std::ranges::any_of(step.tasks, [](const task_record& task) {
-    auto limit = task.crashed_alone ? max_crashes_alone : max_crashes;
-    return !task.done && task.crashes >= limit;
+    bool is_proved =
+        task.crashed_alone && task.started_crashes >= max_crashes_alone;
+    return !task.done && (is_proved || task.crashes >= max_crashes);
   });
 }
 
--- a/src/core/fleet/records.h
+++ b/src/core/fleet/records.h
@@ -18,6 +18,7 @@
   std::uint32_t failures = 0;
   std::uint32_t crashes = 0;   // of workers to which it was assigned
   bool crashed_alone = false;  // the last of these ran tasks of its job only
+  std::uint32_t started_crashes = 0;  // those after a confirmed start
   bool assigned = false;
   bool done = false;
   worker_incarnation worker;
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -125,6 +125,13 @@
   CPPUNIT_TEST(work_goes_on_after_random_events);
   CPPUNIT_TEST_SUITE_END();
 
+  CPPUNIT_TEST(a_crash_before_a_confirmed_start_proves_nothing);
+  CPPUNIT_TEST(unhealthy_workers_get_no_placement_for_a_while);
+  CPPUNIT_TEST(a_report_from_before_maintenance_does_not_end_it);
+  CPPUNIT_TEST(a_new_leader_keeps_work_off_a_machine_under_maintenance);
+  CPPUNIT_TEST(discarded_work_has_its_cause);
+  CPPUNIT_TEST(a_gangs_loss_has_the_cause_of_its_first_member);
+  CPPUNIT_TEST(waiting_has_its_cause);
  public:
   void steps_run_in_order() {
     fleet_site site(2);
@@ -933,6 +940,147 @@
     std::vector<fleet::job_id> others;
     for (int i = 0; i < 8; ++i) {
       others.push_back(site.submit("q1", make_step(4, 1)));
+  // Guards against a job that fails because one worker crashed with a task that
+  // it may not have started, and a second one crashed after its start.
+  void a_crash_before_a_confirmed_start_proves_nothing() {
+    fleet_site site(2);
+    site.workers[0].late_by = seconds(5);
+    auto step = make_step(1, 8);
+    step.long_running = true;
+    auto id = site.submit("q1", step);
+    site.run_for(milliseconds(100));
+    site.replace_leader();
+    site.workers[0].late_by = {};
+    site.restart_worker(0);
+    site.run_for(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(1, site.running(id));
+    site.restart_worker(site.workers[0].running.empty() ? 1 : 0);
+    site.run_for(seconds(5));
+    assert_state(job_state::running, site, id);
+    CPPUNIT_ASSERT_EQUAL(1, site.running(id));
+    assert_clean(site);
+  }
+
+  // Guards against placements that follow each other at the rate of the
+  // network while every worker rejects the start as unhealthy.
+  void unhealthy_workers_get_no_placement_for_a_while() {
+    fleet_site site(2);
+    site.submit("q1", make_step(2, 5));
+    site.run_for(milliseconds(500));
+    for (auto& w : site.workers) w.is_unavailable = true;
+    auto id = site.submit("q1", make_step(1, 1));
+    site.run_for(seconds(1));
+    auto placed = std::ranges::count_if(site.history, [](const auto& line) {
+      return line.find(" placed ") != std::string::npos;
+    });
+    CPPUNIT_ASSERT(placed <= 8);
+    for (auto& w : site.workers) w.is_unavailable = false;
+    site.run_for(seconds(15));
+    assert_state(job_state::complete, site, id);
+    assert_clean(site);
+  }
+
+  // Guards against maintenance that counts as ended because the report of a
+  // worker that restarted before it began is recorded after that.
+  void a_report_from_before_maintenance_does_not_end_it() {
+    fleet_site site(2);
+    site.run_for(seconds(1));
+    site.commits_enabled = false;
+    site.start_wave(1, {0, 1}, 1, seconds(30));
+    site.restart_worker(0);
+    site.commits_enabled = true;
+    site.run_for(seconds(20));
+    CPPUNIT_ASSERT(is_complete(site.wave(1)));
+    assert_clean(site);
+  }
+
+  // Guards against work that a new leader assigns to a machine under
+  // maintenance, and that then counts as the cause of its restart.
+  void a_new_leader_keeps_work_off_a_machine_under_maintenance() {
+    fleet_site site(1);
+    site.workers[0].drops_responses = true;
+    site.start_wave(1, {0}, 1, seconds(30));
+    site.run_for(milliseconds(700));
+    CPPUNIT_ASSERT(site.workers[0].unreachable);
+    site.workers[0].drops_responses = false;
+    auto id = site.submit("q1", make_step(1, 1));
+    site.replace_leader();
+    site.run_for(milliseconds(500));
+    CPPUNIT_ASSERT(site.job(id).open.empty());
+    site.run_for(seconds(30));
+    assert_state(job_state::complete, site, id);
+    CPPUNIT_ASSERT(is_complete(site.wave(1)));
+    assert_clean(site);
+  }
+
+  /// The names of the causes of discarded work, each once.
+  static auto causes_of(const fleet_site& site) -> std::set<std::string_view> {
+    std::set<std::string_view> causes;
+    for (const auto& lost : site.discarded)
+      causes.insert(to_string(lost.cause));
+    return causes;
+  }
+
+  void discarded_work_has_its_cause() {
+    fleet_site site(2);
+    site.configure(16);
+    site.task_duration = seconds(3);
+    auto id = site.submit("q1", make_step(2, 8));
+    site.run_for(seconds(1));
+    site.submit("q0", make_gang(2, 8));
+    site.run_for(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, site.discarded.size());
+    for (const auto& lost : site.discarded) {
+      const auto* cause = std::get_if<fleet::displaced>(&lost.cause);
+      CPPUNIT_ASSERT(cause != nullptr);
+      CPPUNIT_ASSERT(cause->by.job != id);
+      CPPUNIT_ASSERT_EQUAL(std::string("q1"), lost.queue);
+      // 65 cores for a second and the time that the stop takes.
+      CPPUNIT_ASSERT(lost.core_ms > 65 * 900 && lost.core_ms < 65 * 1500);
+    }
+    site.discarded.clear();
+    site.crash_worker(0, seconds(3));
+    site.run_for(seconds(4));
+    CPPUNIT_ASSERT(causes_of(site).contains("worker_ended"));
+    site.discarded.clear();
+    site.cancel(id);
+    site.run_for(seconds(3));
+    CPPUNIT_ASSERT(causes_of(site).size() <= 1);
+    assert_clean(site);
+  }
+
+  void a_gangs_loss_has_the_cause_of_its_first_member() {
+    fleet_site site(3);
+    site.task_duration = seconds(10);
+    auto id = site.submit("q1", make_gang(3, 8));
+    site.run_for(seconds(1));
+    site.crash_worker(1, seconds(3));
+    site.run_for(seconds(6));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, site.discarded.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, causes_of(site).size());
+    CPPUNIT_ASSERT(causes_of(site).contains("worker_ended"));
+    site.run_for(seconds(20));
+    assert_state(job_state::complete, site, id);
+    assert_clean(site);
+  }
+
+  void waiting_has_its_cause() {
+    fleet_site site(2);
+    site.task_duration = seconds(2);
+    site.submit("q1", make_step(4, 5));
+    auto id = site.submit("q1", make_gang(2, 4));
+    site.run_for(seconds(6));
+    assert_state(job_state::complete, site, id);
+    std::map<std::string_view, milliseconds> waits;
+    for (const auto& waited : site.waits) {
+      for (const auto& share : waited.shares)
+        waits[to_string(share.cause)] += share.time;
+    }
+    CPPUNIT_ASSERT(waits["no_capacity"] + waits["fragmented_capacity"] >=
+                   milliseconds(1500));
+    assert_clean(site);
+  }
+
       site.run_for(seconds(1));
     }
     site.run_for(seconds(30));
