--- a/src/core/fleet/dispatch_maintenance.cpp
+++ b/src/core/fleet/dispatch_maintenance.cpp
@@ -221,6 +221,14 @@
   // If an earlier request got no response, a changed incarnation may have
   // started before the maintenance or after it; only the platform's list of
   // machines can tell.
+  bool responds = worker != nullptr && worker->missed_responses == 0 &&
+                  worker->unavailable_until <= now.steady;
+  bool is_recorded_one = worker != nullptr && is_confirmed(*worker, now);
+  if (responds && !is_recorded_one) {
+    bool can_probe = !worker->probe_pending && worker->next_poll <= now.steady;
+    if (can_probe) send_poll(*record, *worker, milliseconds(0), now);
+    return;
+  }
   drain.incarnation_is_certain =
       !drain.was_requested || drain.incarnation == incarnation;
   drain.incarnation = incarnation;
--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -125,7 +125,9 @@
       worker.incarnation != record.incarnation) {
     return false;
   }
-  if (worker.missed_responses > 0) return false;
+  bool is_unresponsive =
+      worker.missed_responses > 0 || worker.unavailable_until > now.steady;
+  if (is_unresponsive) return false;
   auto received_at = std::max(worker.reported_at, worker.responded_at);
   return now.steady - received_at <= limits_.report_timeout;
 }
--- a/src/core/fleet/dispatch_responses.cpp
+++ b/src/core/fleet/dispatch_responses.cpp
@@ -364,7 +364,8 @@
                         const worker_unavailable&, clock_reading now) {
   auto& worker = workers_[pending.worker.name];
   worker.responded_at = now.steady;
-  worker.next_poll = now.steady + unhealthy_retry_delay;
+  worker.next_poll = worker.unavailable_until =
+      now.steady + unhealthy_retry_delay;
   if (std::holds_alternative<poll_request>(pending.request)) {
     // Starts wait for a poll that it carries out.
     for (auto* waiting : worker.runs) {
