End maintenance by the list of machines unless the worker was just confirmed

Cause: a worker that restarted just before its machine's maintenance may have its report recorded after the maintenance began. The report then counted as the return of the machine, and the next machine of the wave was taken while the first was down. And a new leader assigned work to a machine under maintenance whose worker had not been removed; its restart counted as a crash.

Change: before the request, a poll has to show which incarnation runs. If none can, the platform's list of machines tells when the machine is back. Workers of machines under maintenance get no work as long as the maintenance lasts.

Evidence: a_report_from_before_maintenance_does_not_end_it failed with too many machines under maintenance, a_new_leader_keeps_work_off_a_machine_under_maintenance with the placement; both pass now (dispatcher_test).

--- a/src/core/fleet/dispatch_health.cpp
+++ b/src/core/fleet/dispatch_health.cpp
@@ -71,7 +71,10 @@
   const auto* record = find_worker(tables, ended);
   if (record == nullptr || record->draining) return {};
   auto drain = drains_.find(machine_of(*record));
-  if (drain != drains_.end() && drain->second.was_requested) return {};
+  bool may_have_begun =
+      drain != drains_.end() &&
+      (drain->second.was_requested || drain->second.in_maintenance);
+  if (may_have_begun) return {};
   std::vector<suspected_run> suspects;
   for (const auto& [ref, run] : runs_) {
     if (run.worker != ended || run.outlived_start) continue;
--- a/src/core/fleet/dispatch_maintenance.cpp
+++ b/src/core/fleet/dispatch_maintenance.cpp
@@ -77,13 +77,26 @@
     choose_machines(number, wave, by_machine, now);
   }
   for (auto& [machine, drain] : drains_) {
-    if (drain.in_maintenance || drain.end_proposed) continue;
+    if (drain.end_proposed) continue;
     auto it = by_machine.find(machine);
     const auto* record = it == by_machine.end() ? nullptr : it->second;
-    drain_machine(tables, machine, drain, record, now);
+    auto* worker = mark_under_maintenance(record);
+    if (!drain.in_maintenance)
+      drain_machine(tables, machine, drain, record, worker, now);
   }
 }
 
+// Keeps work away from a worker. Returns its state, or null if it has none.
+auto dispatcher::mark_under_maintenance(const worker_record* record)
+    -> worker_state* {
+  if (record == nullptr) return nullptr;
+  auto it = workers_.find(record->incarnation.name);
+  if (it == workers_.end() || it->second.incarnation != record->incarnation)
+    return nullptr;
+  it->second.under_maintenance = true;
+  return &it->second;
+}
+
 // Ends the maintenance of machines from which a later incarnation reports. If
 // none reports in time, the platform is asked for its list of machines.
 void dispatcher::handle_returned_machines(std::uint64_t number,
@@ -191,15 +204,8 @@
 // drain time is over.
 void dispatcher::drain_machine(const fleet_tables& tables,
                                std::string_view machine, machine_drain& drain,
-                               const worker_record* record, clock_reading now) {
-  worker_state* worker = nullptr;
-  if (record != nullptr) {
-    auto it = workers_.find(record->incarnation.name);
-    if (it != workers_.end() && it->second.incarnation == record->incarnation) {
-      worker = &it->second;
-      worker->under_maintenance = true;
-    }
-  }
+                               const worker_record* record,
+                               worker_state* worker, clock_reading now) {
   if (worker != nullptr && !worker->runs.empty()) {
     auto drain_time = drain_time_of(tables.waves.at(drain.wave), now.wall);
     bool timed_out = now.steady - drain.since >= drain_time;
@@ -210,17 +216,11 @@
       bool stops = spec.long_running
                        ? can_stop_for_maintenance(tables, run->task)
                        : spec.checkpoints || timed_out;
-      if (stops) stop_run(*run, "maintenance of its machine");
+      if (stops) stop_run(*run, machine_maintenance{});
     }
     return;
   }
   if (drain.request != 0 || drain.next_attempt_at > now.steady) return;
-  drain.request = next_id_++;
-  auto incarnation =
-      record == nullptr ? worker_incarnation{} : record->incarnation;
-  // If an earlier request got no response, a changed incarnation may have
-  // started before the maintenance or after it; only the platform's list of
-  // machines can tell.
   bool responds = worker != nullptr && worker->missed_responses == 0 &&
                   worker->unavailable_until <= now.steady;
   bool is_recorded_one = worker != nullptr && is_confirmed(*worker, now);
@@ -229,8 +229,16 @@
     if (can_probe) send_poll(*record, *worker, milliseconds(0), now);
     return;
   }
+  drain.request = next_id_++;
+  auto incarnation =
+      record == nullptr ? worker_incarnation{} : record->incarnation;
+  // A later incarnation may have started without a report yet, before the
+  // maintenance. If an earlier request got no response, a changed incarnation
+  // may have started before the maintenance or after it. Only the platform's
+  // list of machines can tell.
   drain.incarnation_is_certain =
-      !drain.was_requested || drain.incarnation == incarnation;
+      is_recorded_one &&
+      (!drain.was_requested || drain.incarnation == incarnation);
   drain.incarnation = incarnation;
   drain.was_requested = true;
   effects_.emplace_back(send_machine_request{
@@ -264,8 +272,11 @@
             log_decision(
                 "upkeep_begun",
                 {{"machine", machine}, {"wave", std::to_string(drain.wave)}});
-            propose_command(record_maintenance{
-                drain.wave, machine, false, drain.incarnation.started_at_ms});
+            auto started_at_ms = drain.incarnation_is_certain
+                                     ? drain.incarnation.started_at_ms
+                                     : 0;
+            propose_command(
+                record_maintenance{drain.wave, machine, false, started_at_ms});
             if (drain.incarnation_is_certain &&
                 !drain.incarnation.name.empty()) {
               propose_command(remove_worker{drain.incarnation, {}});
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -294,7 +294,8 @@
                        const workers_by_machine& by_machine, clock_reading now);
   void drain_machine(const fleet_tables& tables, std::string_view machine,
                      machine_drain& drain, const worker_record* record,
-                     clock_reading now);
+                     worker_state* worker, clock_reading now);
+  auto mark_under_maintenance(const worker_record* record) -> worker_state*;
   auto can_stop_for_maintenance(const fleet_tables& tables,
                                 const task_ref& task) const -> bool;
   void end_maintenance(std::string_view machine, machine_drain& drain,
