--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -27,6 +27,10 @@
   return {steady_now(), wall_now()};
 }
 
+auto labelled(std::string_view metric, std::string_view cause) -> std::string {
+  return std::string(metric) + "{cause=\"" + std::string(cause) + "\"}";
+}
+
 }  // namespace
 
 fleet_control_node::fleet_control_node(
@@ -252,6 +256,35 @@
   log_decision(effect.event, effect.fields);
 }
 
+void fleet_control_node::execute_effect(fleet::work_discarded& effect) {
+  auto cause = to_string(effect.cause);
+  log_event(log_level::info, "work_discarded",
+            {{"task", fleet::to_string(effect.task)},
+             {"run", std::int64_t{effect.run}},
+             {"worker", effect.worker},
+             {"queue", effect.queue},
+             {"cause", cause},
+             {"reason", describe(effect.cause)},
+             {"through_gang", effect.through_gang},
+             {"core_ms", effect.core_ms}});
+  metrics_.counter(labelled("discarded_core_milliseconds_total", cause))
+      .fetch_add(static_cast<std::uint64_t>(effect.core_ms));
+  metrics_.counter(labelled("discarded_runs_total", cause)).fetch_add(1);
+}
+
+void fleet_control_node::execute_effect(fleet::wait_ended& effect) {
+  for (const auto& share : effect.shares) {
+    auto cause = to_string(share.cause);
+    log_event(log_level::info, "waited",
+              {{"step", fleet::to_string(effect.step)},
+               {"queue", effect.queue},
+               {"cause", cause},
+               {"wait_ms", share.time.count()}});
+    metrics_.counter(labelled("waiting_milliseconds_total", cause))
+        .fetch_add(static_cast<std::uint64_t>(share.time.count()));
+  }
+}
+
 auto fleet_control_node::call_worker(fleet::send_worker_request effect)
     -> asio::awaitable<void> {
   auto id = effect.id;
--- a/src/adapters/fleet_control_node.h
+++ b/src/adapters/fleet_control_node.h
@@ -121,6 +121,8 @@
   void execute_effect(fleet::ask_advice& effect);
   void execute_effect(fleet::send_machine_request& effect);
   void execute_effect(fleet::decision& effect);
+  void execute_effect(fleet::work_discarded& effect);
+  void execute_effect(fleet::wait_ended& effect);
   auto call_worker(fleet::send_worker_request effect)
       -> boost::asio::awaitable<void>;
   auto ask_policy(fleet::ask_advice effect) -> boost::asio::awaitable<void>;
--- a/src/apps/ctl.cpp
+++ b/src/apps/ctl.cpp
@@ -11,6 +11,7 @@
 #include <span>
 
 #include "adapters/clock.h"
+#include "adapters/log_summary.h"
 #include "adapters/log_trace.h"
 #include "adapters/operator_client.h"
 #include "adapters/settings.h"
@@ -33,6 +34,7 @@
 
 constexpr std::chrono::milliseconds wait_interval{200};
 constexpr std::chrono::seconds default_push_wait{60};
+constexpr std::size_t max_costly_decisions = 10;
 
 using arguments = std::span<const std::string>;
 
@@ -76,16 +78,89 @@
   return exit_code::done;
 }
 
-/// Prints the log lines of one request from the files of a folder, by time.
-auto print_request_trace(operator_client&, arguments args) -> exit_code {
+/// The contents of the files of a folder.
+auto read_logs(std::string_view folder) -> std::vector<std::string> {
   std::error_code ec;
   std::vector<std::string> logs;
-  for (const auto& entry : std::filesystem::directory_iterator(args[1], ec)) {
+  for (const auto& entry : std::filesystem::directory_iterator(folder, ec)) {
     if (entry.is_regular_file())
       logs.push_back(read_text(entry.path().c_str()));
   }
-  if (ec) exit_with_message(exit_code::refused, args[1] + ": " + ec.message());
-  auto trace = read_log_trace(logs, args[0]);
+  if (ec) {
+    exit_with_message(exit_code::refused,
+                      std::string(folder) + ": " + ec.message());
+  }
+  return logs;
+}
+
+auto format_cost(double cost) -> std::string {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.1f", cost);
+  return text;
+}
+
+/// The summary as one JSON object.
+auto to_json(const log_summary& summary) -> json::object {
+  json::array causes;
+  for (const auto& [key, total] : summary.totals) {
+    const auto& [kind, cause, queue] = key;
+    causes.push_back({{"kind", kind},
+                      {"cause", cause},
+                      {"queue", queue},
+                      {"count", total.count},
+                      {"cost", total.cost}});
+  }
+  json::array costliest;
+  for (const auto& d : summary.costliest) {
+    costliest.push_back({{"time", d.time},
+                         {"step", d.step},
+                         {"queue", d.queue},
+                         {"cause", d.cause},
+                         {"reason", d.reason},
+                         {"runs", d.total.count},
+                         {"core_seconds", d.total.cost}});
+  }
+  return {{"causes", std::move(causes)},
+          {"costliest", std::move(costliest)},
+          {"malformed_lines", summary.malformed_lines},
+          {"suppressed_lines", summary.suppressed_lines}};
+}
+
+/// Prints why work was discarded and steps waited, from the files of a folder.
+auto print_log_summary(operator_client&, arguments args) -> exit_code {
+  auto summary = summarize_logs(read_logs(args[0]), max_costly_decisions);
+  if (summary.totals.empty()) {
+    exit_with_message(exit_code::refused,
+                      "no line of discarded work or of waiting in " + args[0]);
+  }
+  if (absl::GetFlag(FLAGS_json)) {
+    std::cout << json::serialize(to_json(summary)) << "\n";
+    return exit_code::done;
+  }
+  text_table causes{{"what", "cause", "queue", "count", "seconds"}, {}};
+  for (const auto& [key, total] : summary.totals) {
+    const auto& [kind, cause, queue] = key;
+    causes.rows.push_back({kind, cause, queue, std::to_string(total.count),
+                           format_cost(total.cost)});
+  }
+  text_table costliest{{"time", "step", "queue", "runs", "core-s", "reason"},
+                       {}};
+  for (const auto& d : summary.costliest) {
+    costliest.rows.push_back({d.time, d.step, d.queue,
+                              std::to_string(d.total.count),
+                              format_cost(d.total.cost), d.reason});
+  }
+  std::cout << causes.format() << "\n" << costliest.format();
+  if (summary.malformed_lines > 0)
+    std::cerr << summary.malformed_lines << " lines are not valid JSON\n";
+  if (summary.suppressed_lines > 0)
+    std::cerr << summary.suppressed_lines << " lines were left out\n";
+  return exit_code::done;
+}
+
+/// Prints the log lines of one request from the files of a folder, by time.
+auto print_request_trace(operator_client&, arguments args) -> exit_code {
+  auto trace = read_log_trace(read_logs(args[1]), args[0]);
   if (trace.malformed_lines > 0) {
     std::cerr << trace.malformed_lines
               << " lines that contain it are not valid JSON\n";
@@ -403,6 +478,8 @@
        }},
       {"explain", 2, "ID FOLDER: the log lines of a request in a folder",
        print_request_trace},
+      {"causes", 1, "FOLDER: why work was discarded and steps waited",
+       print_log_summary},
       {"dump", 1, "ip:port: the state of one process", print_state}};
 }
 
@@ -434,7 +511,7 @@
                             std::string(command.help));
     }
     bool is_local = command.name == "config check" || command.name == "dump" ||
-                    command.name == "explain";
+                    command.name == "explain" || command.name == "causes";
     auto entries = absl::GetFlag(FLAGS_entry).addresses;
     if (entries.empty() && !is_local) {
       exit_with_message(exit_code::bad_usage, "--entry ip:port is required");
--- a/src/core/fleet/dispatch_health.cpp
+++ b/src/core/fleet/dispatch_health.cpp
@@ -143,7 +143,7 @@
     auto run = runs_.find(member);
     bool affected = (gang || i == ref.index) && run != runs_.end();
     if (!affected || run->second.phase != run_phase::started) continue;
-    stop_run(run->second, "stalled");
+    stop_run(run->second, run_stalled{});
     auto worker = workers_.find(run->second.worker.name);
     if (worker == workers_.end()) continue;
     bool healthy = has_other_progress(run->second.worker, step, now);
@@ -188,7 +188,7 @@
     bool must_stop_now = spec.checkpoints && remaining < checkpoint_stop_time;
     if (ends_here || !(spec.long_running || cannot_finish || must_stop_now))
       continue;
-    stop_run(*run, "the worker is draining");
+    stop_run(*run, worker_drains{});
   }
 }
 
--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -18,8 +18,6 @@
 // Interval between two attempts to reclaim capacity for a step; a stop takes
 // half as long.
 constexpr milliseconds reclaim_interval{100};
-// How many cores the platform counts for an accelerator.
-constexpr std::int64_t cores_per_accelerator = 8;
 // Cost of a stop besides the repeated work: the capacity is idle until the stop
 // is confirmed, and the task loads its data again.
 constexpr milliseconds stop_overhead{1000};
@@ -34,11 +32,6 @@
 // since a job may have nothing running for three seconds at most.
 constexpr milliseconds last_resort_delay{2000};
 
-auto cores_of(const step_spec& spec) -> std::int64_t {
-  return spec.per_task.cpu_milli / 1000 +
-         spec.per_task.accelerators * cores_per_accelerator;
-}
-
 /// Core-milliseconds lost if a run is stopped. A stop saves the progress of a
 /// task with checkpoints.
 auto loss_of(const step_spec& spec, milliseconds run_time) -> std::int64_t {
@@ -204,7 +197,11 @@
   auto pass = begin_pass(tables, now);
   renew_gang_reservations(tables, pass, now);
   for (const auto& item : backlog) {
-    if (!has_pending_placement(item.step)) place_step(item, tables, pass, now);
+    if (has_pending_placement(item.step)) {
+      record_pending_wait(item.step, now);
+    } else {
+      place_step(item, tables, pass, now);
+    }
   }
 }
 
@@ -233,6 +230,7 @@
                  available->memory_mb >= 0 && available->accelerators >= 0;
     }
     if (is_ready) {
+      finish_wait(step, job->second.spec.queue, now);
       auto placements = reservation.placements;
       auto token = propose_command(place_tasks{placements, now.wall});
       proposed_placements_[token] = std::move(placements);
@@ -329,6 +327,7 @@
   bool overdue = is_overdue(item, pass, now.steady);
   if (failed_before && !urgent && !overdue && !item.suspected &&
       !gang_reservations_.contains(item.step)) {
+    waits_.extend(item.step, now.steady);
     return;
   }
   auto rows = pass.rows_of(service, label);
@@ -364,6 +363,7 @@
     request_advice(item, all_rows, pass, now);
   }
   if (chosen.empty()) {
+    record_wait(item, candidates, need, pass, now);
     if (!item.job_queue->advice && !item.suspected) {
       pass.record_failure(service, label, need);
     }
@@ -373,6 +373,7 @@
   }
   gang_reservations_.erase(item.step);
   waiting_since_.erase(item.step);
+  finish_wait(item.step, item.job_queue->name, now);
   auto placements = make_placements(item, chosen, rows, pass);
   double slowest = candidates[chosen.front().candidate].speed;
   for (const auto& c : chosen) {
@@ -540,7 +541,7 @@
   auto placements = make_placements(item, plan->chosen, rows, pass);
   for (auto v : plan->victims) {
     for (const auto& ref : found[v].tasks) {
-      stop_run(runs_.at(ref), "reclaimed for " + fleet::to_string(item.step));
+      stop_run(runs_.at(ref), displaced{item.step});
     }
   }
   // The runs to be stopped still use their capacity, so no other step of this
--- a/src/core/fleet/dispatch_responses.cpp
+++ b/src/core/fleet/dispatch_responses.cpp
@@ -169,7 +169,8 @@
       run.phase = run_phase::to_start;
       run.next_attempt_at = now.steady;
     } else if (lists_all_ends && is_lost_if_unlisted(run.phase)) {
-      mark_lost(ref, run, "run not found on the worker", now);
+      mark_lost(tables, run, start_abandoned{"run not found on the worker"},
+                now);
     }
   }
   for (const auto& ref : stalled) restart_stalled(tables, ref, now);
@@ -247,6 +248,9 @@
     if (end.outcome == run_end::done && run != runs_.end()) {
       measure_speed(tables, end.task, run->second, complete_percent, now);
     }
+    if (run != runs_.end()) {
+      record_end(tables.jobs.at(end.task.job), run->second, end.outcome, now);
+    }
     log_decision("ended", {{"task", fleet::to_string(end.task)},
                            {"run", std::to_string(end.run)},
                            {"worker", worker.incarnation.name},
@@ -294,7 +298,8 @@
                             : worker.withheld.front().sequence - 1;
 }
 
-void dispatcher::handle(const fleet_tables&, const pending_request& pending,
+void dispatcher::handle(const fleet_tables& tables,
+                        const pending_request& pending,
                         const request_rejected& response, clock_reading now) {
   auto& worker = workers_[pending.worker.name];
   if (response.clock_ms != 0)
@@ -333,17 +338,17 @@
       break;
     case rejection::no_capacity:
       worker.quarantined_until = now.steady + fence_retry_delay;
-      abandon_start(*run, "no capacity", now);
+      abandon_start(tables, *run, "no capacity", now);
       break;
     case rejection::no_ticket:
       tickets_.erase(
           {start->task.job, start->task.occurrence, start->task.step},
           run->worker);
-      abandon_start(*run, "no valid ticket", now);
+      abandon_start(tables, *run, "no valid ticket", now);
       break;
     case rejection::invalid:
       attribute_failure(worker, start->task, run_end::failed, now);
-      abandon_start(*run, "rejected as invalid", now);
+      abandon_start(tables, *run, "rejected as invalid", now);
       break;
   }
 }
@@ -360,7 +365,8 @@
                                 crash_suspects(tables, worker.incarnation)});
 }
 
-void dispatcher::handle(const fleet_tables&, const pending_request& pending,
+void dispatcher::handle(const fleet_tables& tables,
+                        const pending_request& pending,
                         const worker_unavailable&, clock_reading now) {
   auto& worker = workers_[pending.worker.name];
   worker.responded_at = now.steady;
@@ -371,7 +377,7 @@
     for (auto* waiting : worker.runs) {
       if (!waits_to_start(*waiting, now)) continue;
       attribute_failure(worker, waiting->task, run_end::failed, now);
-      abandon_start(*waiting, "worker is unhealthy", now);
+      abandon_start(tables, *waiting, "worker is unhealthy", now);
     }
     return;
   }
@@ -381,7 +387,7 @@
   if (const auto* start = std::get_if<start_request>(&pending.request)) {
     if (run->phase != run_phase::starting) return;
     attribute_failure(worker, start->task, run_end::failed, now);
-    abandon_start(*run, "worker is unhealthy", now);
+    abandon_start(tables, *run, "worker is unhealthy", now);
   } else if (run->phase == run_phase::stopping) {
     run->phase = run_phase::to_stop;
     run->next_attempt_at = now.steady + unhealthy_retry_delay;
@@ -409,36 +415,40 @@
               tables.jobs.at(start->task.job).spec.steps[start->task.step].gang;
   bool too_late = now.steady - run->placed_at >
                   limits_.gang_start_timeout - 2 * limits_.request_timeout;
-  if (too_late && gang) stop_run(*run, "no response to the start request");
+  if (too_late && gang) stop_run(*run, gang_incomplete{});
 }
 
 // Ends a run that could not be started. If an earlier start request got no
 // response it may still be carried out, so the run is stopped first: a worker
 // rejects the start of a run that it was requested to stop.
-void dispatcher::abandon_start(tracked_run& run, std::string_view reason,
-                               clock_reading now) {
-  if (run.start_unconfirmed) return stop_run(run, reason);
-  mark_lost(run.task, run, reason, now);
+void dispatcher::abandon_start(const fleet_tables& tables, tracked_run& run,
+                               std::string_view reason, clock_reading now) {
+  start_abandoned cause{std::string(reason)};
+  if (run.start_unconfirmed) return stop_run(run, std::move(cause));
+  mark_lost(tables, run, std::move(cause), now);
 }
 
-void dispatcher::mark_lost(const task_ref& ref, tracked_run& run,
-                           std::string_view reason, clock_reading now) {
+void dispatcher::mark_lost(const fleet_tables& tables, tracked_run& run,
+                           loss_cause cause, clock_reading now) {
+  const auto& ref = run.task;
   if (!lost_runs_.insert(ref).second) return;
   log_decision("run_lost", {{"task", fleet::to_string(ref)},
                             {"run", std::to_string(run.run)},
                             {"worker", run.worker.name},
-                            {"reason", std::string(reason)}});
+                            {"reason", describe(cause)}});
+  auto job = tables.jobs.find(ref.job);
+  if (job != tables.jobs.end()) record_loss(job->second, run, cause, now);
   propose_command(end_runs{
       {{ref, run.run, run.worker, run_end::lost, run.snapshot}}, now.wall});
 }
 
 void dispatcher::mark_runs_lost(const fleet_tables& tables,
                                 const worker_incarnation& incarnation,
-                                std::string_view reason, clock_reading now) {
+                                const loss_cause& cause, clock_reading now) {
   for (auto& [ref, run] : runs_) {
     const auto* task = find_task(tables, ref);
     if (run.worker != incarnation || task == nullptr) continue;
-    mark_lost(ref, run, reason, now);
+    mark_lost(tables, run, cause, now);
   }
 }
 
--- a/src/core/fleet/dispatch_tracking.cpp
+++ b/src/core/fleet/dispatch_tracking.cpp
@@ -46,16 +46,18 @@
 
 void dispatcher::erase_obsolete_state(const fleet_tables& tables,
                                       clock_reading now) {
-  std::erase_if(reclaim_tried_at_, [&](const auto& item) {
-    auto job = tables.jobs.find(item.first.job);
-    return job == tables.jobs.end() || is_ended(job->second);
-  });
-  std::erase_if(failing_jobs_,
-                [&](job_id id) { return !tables.jobs.contains(id); });
-  tickets_.erase_unless([&](job_id id) {
+  auto is_open = [&](job_id id) {
     auto job = tables.jobs.find(id);
     return job != tables.jobs.end() && !is_ended(job->second);
-  });
+  };
+  std::erase_if(reclaim_tried_at_,
+                [&](const auto& item) { return !is_open(item.first.job); });
+  waits_.erase_unless(is_open);
+  std::erase_if(gang_losses_,
+                [&](const auto& item) { return !is_open(item.first.job); });
+  std::erase_if(failing_jobs_,
+                [&](job_id id) { return !tables.jobs.contains(id); });
+  tickets_.erase_unless(is_open);
   std::erase_if(lost_runs_,
                 [&](const task_ref& ref) { return !runs_.contains(ref); });
   std::erase_if(workers_, [&](const auto& item) {
@@ -92,7 +94,11 @@
   }
   // Both lists are sorted by task.
   for (const auto& name : previous) {
-    if (!std::ranges::binary_search(tracked.runs, name)) runs_.erase(name);
+    if (std::ranges::binary_search(tracked.runs, name)) continue;
+    auto run = runs_.find(name);
+    if (run == runs_.end()) continue;
+    record_loss(job, run->second, worker_ended{}, now);
+    runs_.erase(run);
   }
   fail_if_hopeless(job, now);
 }
@@ -112,21 +118,26 @@
       continue;
     }
     task_ref name{ref.job, ref.occurrence, ref.step, i};
-    track_run(spec, task, name, now);
+    track_run(job, task, name, now);
     tracked.runs.push_back(name);
   }
   bool ended_early = is_ended(job) && job.state != job_state::complete;
   if (!ended_early && !gang_is_broken) return;
-  auto reason = ended_early ? to_string(job.state) : "a gang member ended";
   for (auto i = first; i < tracked.runs.size(); ++i) {
-    stop_run(runs_.at(tracked.runs[i]), reason);
+    auto& run = runs_.at(tracked.runs[i]);
+    if (ended_early) {
+      stop_run(run, job_over{job.state});
+    } else {
+      stop_run(run, gang_member_ended{});
+    }
   }
 }
 
-void dispatcher::track_run(const step_spec& spec, const task_record& task,
+void dispatcher::track_run(const job_record& job, const task_record& task,
                            const task_ref& name, clock_reading now) {
   auto& run = runs_[name];
   if (run.run != task.run || run.worker != task.worker) {
+    if (run.run != 0) record_loss(job, run, worker_ended{}, now);
     run = {};
     run.task = name;
     run.run = task.run;
@@ -137,11 +148,11 @@
   auto worker = workers_.find(task.worker.name);
   if (worker == workers_.end() || worker->second.incarnation != task.worker)
     return;
-  worker->second.used += reserved_by(spec);
+  worker->second.used += reserved_by(job.spec.steps[name.step]);
   worker->second.runs.push_back(&run);
 }
 
-void dispatcher::stop_run(tracked_run& run, std::string_view reason) {
+void dispatcher::stop_run(tracked_run& run, loss_cause cause) {
   bool is_stopping =
       run.phase == run_phase::to_stop || run.phase == run_phase::stopping ||
       run.phase == run_phase::stopped || run.phase == run_phase::unconfirmed;
@@ -149,9 +160,10 @@
   log_decision("stop", {{"task", fleet::to_string(run.task)},
                         {"run", std::to_string(run.run)},
                         {"worker", run.worker.name},
-                        {"reason", std::string(reason)}});
+                        {"reason", describe(cause)}});
   run.phase = run_phase::to_stop;
   run.next_attempt_at = {};
+  run.stop_cause = std::move(cause);
 }
 
 // Fails a job with a step that has failed as often as its queue allows, or of
--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -88,6 +88,8 @@
   reclaim_tried_at_.clear();
   gang_reservations_.clear();
   waiting_since_.clear();
+  waits_.clear();
+  gang_losses_.clear();
   failed_steps_ = {};
   tickets_ = {};
   pending_advice_.reset();
@@ -198,7 +200,7 @@
   for (auto& [name, worker] : workers_) {
     if (worker.runs.empty() || worker.missed_responses < 2) continue;
     if (!worker.clock.has_expired(now.steady)) continue;
-    mark_runs_lost(tables, worker.incarnation, "lease expired", now);
+    mark_runs_lost(tables, worker.incarnation, lease_over{}, now);
   }
   for (const auto& [name, worker] : workers_) evacuate(tables, worker, now);
   record_learned_speeds(now);
@@ -259,11 +261,11 @@
   }
   if (lost_runs_.contains(ref)) return;  // its end is proposed
   if (record.draining) {
-    return abandon_start(run, "the worker is draining", now);
+    return abandon_start(tables, run, "the worker is draining", now);
   }
   if (!is_confirmed(worker, now)) return;  // needs_probe() holds
   if (start_exceeds_capacity(tables, record, worker, run)) {
-    return abandon_start(run, "the worker's capacity has shrunk", now);
+    return abandon_start(tables, run, "the worker's capacity has shrunk", now);
   }
   auto lease = lease_for(worker, now);
   if (lease == 0) return;  // a poll has to read the worker's clock first
@@ -277,7 +279,8 @@
   if (queue != nullptr && queue->advice) {
     ticket = tickets_.ticket({ref.job, ref.occurrence, ref.step}, run.worker,
                              now.steady);
-    if (ticket.empty()) return abandon_start(run, "no valid ticket", now);
+    if (ticket.empty())
+      return abandon_start(tables, run, "no valid ticket", now);
   }
   run.phase = run_phase::starting;
   worker.clock.record_grant(lease);
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -18,6 +18,7 @@
 #include "core/fleet/speed_table.h"
 #include "core/fleet/ticket_cache.h"
 #include "core/fleet/tracked_run.h"
+#include "core/fleet/wait_ledger.h"
 #include "core/fleet/worker_state.h"
 
 namespace parsleyledge::fleet {
@@ -155,6 +156,12 @@
     bool incarnation_is_certain = true;
   };
 
+  /// What ended the first member of a gang's run.
+  struct gang_loss {
+    std::uint32_t run = 0;
+    loss_cause cause;
+  };
+
   /// Capacity reserved for a gang, by worker.
   struct gang_reservation {
     std::vector<std::pair<std::string, resources>> amounts;
@@ -176,10 +183,10 @@
                  clock_reading now);
   void track_step(const job_record& job, const step_ref& ref,
                   tracked_job& tracked, clock_reading now);
-  void track_run(const step_spec& spec, const task_record& task,
+  void track_run(const job_record& job, const task_record& task,
                  const task_ref& name, clock_reading now);
   void untrack_run(tracked_run& run, const resources& reserved);
-  void stop_run(tracked_run& run, std::string_view reason);
+  void stop_run(tracked_run& run, loss_cause cause);
   void fail_if_hopeless(const job_record& job, clock_reading now);
 
   // Requests to workers, in dispatcher.cpp; their responses, in
@@ -238,10 +245,10 @@
                                   worker_state& worker);
   void mark_runs_lost(const fleet_tables& tables,
                       const worker_incarnation& incarnation,
-                      std::string_view reason, clock_reading now);
-  void abandon_start(tracked_run& run, std::string_view reason,
-                     clock_reading now);
-  void mark_lost(const task_ref& ref, tracked_run& run, std::string_view reason,
+                      const loss_cause& cause, clock_reading now);
+  void abandon_start(const fleet_tables& tables, tracked_run& run,
+                     std::string_view reason, clock_reading now);
+  void mark_lost(const fleet_tables& tables, tracked_run& run, loss_cause cause,
                  clock_reading now);
   void record_learned_speeds(clock_reading now);
   auto propose_command(command proposed) -> std::uint64_t;
@@ -306,6 +313,24 @@
   void request_machine_list(clock_reading now);
   void handle_machine_list(const machine_list& listed);
 
+  // Records of discarded work and of waiting, in dispatch_accounting.cpp.
+  void record_end(const job_record& job, tracked_run& run, run_end outcome,
+                  clock_reading now);
+  void record_loss(const job_record& job, tracked_run& run,
+                   const loss_cause& cause, clock_reading now);
+  void attribute_to_gang(work_discarded& lost);
+  void record_wait(const backlog_item& item,
+                   std::span<const candidate> candidates,
+                   const placement_need& need, const planning_pass& pass,
+                   clock_reading now);
+  void record_pending_wait(const step_ref& step, clock_reading now);
+  void finish_wait(const step_ref& step, std::string_view queue,
+                   clock_reading now);
+  auto unreserved_candidates(const backlog_item& item,
+                             std::span<const std::size_t> rows,
+                             const planning_pass& pass) const
+      -> std::vector<candidate>;
+
   // Capacity reserved for gangs that wait, in
   // dispatch_gang_reservations.cpp.
   void renew_gang_reservations(const fleet_tables& tables, planning_pass& pass,
@@ -386,6 +411,8 @@
   // Since when steps wait, of jobs of which nothing runs and of long-running
   // tasks.
   std::map<step_ref, time_point> waiting_since_;
+  wait_ledger waits_;
+  std::map<step_ref, gang_loss> gang_losses_;  // of the latest run
   speed_table speeds_;
   time_point speeds_recorded_at_;
   failure_log failed_steps_;
--- a/src/core/fleet/effect.h
+++ b/src/core/fleet/effect.h
@@ -7,7 +7,9 @@
 #include <vector>
 
 #include "core/fleet/advice.h"
+#include "core/fleet/loss_cause.h"
 #include "core/fleet/machine_request.h"
+#include "core/fleet/wait_ledger.h"
 #include "core/fleet/worker_request.h"
 
 namespace parsleyledge::fleet {
@@ -35,7 +37,27 @@
   std::vector<std::pair<std::string_view, std::string>> fields;
 };
 
-using effect = std::variant<propose, send_worker_request, ask_advice,
-                            send_machine_request, decision>;
+/// A run has ended before it was done. Its work since it started is lost, but
+/// for what a checkpoint saved.
+struct work_discarded {
+  task_ref task;
+  std::uint32_t run = 0;
+  std::string worker;
+  std::string queue;
+  loss_cause cause;
+  bool through_gang = false;  // the cause ended another member of its gang
+  std::int64_t core_ms = 0;   // an accelerator counts as eight cores
+};
+
+/// A step that could not be placed at once is placed now.
+struct wait_ended {
+  step_ref step;
+  std::string queue;
+  std::vector<wait_share> shares;
+};
+
+using effect =
+    std::variant<propose, send_worker_request, ask_advice, send_machine_request,
+                 decision, work_discarded, wait_ended>;
 
 }  // namespace parsleyledge::fleet
--- a/src/core/fleet/job_spec.h
+++ b/src/core/fleet/job_spec.h
@@ -55,6 +55,15 @@
   return need;
 }
 
+/// How many cores an accelerator counts for.
+constexpr std::int64_t cores_per_accelerator = 8;
+
+/// The cores of a task of the step, with its accelerators counted as cores.
+constexpr auto cores_of(const step_spec& step) -> std::int64_t {
+  return step.per_task.cpu_milli / 1000 +
+         step.per_task.accelerators * cores_per_accelerator;
+}
+
 /// The number of occurrences of a job.
 constexpr auto occurrences_of(const job_spec& spec) -> std::uint32_t {
   return spec.occurrences == 0 ? 1 : spec.occurrences;
--- a/src/core/fleet/resources.h
+++ b/src/core/fleet/resources.h
@@ -43,6 +43,13 @@
           std::min(a.accelerators, b.accelerators)};
 }
 
+constexpr auto component_max(const resources& a, const resources& b)
+    -> resources {
+  return {std::max(a.cpu_milli, b.cpu_milli),
+          std::max(a.memory_mb, b.memory_mb),
+          std::max(a.accelerators, b.accelerators)};
+}
+
 /// Whether more of any component is in use than there is.
 constexpr auto exceeds(const resources& used, const resources& capacity)
     -> bool {
--- a/src/core/fleet/tracked_run.h
+++ b/src/core/fleet/tracked_run.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "core/fleet/command.h"
+#include "core/fleet/loss_cause.h"
 
 namespace parsleyledge::fleet {
 
@@ -37,8 +39,10 @@
   bool outlived_start = false;  // its worker did not crash as it started
   bool start_unconfirmed =
       false;  // a start without a response may still take effect
-  std::uint32_t throttle = 100;   // per cent, last confirmed
-  bool throttle_pending = false;  // a throttle request is in flight
+  std::optional<loss_cause> stop_cause;  // if it is or was to be stopped
+  bool end_recorded = false;             // as done or as discarded work
+  std::uint32_t throttle = 100;          // per cent, last confirmed
+  bool throttle_pending = false;         // a throttle request is in flight
 };
 
 }  // namespace parsleyledge::fleet
--- a/test/fleet_units_test.cpp
+++ b/test/fleet_units_test.cpp
@@ -10,6 +10,7 @@
 #include "core/fleet/placer.h"
 #include "core/fleet/reclaim.h"
 #include "core/fleet/speed_table.h"
+#include "core/fleet/wait_ledger.h"
 
 using namespace parsleyledge;
 using namespace parsleyledge::fleet;
@@ -54,6 +55,8 @@
   CPPUNIT_TEST(max_per_worker_is_respected);
   CPPUNIT_TEST(reclaim_stops_the_least_work);
   CPPUNIT_TEST(nothing_is_reclaimed_in_a_wrong_rack_if_one_fits);
+  CPPUNIT_TEST(a_need_that_does_not_fit_has_a_cause);
+  CPPUNIT_TEST(waiting_times_add_up_by_cause);
   CPPUNIT_TEST(speeds_are_learned_from_tasks_of_one_step);
   CPPUNIT_TEST(a_lease_expires_late_on_a_slow_clock);
   CPPUNIT_TEST(tables_are_restored_from_a_snapshot);
@@ -141,6 +144,46 @@
   // The speeds of the platform's machines range from 0.7 to 1.7, the sizes of
   // the tasks of a step vary by a third, and the callers' estimates of steps
   // are off by a factor of two.
+  static auto cause_of(std::span<const candidate> workers,
+                       const placement_need& need) -> std::string {
+    return std::string(
+        to_string(find_wait_cause(workers, workers, workers, need)));
+  }
+
+  void a_need_that_does_not_fit_has_a_cause() {
+    std::vector<candidate> workers = {worker("r0", 5), worker("r1", 5)};
+    CPPUNIT_ASSERT_EQUAL(std::string("no_capacity"),
+                         cause_of(workers, need_of(3, 5)));
+    CPPUNIT_ASSERT_EQUAL(std::string("fragmented_capacity"),
+                         cause_of(workers, need_of(1, 8)));
+    auto one_rack = need_of(2, 4);
+    one_rack.same_rack = true;
+    CPPUNIT_ASSERT_EQUAL(std::string("rack_full"), cause_of(workers, one_rack));
+    std::vector<candidate> all = {worker("r0", 8), worker("r1", 5)};
+    CPPUNIT_ASSERT(std::holds_alternative<capacity_reserved>(
+        find_wait_cause(workers, all, all, need_of(1, 8))));
+    CPPUNIT_ASSERT(std::holds_alternative<workers_quarantined>(
+        find_wait_cause(workers, workers, all, need_of(1, 8))));
+  }
+
+  void waiting_times_add_up_by_cause() {
+    wait_ledger waits;
+    step_ref step{{1}, 0, 0};
+    CPPUNIT_ASSERT(!waits.extend(step, at_ms(0)));
+    waits.record(step, no_capacity{}, at_ms(0));
+    waits.record(step, fragmented_capacity{}, at_ms(100));
+    CPPUNIT_ASSERT(waits.extend(step, at_ms(150)));
+    waits.record(step, no_capacity{}, at_ms(400));
+    CPPUNIT_ASSERT(waits.is_recent(step, at_ms(399)));
+    CPPUNIT_ASSERT(!waits.is_recent(step, at_ms(400)));
+    auto shares = waits.finish(step, at_ms(450));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, shares.size());
+    CPPUNIT_ASSERT(std::holds_alternative<no_capacity>(shares[0].cause));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{150}, shares[0].time.count());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{300}, shares[1].time.count());
+    CPPUNIT_ASSERT(waits.finish(step, at_ms(500)).empty());
+  }
+
   void speeds_are_learned_from_tasks_of_one_step() {
     std::mt19937 random(7);
     std::uniform_real_distribution<double> task_size(0.7, 1.3);
--- a/test/log_test.cpp
+++ b/test/log_test.cpp
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "adapters/log_rate_limiter.h"
+#include "adapters/log_summary.h"
 #include "adapters/log_trace.h"
 #include "adapters/log_writer.h"
 
@@ -88,6 +89,7 @@
   CPPUNIT_TEST(writes_lines_complete_and_in_order);
   CPPUNIT_TEST(drops_and_counts_lines_of_a_stalled_reader);
   CPPUNIT_TEST(destructor_returns_with_a_stalled_reader);
+  CPPUNIT_TEST(sums_up_discarded_work_and_waiting_by_cause);
   CPPUNIT_TEST(suppresses_and_counts_lines_above_the_rate);
   CPPUNIT_TEST(sorts_the_trace_of_a_request_by_time);
   CPPUNIT_TEST(blocks_signals_in_the_writer_thread);
@@ -152,6 +154,37 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b"), trace.events[1].process);
   }
 
+  void sums_up_discarded_work_and_waiting_by_cause() {
+    auto lost = [](std::string_view task, std::string_view cause,
+                   std::string_view reason, int core_ms) {
+      return R"({"time":"t","event":"work_discarded","task":")" +
+             std::string(task) + R"(","queue":"q","cause":")" +
+             std::string(cause) + R"(","reason":")" + std::string(reason) +
+             R"(","core_ms":)" + std::to_string(core_ms) + "}\n";
+    };
+    std::vector<std::string> logs = {
+        lost("1.0.0.0", "displaced", "reclaimed for 9.0.0", 1500) +
+            "3.1 a/control " +
+            lost("2.0.0.3", "displaced", "reclaimed for 9.0.0", 500),
+        lost("3.0.0.0", "task_failed", "failed", 1000) +
+            R"({"event":"work_discarded",)"
+            "\n"
+            R"({"event":"waited","step":"1.0.0","queue":"q",)"
+            R"("cause":"rack_full","wait_ms":250,"folded":7})"};
+    auto summary = summarize_logs(logs, 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, summary.totals.size());
+    auto displaced = summary.totals.at({"discarded", "displaced", "q"});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, displaced.count);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, displaced.cost, 1e-9);
+    auto waited = summary.totals.at({"waited", "rack_full", "q"});
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.25, waited.cost, 1e-9);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, summary.malformed_lines);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, summary.suppressed_lines);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, summary.costliest.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, summary.costliest[0].total.count);
+    CPPUNIT_ASSERT_EQUAL(std::string("1.0.0"), summary.costliest[0].step);
+  }
+
   // A SIGHUP during shutdown (issue sarza-ke) was delivered to the thread of
   // the writer, where the default action ended the process.
   void blocks_signals_in_the_writer_thread() {
