Reject requests at once while an entry has known of no leader for a second

Cause: an entry without a leader held every request until its deadline, also while its pings had shown for seconds that no leader responds.

Change: a second after the first ping that failed, requests are rejected with "not run", which is true since nothing was sent, and Retry-After of a second. Pings follow each other in 200 ms then, so that the end of the outage is noticed soon. A request that was accepted before goes on waiting.

--- a/src/adapters/fleet_entry_node.cpp
+++ b/src/adapters/fleet_entry_node.cpp
@@ -15,10 +15,17 @@
 namespace asio = boost::asio;
 
 constexpr milliseconds ping_interval{1000};
+// Requests are rejected until a ping shows that there is a leader again.
+constexpr milliseconds outage_ping_interval{200};
 constexpr milliseconds ping_timeout{900};
 // Covers an election and two pings, so that an election alone does not make
 // this process unready.
 constexpr milliseconds ready_timeout{4000};
+// Longer than an election takes after the ping that failed.
+constexpr milliseconds max_outage{1000};
+// Callers may return by then: the next ping has shown whether there is a
+// leader.
+constexpr milliseconds outage_retry_delay{1000};
 
 /// The path of a request, which ends in the job's id; empty if it has none.
 auto request_path(const fleet::request& request) -> std::string {
@@ -46,6 +53,7 @@
 
 auto fleet_entry_node::start() -> std::string {
   auto error = peers_.start({});
+  leader_lost_ms_ = to_ms(steady_now());
   if (error.empty()) {
     asio::co_spawn(timer_.get_executor(), ping(), asio::detached);
   }
@@ -110,16 +118,35 @@
       record_response();
       update_control_addresses(reply.text);
     } else if (leader_reachable_.exchange(false)) {
+      leader_lost_ms_ = to_ms(steady_now());
       log_event(log_level::warning, "leader_lost", {{"detail", reply.text}});
     }
     boost::system::error_code ec;
-    timer_.expires_after(ping_interval);
+    timer_.expires_after(leader_reachable_ ? ping_interval
+                                           : outage_ping_interval);
     co_await timer_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
   }
 }
 
+// Whether no leader has responded for so long that a request would only wait
+// for its deadline.
+auto fleet_entry_node::is_in_outage() const -> bool {
+  return !leader_reachable_ &&
+         steady_now() - at_ms(leader_lost_ms_) >= max_outage;
+}
+
 auto fleet_entry_node::serve(fleet::request request, milliseconds timeout)
     -> asio::awaitable<fleet::reply> {
+  if (is_in_outage()) {
+    ++metrics_.counter("requests_total{outcome=\"refused_in_outage\"}");
+    log_event(log_level::info, "request_refused",
+              {{"path", request_path(request)},
+               {"reason", "no leader"},
+               {"outage_ms", (steady_now() - at_ms(leader_lost_ms_)).count()}});
+    co_return fleet::reply{fleet::reply_status::unavailable,
+                           "the control group has no leader", 0,
+                           outage_retry_delay};
+  }
   auto start = std::chrono::steady_clock::now();
   auto path = request_path(request);
   auto reply =
--- a/src/adapters/fleet_entry_node.h
+++ b/src/adapters/fleet_entry_node.h
@@ -34,7 +34,8 @@
   auto start() -> std::string;
 
   /// Forwards a request to the leader and waits for its reply for at most
-  /// `timeout`.
+  /// `timeout`. Rejects it at once, as not carried out, if no leader has
+  /// responded for more than a second.
   auto serve(fleet::request request, milliseconds timeout)
       -> boost::asio::awaitable<fleet::reply>;
 
@@ -58,6 +59,7 @@
 
  private:
   auto ping() -> boost::asio::awaitable<void>;
+  auto is_in_outage() const -> bool;
   void record_response();
   void update_control_addresses(std::string_view lines);
 
@@ -70,6 +72,7 @@
   std::atomic<bool> stopped_{false};
   std::atomic<bool> leader_reachable_{false};
   std::atomic<std::int64_t> last_response_ms_{0};
+  std::atomic<std::int64_t> leader_lost_ms_{0};  // steady clock
 };
 
 }  // namespace parsleyledge
