Transfer the leadership of a leader that cannot keep up

Its heartbeats kept the others from an election.

Change: a leader whose periodic rounds begin more than 150 ms late three times in a row transfers its leadership, at most once in ten seconds. One long pause is no overload.

Evidence: agreement_test::a_leader_that_is_late_all_the_time_is_overloaded.

--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -93,13 +93,25 @@
 
 void fleet_control_node::schedule_round() {
   timer_.expires_after(round_interval);
+  round_due_ = steady_now() + round_interval;
   timer_.async_wait([this](const boost::system::error_code& ec) {
     if (ec || stopped_) return;
+    transfer_if_overloaded(steady_now() - round_due_);
     run_round();
     schedule_round();
   });
 }
 
+// A leader on a machine that has become too slow answers its callers late,
+// while its heartbeats still prevent an election.
+void fleet_control_node::transfer_if_overloaded(milliseconds late) {
+  if (!overload_.record_delay(late, steady_now()) || !leads()) return;
+  log_event(log_level::warning, "leader_overloaded",
+            {{"late_ms", late.count()}});
+  metrics_.counter("overload_transfers_total").fetch_add(1);
+  replica_.transfer();
+}
+
 // Changes in quick succession share one decision. After a decision, the next
 // one waits for decision_idle_factor times its duration, so that decisions use
 // at most a quarter of a processor.
--- a/src/adapters/fleet_control_node.h
+++ b/src/adapters/fleet_control_node.h
@@ -16,6 +16,7 @@
 #include "adapters/metrics.h"
 #include "adapters/peer_socket.h"
 #include "adapters/replica_node.h"
+#include "core/agreement/overload_detector.h"
 #include "core/fleet/dispatcher.h"
 #include "core/fleet/request.h"
 #include "ports/fleet.h"
@@ -110,6 +111,7 @@
   void handle_members(const wire::member_list& list);
   void schedule_round();
   void run_round();
+  void transfer_if_overloaded(milliseconds late);
   void schedule_decision();
   void decide_on_change();
   void update_leadership(const fleet::fleet_tables& tables,
@@ -142,6 +144,8 @@
   control_client client_;
   basic_replica_node<fleet_state_machine> replica_;
   boost::asio::steady_timer timer_;
+  time_point round_due_;                   // used by the timer's strand only
+  agreement::overload_detector overload_;  // the same
   std::atomic<bool> stopped_{false};
   std::atomic<bool> proposal_failed_{false};  // a proposal was not committed
   std::atomic<bool> decision_scheduled_{false};
--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -7,6 +7,7 @@
 #include <random>
 #include <set>
 
+#include "core/agreement/overload_detector.h"
 #include "core/agreement/replica.h"
 
 using namespace parsleyledge;
@@ -533,6 +534,7 @@
   CPPUNIT_TEST(bootstraps_only_when_all_replicas_are_empty);
   CPPUNIT_TEST(bootstraps_no_second_group_on_an_outdated_report);
   CPPUNIT_TEST(commits_over_a_lossy_network);
+  CPPUNIT_TEST(a_leader_that_is_late_all_the_time_is_overloaded);
   CPPUNIT_TEST(survives_random_crashes);
   CPPUNIT_TEST(survives_a_crash_of_all_replicas);
   CPPUNIT_TEST(a_replica_with_a_lost_disk_does_not_vote);
@@ -620,6 +622,22 @@
     }
   }
 
+  // A machine that turns slow: every round is late. A frozen one: a single
+  // round is.
+  void a_leader_that_is_late_all_the_time_is_overloaded() {
+    agreement::overload_detector overload;
+    auto late = milliseconds(200);
+    CPPUNIT_ASSERT(!overload.record_delay(std::chrono::seconds(5), at_ms(0)));
+    CPPUNIT_ASSERT(!overload.record_delay(milliseconds(5), at_ms(100)));
+    CPPUNIT_ASSERT(!overload.record_delay(late, at_ms(400)));
+    CPPUNIT_ASSERT(!overload.record_delay(late, at_ms(700)));
+    CPPUNIT_ASSERT(overload.record_delay(late, at_ms(1000)));
+    // Not again for ten seconds, if the others are no faster.
+    for (int ms = 1300; ms < 11'000; ms += 300)
+      CPPUNIT_ASSERT(!overload.record_delay(late, at_ms(ms)));
+    CPPUNIT_ASSERT(overload.record_delay(late, at_ms(11'200)));
+  }
+
   void survives_random_crashes() {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
       group g(5, seed);
