--- a/src/core/fleet/dispatch_accounting.cpp
+++ b/src/core/fleet/dispatch_accounting.cpp
@@ -56,6 +56,18 @@
   effects_.emplace_back(std::move(lost));
 }
 
+// Records the end of a run that is no longer in the tables, though this leader
+// has seen no end. Unless the worker has ended, another leader has seen it.
+void dispatcher::record_unlisted_end(const fleet_tables& tables,
+                                     const job_record& job, tracked_run& run,
+                                     clock_reading now) {
+  if (find_worker(tables, run.worker) != nullptr) {
+    run.end_recorded = true;
+  } else {
+    record_loss(job, run, worker_ended{}, now);
+  }
+}
+
 // The loss of a whole gang counts for what ended its first member.
 void dispatcher::attribute_to_gang(work_discarded& lost) {
   const auto& ref = lost.task;
--- a/src/core/fleet/dispatch_tracking.cpp
+++ b/src/core/fleet/dispatch_tracking.cpp
@@ -36,7 +36,7 @@
     ++known;
     if (tracked.revision == job.revision) continue;
     tracked.revision = job.revision;
-    track_job(job, tracked, now);
+    track_job(tables, job, tracked, now);
   }
   tracked_jobs_.erase(known, tracked_jobs_.end());
   if (now.steady - cleaned_up_at_ < cleanup_interval) return;
@@ -79,8 +79,8 @@
   worker->second.used -= reserved;
 }
 
-void dispatcher::track_job(const job_record& job, tracked_job& tracked,
-                           clock_reading now) {
+void dispatcher::track_job(const fleet_tables& tables, const job_record& job,
+                           tracked_job& tracked, clock_reading now) {
   auto previous = std::exchange(tracked.runs, {});
   for (const auto& name : previous) {
     auto run = runs_.find(name);
@@ -89,7 +89,7 @@
   }
   for (const auto& [number, occurrence] : job.open) {
     for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
-      track_step(job, {job.spec.id, number, s}, tracked, now);
+      track_step(tables, job, {job.spec.id, number, s}, tracked, now);
     }
   }
   // Both lists are sorted by task.
@@ -97,14 +97,15 @@
     if (std::ranges::binary_search(tracked.runs, name)) continue;
     auto run = runs_.find(name);
     if (run == runs_.end()) continue;
-    record_loss(job, run->second, worker_ended{}, now);
+    record_unlisted_end(tables, job, run->second, now);
     runs_.erase(run);
   }
   fail_if_hopeless(job, now);
 }
 
-void dispatcher::track_step(const job_record& job, const step_ref& ref,
-                            tracked_job& tracked, clock_reading now) {
+void dispatcher::track_step(const fleet_tables& tables, const job_record& job,
+                            const step_ref& ref, tracked_job& tracked,
+                            clock_reading now) {
   const auto& spec = job.spec.steps[ref.step];
   const auto& step = job.open.at(ref.occurrence).steps[ref.step];
   bool gang_is_broken = false;
@@ -118,7 +119,7 @@
       continue;
     }
     task_ref name{ref.job, ref.occurrence, ref.step, i};
-    track_run(job, task, name, now);
+    track_run(tables, job, task, name, now);
     tracked.runs.push_back(name);
   }
   bool ended_early = is_ended(job) && job.state != job_state::complete;
@@ -133,11 +134,12 @@
   }
 }
 
-void dispatcher::track_run(const job_record& job, const task_record& task,
-                           const task_ref& name, clock_reading now) {
+void dispatcher::track_run(const fleet_tables& tables, const job_record& job,
+                           const task_record& task, const task_ref& name,
+                           clock_reading now) {
   auto& run = runs_[name];
   if (run.run != task.run || run.worker != task.worker) {
-    if (run.run != 0) record_loss(job, run, worker_ended{}, now);
+    if (run.run != 0) record_unlisted_end(tables, job, run, now);
     run = {};
     run.task = name;
     run.run = task.run;
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -179,12 +179,13 @@
   // Synchronization with the tables, in dispatch_tracking.cpp.
   void synchronize_runs(const fleet_tables& tables, clock_reading now);
   void erase_obsolete_state(const fleet_tables& tables, clock_reading now);
-  void track_job(const job_record& job, tracked_job& tracked,
+  void track_job(const fleet_tables& tables, const job_record& job,
+                 tracked_job& tracked, clock_reading now);
+  void track_step(const fleet_tables& tables, const job_record& job,
+                  const step_ref& ref, tracked_job& tracked, clock_reading now);
+  void track_run(const fleet_tables& tables, const job_record& job,
+                 const task_record& task, const task_ref& name,
                  clock_reading now);
-  void track_step(const job_record& job, const step_ref& ref,
-                  tracked_job& tracked, clock_reading now);
-  void track_run(const job_record& job, const task_record& task,
-                 const task_ref& name, clock_reading now);
   void untrack_run(tracked_run& run, const resources& reserved);
   void stop_run(tracked_run& run, loss_cause cause);
   void fail_if_hopeless(const job_record& job, clock_reading now);
@@ -322,6 +323,8 @@
   void record_wait(const backlog_item& item,
                    std::span<const candidate> candidates,
                    const placement_need& need, const planning_pass& pass,
+  void record_unlisted_end(const fleet_tables& tables, const job_record& job,
+                           tracked_run& run, clock_reading now);
                    clock_reading now);
   void record_pending_wait(const step_ref& step, clock_reading now);
   void finish_wait(const step_ref& step, std::string_view queue,
