Compare racks by cost when urgent work reclaims, and wait for work about to end

Racks were cleared whatever that cost; victims that a later, larger one made needless were stopped too; and work was stopped just before its end.

Change: a wrong rack counts as twelve times the own work of a task, and is compared with the rack's own cost. A guaranteed step waits for a second for its rack at that cost before it takes any capacity. Victims that turn out not to be needed go on. Work that ends by itself within 1.2 s is waited for if that is cheaper, and stopped 200 ms after the expected end.

Evidence: fleet_units_test::a_rack_that_costs_too_much_is_left and work_that_need_not_stop_goes_on, dispatcher_test:: work_about_to_end_is_not_stopped_for_urgent_work.

--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -26,11 +26,23 @@
 // Also the limit on what an urgent step beyond its guarantee may cost: as much
 // work of the next lower priority as it has itself.
 constexpr std::int64_t loss_factor = 3;
+// The same for an urgent step within its guarantee, as long as it can wait.
+constexpr std::int64_t guaranteed_loss_factor = 12;
+// A guaranteed step waits for this time for a rack of its own at that cost,
+// then it takes any capacity at any cost.
+constexpr milliseconds max_rack_wait{1000};
 // Levels beyond this distance from the lowest weigh the same.
 constexpr std::uint32_t max_weighted_levels = 10;
 // A step that has waited for this time takes any capacity that it fits twice,
 // since a job may have nothing running for three seconds at most.
 constexpr milliseconds last_resort_delay{2000};
+// Urgent work waits for this time at most for other work to end by itself.
+constexpr milliseconds max_end_wait{1200};
+// Runs that were to end by themselves are stopped this long after that.
+constexpr milliseconds end_estimate_error{200};
+// Work that is in the way of guaranteed work is stopped this long after the
+// claim, so that it is honoured within the 2.7 s that sites allow.
+constexpr milliseconds latest_stop{1500};
 
 /// Core-milliseconds lost if a run is stopped. A stop saves the progress of a
 /// task with checkpoints.
@@ -213,7 +225,8 @@
   auto pass = begin_pass(tables, now);
   for (auto it = reclaim_reservations_.begin();
        it != reclaim_reservations_.end();) {
-    const auto& [step, reservation] = *it;
+    auto& [step, reservation] = *it;
+    if (now.steady >= reservation.stop_at) stop_ending(step, reservation);
     auto job = tables.jobs.find(step.job);
     bool is_needed =
         job != tables.jobs.end() && (job->second.state == job_state::queued ||
@@ -240,6 +253,15 @@
   }
 }
 
+// Stops the runs that were expected to end by themselves and have not.
+void dispatcher::stop_ending(const step_ref& step,
+                             reclaim_reservation& reservation) {
+  for (const auto& ref : std::exchange(reservation.ending, {})) {
+    auto run = runs_.find(ref);
+    if (run != runs_.end()) stop_run(run->second, displaced{step});
+  }
+}
+
 auto dispatcher::make_placements(const backlog_item& item,
                                  std::span<const choice> chosen,
                                  std::span<const std::size_t> rows,
@@ -463,6 +485,10 @@
     if (at != index.end()) {
       work.as_victim.freed.push_back({at->second, reserved_by(spec)});
     }
+    auto left = time_left(run->second, now);
+    work.time_left = left && work.time_left
+                         ? std::optional(std::max(*left, *work.time_left))
+                         : std::nullopt;
     work.accelerators += spec.per_task.accelerators;
     work.as_victim.loss +=
         weight * loss_of(spec, now.steady - run->second.placed_at);
@@ -507,6 +533,29 @@
   return found;
 }
 
+// Lets work go on that ends soon enough by itself: it costs the step only the
+// time until then, in which the step does no work of its own.
+void dispatcher::wait_for_ends(const backlog_item& item,
+                               std::span<stoppable_work> found,
+                               clock_reading now) const {
+  auto max_wait = std::min(max_end_wait, item.due + latest_stop - now.wall);
+  auto own_cores =
+      cores_of(*item.spec) * static_cast<std::int64_t>(item.tasks.size());
+  for (auto& work : found) {
+    if (!work.time_left || *work.time_left > max_wait) {
+      work.time_left.reset();
+      continue;
+    }
+    auto left = std::max(*work.time_left, milliseconds(0));
+    auto wait_cost = own_cores * left.count();
+    if (wait_cost >= work.as_victim.loss) {
+      work.time_left.reset();
+    } else {
+      work.as_victim.loss = wait_cost;
+    }
+  }
+}
+
 // Stops the runs whose loss costs least to free capacity for an urgent step, if
 // the loss is small enough or the step is guaranteed, and reserves the capacity
 // until the runs have ended.
@@ -528,35 +577,50 @@
   bool guaranteed = is_guaranteed(item, tables);
   auto found = find_victims(tables, item, guaranteed, index, now);
   if (found.empty()) return;
+  wait_for_ends(item, found, now);
   std::vector<victim> victims;
   victims.reserve(found.size());
   for (const auto& work : found) victims.push_back(work.as_victim);
-  need.any_rack = need.any_rack || guaranteed;
+  bool must_start = guaranteed && now.wall - item.due >= max_rack_wait;
+  need.any_rack = need.any_rack || must_start;
   auto plan = plan_reclaim(candidates, victims, need);
-  if (!plan || plan->victims.empty()) return;
+  if (!plan || (plan->victims.empty() && !must_start)) return;
   auto own_work = cores_of(*item.spec) * item.spec->estimate.count() *
                   static_cast<std::int64_t>(item.tasks.size());
-  bool worth_it = plan->loss <= own_work * loss_factor;
-  if (!guaranteed && !worth_it) return;
-  auto placements = make_placements(item, plan->chosen, rows, pass);
+  auto max_loss =
+      own_work * (guaranteed ? guaranteed_loss_factor : loss_factor);
+  if (!must_start && plan->loss > max_loss) return;
+  reclaim_reservation reservation;
+  reservation.placements = make_placements(item, plan->chosen, rows, pass);
+  milliseconds longest_wait{0};
   for (auto v : plan->victims) {
-    for (const auto& ref : found[v].tasks) {
+    const auto& work = found[v];
+    if (work.time_left) {
+      longest_wait = std::max(longest_wait, *work.time_left);
+      reservation.ending.insert(reservation.ending.end(), work.tasks.begin(),
+                                work.tasks.end());
+      continue;
+    }
+    for (const auto& ref : work.tasks) {
       stop_run(runs_.at(ref), displaced{item.step});
     }
   }
+  reservation.stop_at = now.steady + longest_wait + end_estimate_error;
+  reservation.until = reservation.stop_at + limits_.reservation_timeout;
   // The runs to be stopped still use their capacity, so no other step of this
   // pass may plan with it.
   for (const auto& c : plan->chosen) {
     pass.allocate_on(rows[c.candidate], need.per_task * c.tasks);
   }
-  log_decision("reclaim", {{"step", fleet::to_string(item.step)},
-                           {"customer", item.job->spec.customer},
-                           {"guaranteed", guaranteed ? "yes" : "no"},
-                           {"tasks", std::to_string(placements.size())},
-                           {"stopped", std::to_string(plan->victims.size())},
-                           {"lost_core_ms", std::to_string(plan->loss)}});
-  reclaim_reservations_[item.step] = {std::move(placements),
-                                      now.steady + limits_.reservation_timeout};
+  log_decision("reclaim",
+               {{"step", fleet::to_string(item.step)},
+                {"customer", item.job->spec.customer},
+                {"guaranteed", guaranteed ? "yes" : "no"},
+                {"tasks", std::to_string(reservation.placements.size())},
+                {"stopped", std::to_string(plan->victims.size())},
+                {"ending", std::to_string(reservation.ending.size())},
+                {"lost_core_ms", std::to_string(plan->loss)}});
+  reclaim_reservations_[item.step] = std::move(reservation);
 }
 
 }  // namespace parsleyledge::fleet
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -132,6 +132,8 @@
   struct reclaim_reservation {
     std::vector<placement> placements;
     time_point until;
+    std::vector<task_ref> ending;  // not stopped unless they run at `stop_at`
+    time_point stop_at;
   };
 
   /// The call to a policy that is in flight.
@@ -174,6 +176,8 @@
     victim as_victim;
     std::int64_t accelerators = 0;
     time_point placed_at;
+    // The time until all its runs end by themselves; nullopt if it is unknown.
+    std::optional<milliseconds> time_left = milliseconds(0);
   };
 
   // Synchronization with the tables, in dispatch_tracking.cpp.
@@ -319,12 +323,12 @@
                   clock_reading now);
   void record_loss(const job_record& job, tracked_run& run,
                    const loss_cause& cause, clock_reading now);
+  void record_unlisted_end(const fleet_tables& tables, const job_record& job,
+                           tracked_run& run, clock_reading now);
   void attribute_to_gang(work_discarded& lost);
   void record_wait(const backlog_item& item,
                    std::span<const candidate> candidates,
                    const placement_need& need, const planning_pass& pass,
-  void record_unlisted_end(const fleet_tables& tables, const job_record& job,
-                           tracked_run& run, clock_reading now);
                    clock_reading now);
   void record_pending_wait(const step_ref& step, clock_reading now);
   void finish_wait(const step_ref& step, std::string_view queue,
@@ -360,6 +364,7 @@
       -> planning_pass;
   void propose_ready_reservations(const fleet_tables& tables,
                                   clock_reading now);
+  void stop_ending(const step_ref& step, reclaim_reservation& reservation);
   auto has_pending_placement(const step_ref& step) const -> bool;
   auto need_of(const backlog_item& item, clock_reading now) const
       -> placement_need;
@@ -386,6 +391,8 @@
                std::span<const candidate> candidates,
                std::span<const std::size_t> rows, placement_need need,
                planning_pass& pass, clock_reading now);
+  void wait_for_ends(const backlog_item& item, std::span<stoppable_work> found,
+                     clock_reading now) const;
   auto is_usable(const worker_record& record, const worker_state& worker,
                  clock_reading now) const -> bool;
   auto make_placements(const backlog_item& item, std::span<const choice> chosen,
--- a/src/core/fleet/reclaim.cpp
+++ b/src/core/fleet/reclaim.cpp
@@ -11,13 +11,20 @@
 // A late urgent step loses most of its value, so its run time on a slow worker
 // weighs three times as much as lost work of victims.
 constexpr double run_time_weight = 3;
+// What a task of an urgent step costs in addition in a wrong rack, where it
+// runs three times as long and is late for certain, in units of its own work.
+constexpr double wrong_rack_weight = 12;
 
 /// Builds a plan greedily, over the workers of one rack or of all racks.
 class plan_builder {
  public:
   plan_builder(std::span<const candidate> workers,
-               std::span<const victim> victims, const placement_need& need)
-      : workers_(workers), victims_(victims), need_(need) {
+               std::span<const victim> victims, const placement_need& need,
+               bool wrong_rack)
+      : workers_(workers),
+        victims_(victims),
+        need_(need),
+        wrong_rack_(wrong_rack) {
     for (const auto& w : workers) available_.push_back(w.free);
     tasks_.resize(workers.size());
     stopped_.resize(victims.size());
@@ -66,31 +73,57 @@
   }
 
  private:
-  /// The cost of one more task on a worker: the work lost by stopping victims,
-  /// plus the weighted run time of the task there. Nullopt if it cannot fit.
-  auto task_cost(std::size_t w) const -> std::optional<std::int64_t> {
-    auto assigned = workers_[w].taken + tasks_[w];
-    if (need_.max_per_worker > 0 && assigned >= need_.max_per_worker) return {};
+  /// The victims to stop so that one more task fits on a worker: the cheapest
+  /// ones, without those that turn out not to be needed. Nullopt if the task
+  /// cannot fit.
+  auto victims_for(std::size_t w) const
+      -> std::optional<std::vector<std::size_t>> {
     auto available = available_[w];
-    std::int64_t loss = 0;
+    std::vector<std::size_t> chosen;
     for (auto v : victims_at_[w]) {
       if (fits(available, need_.per_task)) break;
       if (stopped_[v]) continue;
-      loss += victims_[v].loss;
-      for (const auto& f : victims_[v].freed) {
-        if (f.candidate == w) available += f.available;
-      }
+      chosen.push_back(v);
+      available += freed_on(v, w);
     }
     if (!fits(available, need_.per_task)) return {};
-    auto run_time = static_cast<double>(need_.task_work) * run_time_weight /
-                    workers_[w].speed;
-    return loss + static_cast<std::int64_t>(run_time);
+    // The most expensive ones are the last.
+    for (auto i = chosen.size(); i-- > 0;) {
+      auto without = available - freed_on(chosen[i], w);
+      if (!fits(without, need_.per_task)) continue;
+      available = without;
+      chosen.erase(chosen.begin() + static_cast<std::ptrdiff_t>(i));
+    }
+    return chosen;
+  }
+
+  /// What becomes free on one worker when a victim is stopped.
+  auto freed_on(std::size_t v, std::size_t w) const -> resources {
+    resources sum;
+    for (const auto& f : victims_[v].freed) {
+      if (f.candidate == w) sum += f.available;
+    }
+    return sum;
+  }
+
+  /// The cost of one more task on a worker: the work lost by stopping victims,
+  /// plus the weighted run time of the task there. Nullopt if it cannot fit.
+  auto task_cost(std::size_t w) const -> std::optional<std::int64_t> {
+    auto assigned = workers_[w].taken + tasks_[w];
+    if (need_.max_per_worker > 0 && assigned >= need_.max_per_worker) return {};
+    auto stopped = victims_for(w);
+    if (!stopped) return {};
+    std::int64_t loss = 0;
+    for (auto v : *stopped) loss += victims_[v].loss;
+    auto weight = run_time_weight / workers_[w].speed +
+                  (wrong_rack_ ? wrong_rack_weight : 0);
+    return loss + static_cast<std::int64_t>(
+                      static_cast<double>(need_.task_work) * weight);
   }
 
   void place_task(std::size_t w) {
-    for (auto v : victims_at_[w]) {
-      if (fits(available_[w], need_.per_task)) break;
-      if (stopped_[v]) continue;
+    auto to_stop = victims_for(w);
+    for (auto v : *to_stop) {
       stopped_[v] = true;
       loss_ += victims_[v].loss;
       for (const auto& f : victims_[v].freed)
@@ -103,6 +136,7 @@
   std::span<const candidate> workers_;
   std::span<const victim> victims_;
   const placement_need& need_;
+  bool wrong_rack_;
   std::vector<resources> available_;
   std::vector<std::uint32_t> tasks_;
   std::vector<bool> stopped_;
@@ -133,22 +167,21 @@
                   std::span<const victim> victims, const placement_need& need)
     -> std::optional<reclaim_plan> {
   std::optional<reclaim_plan> best;
-  auto consider = [&](std::span<const std::size_t> among) {
-    plan_builder plan(workers, victims, need);
+  auto consider = [&](std::span<const std::size_t> among, bool wrong_rack) {
+    plan_builder plan(workers, victims, need, wrong_rack);
     if (!plan.place_all(among)) return;
     auto found = plan.result();
     if (!best || found.cost < best->cost) best = std::move(found);
   };
   bool rack_bound = need.same_rack || !need.data_rack.empty();
   if (rack_bound) {
-    for (const auto& among : rack_candidates(workers, need)) consider(among);
+    for (const auto& among : rack_candidates(workers, need))
+      consider(among, false);
   }
-  // Other racks come last, whatever the cost: running in a wrong rack is worse
-  // than stopping work in the right one.
-  if (!best && (!rack_bound || need.any_rack)) {
+  if (!rack_bound || need.any_rack) {
     std::vector<std::size_t> all(workers.size());
     std::iota(all.begin(), all.end(), std::size_t{0});
-    consider(all);
+    consider(all, rack_bound);
   }
   return best;
 }
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -129,6 +129,7 @@
   CPPUNIT_TEST(unhealthy_workers_get_no_placement_for_a_while);
   CPPUNIT_TEST(a_report_from_before_maintenance_does_not_end_it);
   CPPUNIT_TEST(a_new_leader_keeps_work_off_a_machine_under_maintenance);
+  CPPUNIT_TEST(work_about_to_end_is_not_stopped_for_urgent_work);
   CPPUNIT_TEST(discarded_work_has_its_cause);
   CPPUNIT_TEST(a_gangs_loss_has_the_cause_of_its_first_member);
   CPPUNIT_TEST(waiting_has_its_cause);
@@ -1013,6 +1014,24 @@
     assert_clean(site);
   }
 
+  // A burst of urgent work at a full site: tasks that end within a second by
+  // themselves are waited for, and nothing is lost.
+  void work_about_to_end_is_not_stopped_for_urgent_work() {
+    fleet_site site(2);
+    site.configure(16);
+    site.task_duration = seconds(5);
+    auto first = site.submit("q1", make_step(2, 8));
+    site.run_for(milliseconds(4300));
+    auto urgent = site.submit("q0", make_gang(2, 8));
+    site.run_for(milliseconds(1500));
+    assert_state(job_state::complete, site, first);
+    CPPUNIT_ASSERT_EQUAL(2, site.running(urgent));
+    CPPUNIT_ASSERT(site.discarded.empty());
+    site.run_for(seconds(8));
+    assert_state(job_state::complete, site, urgent);
+    assert_clean(site);
+  }
+
   /// The names of the causes of discarded work, each once.
   static auto causes_of(const fleet_site& site) -> std::set<std::string_view> {
     std::set<std::string_view> causes;
--- a/test/fleet_units_test.cpp
+++ b/test/fleet_units_test.cpp
@@ -55,6 +55,8 @@
   CPPUNIT_TEST(max_per_worker_is_respected);
   CPPUNIT_TEST(reclaim_stops_the_least_work);
   CPPUNIT_TEST(nothing_is_reclaimed_in_a_wrong_rack_if_one_fits);
+  CPPUNIT_TEST(a_rack_that_costs_too_much_is_left);
+  CPPUNIT_TEST(work_that_need_not_stop_goes_on);
   CPPUNIT_TEST(a_need_that_does_not_fit_has_a_cause);
   CPPUNIT_TEST(waiting_times_add_up_by_cause);
   CPPUNIT_TEST(speeds_are_learned_from_tasks_of_one_step);
@@ -144,6 +146,33 @@
   // The speeds of the platform's machines range from 0.7 to 1.7, the sizes of
   // the tasks of a step vary by a third, and the callers' estimates of steps
   // are off by a factor of two.
+  // A burst of urgent gangs beside large gangs: a rack full of work that has
+  // run for long is not cleared for a small gang.
+  void a_rack_that_costs_too_much_is_left() {
+    std::vector<candidate> workers = {worker("r0", 0), worker("r0", 0),
+                                      worker("r1", 8), worker("r2", 8)};
+    std::vector<victim> victims = {
+        {{{0, {1000, 100, 8}}, {1, {1000, 100, 8}}}, 1'000'000}};
+    auto need = need_of(2, 8);
+    need.same_rack = need.any_rack = true;
+    auto plan = plan_reclaim(workers, victims, need);
+    CPPUNIT_ASSERT(plan.has_value());
+    CPPUNIT_ASSERT(plan->victims.empty());
+    for (const auto& c : plan->chosen) CPPUNIT_ASSERT(c.candidate >= 2);
+  }
+
+  // Single tasks beside a gang: if the gang has to go, they need not.
+  void work_that_need_not_stop_goes_on() {
+    std::vector<candidate> workers = {worker("r0", 0)};
+    std::vector<victim> victims = {{{{0, {1000, 100, 1}}}, 100},
+                                   {{{0, {1000, 100, 1}}}, 100},
+                                   {{{0, {1000, 100, 6}}}, 5000}};
+    auto plan = plan_reclaim(workers, victims, need_of(1, 6));
+    CPPUNIT_ASSERT(plan.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan->victims.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, plan->victims[0]);
+  }
+
   static auto cause_of(std::span<const candidate> workers,
                        const placement_need& need) -> std::string {
     return std::string(
