Reject requests in an outage only if the entry had a leader before

An entry that has just started does not know how long there has been no leader: it waits for one as before. Found by fleet_shutdown_test, whose entry never has a leader and has to answer 504 to what it read while draining.

--- a/src/adapters/fleet_entry_node.cpp
+++ b/src/adapters/fleet_entry_node.cpp
@@ -53,7 +53,6 @@
 
 auto fleet_entry_node::start() -> std::string {
   auto error = peers_.start({});
-  leader_lost_ms_ = to_ms(steady_now());
   if (error.empty()) {
     asio::co_spawn(timer_.get_executor(), ping(), asio::detached);
   }
@@ -128,10 +127,10 @@
   }
 }
 
-// Whether no leader has responded for so long that a request would only wait
-// for its deadline.
+// Whether the leader was lost so long ago that a request would only wait for
+// its deadline. An entry that has just started still looks for the leader.
 auto fleet_entry_node::is_in_outage() const -> bool {
-  return !leader_reachable_ &&
+  return !leader_reachable_ && leader_lost_ms_ != 0 &&
          steady_now() - at_ms(leader_lost_ms_) >= max_outage;
 }
 
--- a/src/adapters/fleet_entry_node.h
+++ b/src/adapters/fleet_entry_node.h
@@ -72,7 +72,8 @@
   std::atomic<bool> stopped_{false};
   std::atomic<bool> leader_reachable_{false};
   std::atomic<std::int64_t> last_response_ms_{0};
-  std::atomic<std::int64_t> leader_lost_ms_{0};  // steady clock
+  // When the leader was lost, by the steady clock; 0 if it never was.
+  std::atomic<std::int64_t> leader_lost_ms_{0};
 };
 
 }  // namespace parsleyledge
