Claim capacity at any cost 0.7 s after a guaranteed step was handed in

A second left 0.3 s of the 2.7 s that sites allow, for stops, their commits and the start, on a leader that is short of processor time. Work that is waited for is stopped 1.2 s after the claim at the latest.

--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -30,7 +30,7 @@
 constexpr std::int64_t guaranteed_loss_factor = 12;
 // A guaranteed step waits for this time for a rack of its own at that cost,
 // then it takes any capacity at any cost.
-constexpr milliseconds max_rack_wait{1000};
+constexpr milliseconds max_rack_wait{700};
 // Levels beyond this distance from the lowest weigh the same.
 constexpr std::uint32_t max_weighted_levels = 10;
 // A step that has waited for this time takes any capacity that it fits twice,
@@ -42,7 +42,7 @@
 constexpr milliseconds end_estimate_error{200};
 // Work that is in the way of guaranteed work is stopped this long after the
 // claim, so that it is honoured within the 2.7 s that sites allow.
-constexpr milliseconds latest_stop{1500};
+constexpr milliseconds latest_stop{1200};
 
 /// Core-milliseconds lost if a run is stopped. A stop saves the progress of a
 /// task with checkpoints.
