--- a/src/adapters/fleet_entry_node.cpp
+++ b/src/adapters/fleet_entry_node.cpp
@@ -127,8 +127,9 @@
   }
 }
 
-// Whether the leader was lost so long ago that a request would only wait for
-// its deadline. An entry that has just started still looks for the leader.
+// Whether an election should have ended by now, so that a request would
+// probably wait for its deadline. An entry that has just started still looks
+// for the leader.
 auto fleet_entry_node::is_in_outage() const -> bool {
   return !leader_reachable_ && leader_lost_ms_ != 0 &&
          steady_now() - at_ms(leader_lost_ms_) >= max_outage;
--- /dev/null
+++ b/src/core/fleet/dispatch_reclaim.cpp
@@ -0,0 +1,264 @@
+#include <algorithm>
+
+#include "core/fleet/dispatcher.h"
+#include "core/fleet/task_name.h"
+
+namespace parsleyledge::fleet {
+
+namespace {
+
+// Interval between two attempts to reclaim capacity for a step; a stop takes
+// half as long.
+constexpr milliseconds reclaim_interval{100};
+// Cost of a stop besides the repeated work: the capacity is idle until the stop
+// is confirmed, and the task loads its data again.
+constexpr milliseconds stop_overhead{1000};
+// Weight of lost work for each priority level above the lowest: gangs of the
+// higher queues wait long for capacity, while single tasks soon find some.
+// Also the limit on what an urgent step beyond its guarantee may cost: as much
+// work of the next lower priority as it has itself.
+constexpr std::int64_t loss_factor = 3;
+// The same for an urgent step within its guarantee, as long as it can wait.
+constexpr std::int64_t guaranteed_loss_factor = 12;
+// A guaranteed step waits for this time for a rack of its own at that cost,
+// then it takes any capacity at any cost.
+constexpr milliseconds max_rack_wait{700};
+// Levels beyond this distance from the lowest weigh the same.
+constexpr std::uint32_t max_weighted_levels = 10;
+// Urgent work waits for this time at most for other work to end by itself.
+constexpr milliseconds max_end_wait{1200};
+// Runs that were to end by themselves are stopped this long after that.
+constexpr milliseconds end_estimate_error{200};
+// Work that is in the way of guaranteed work is stopped this long after the
+// claim, so that it is honoured within the 2.7 s that sites allow.
+constexpr milliseconds latest_stop{1200};
+
+/// Core-milliseconds lost if a run is stopped. A stop saves the progress of a
+/// task with checkpoints.
+auto loss_of(const step_spec& spec, milliseconds run_time) -> std::int64_t {
+  auto lost = spec.checkpoints ? milliseconds(0) : run_time;
+  return cores_of(spec) * (lost + stop_overhead).count();
+}
+
+/// The weight of work lost by a queue of this priority, relative to the lowest.
+auto loss_weight(const site& config, std::uint32_t priority) -> std::int64_t {
+  std::uint32_t lowest = priority;
+  for (const auto& q : config.queues) lowest = std::max(lowest, q.priority);
+  auto levels = std::min(lowest - priority, max_weighted_levels);
+  std::int64_t weight = 1;
+  for (std::uint32_t i = 0; i < levels; ++i) weight *= loss_factor;
+  return weight;
+}
+
+/// Whether a component that the need does not include is exceeded. Stops for
+/// the need would not free enough of it for the worker to take work again.
+auto exceeds_unneeded(const resources& used, const resources& capacity,
+                      const resources& need) -> bool {
+  return (need.cpu_milli == 0 && used.cpu_milli > capacity.cpu_milli) ||
+         (need.memory_mb == 0 && used.memory_mb > capacity.memory_mb) ||
+         (need.accelerators == 0 && used.accelerators > capacity.accelerators);
+}
+
+}  // namespace
+
+// The number of accelerators assigned to each customer's work of priority 0.
+auto dispatcher::urgent_accelerators(const fleet_tables& tables) const
+    -> std::map<std::string_view, std::int64_t> {
+  std::map<std::string_view, std::int64_t> in_use;
+  for (const auto& [id, job] : tables.jobs) {
+    const auto* queue = find_queue(*site_, job.spec.queue);
+    if (queue == nullptr || queue->priority != 0) continue;
+    for (const auto& [number, occurrence] : job.open) {
+      for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+        auto n = std::ranges::count(occurrence.steps[s].tasks, true,
+                                    &task_record::assigned);
+        in_use[job.spec.customer] +=
+            job.spec.steps[s].per_task.accelerators * n;
+      }
+    }
+  }
+  return in_use;
+}
+
+auto dispatcher::guarantee_of(std::string_view customer) const -> std::int64_t {
+  auto it = site_->customers.find(customer);
+  return it == site_->customers.end() ? 0 : it->second.guaranteed_accelerators;
+}
+
+// Whether the customer's work of priority 0 stays within its guarantee with
+// this step. Capacity for such a step is reclaimed at any cost to others.
+auto dispatcher::is_guaranteed(const backlog_item& item,
+                               const fleet_tables& tables) const -> bool {
+  if (item.job_queue->priority != 0) return false;
+  auto in_use = urgent_accelerators(tables);
+  auto needed = item.spec->per_task.accelerators *
+                    static_cast<std::int64_t>(item.tasks.size()) +
+                in_use[item.job->spec.customer];
+  return needed <= guarantee_of(item.job->spec.customer);
+}
+
+// Adds the runs of a step that could be stopped: a gang as a whole, other tasks
+// one by one.
+void dispatcher::add_stoppable_work(
+    const job_record& job, const step_ref& ref,
+    const std::map<std::string_view, std::size_t>& index, clock_reading now,
+    std::vector<stoppable_work>& found) const {
+  const auto& spec = job.spec.steps[ref.step];
+  const auto& tasks = job.open.at(ref.occurrence).steps[ref.step].tasks;
+  const auto* queue = find_queue(*site_, job.spec.queue);
+  if (spec.long_running || queue == nullptr) return;
+  auto weight = loss_weight(*site_, queue->priority);
+  stoppable_work work;
+  for (std::uint32_t t = 0; t < tasks.size(); ++t) {
+    task_ref name{ref.job, ref.occurrence, ref.step, t};
+    auto run = runs_.find(name);
+    bool stops = tasks[t].assigned && run != runs_.end() &&
+                 (run->second.phase == run_phase::started ||
+                  run->second.phase == run_phase::starting);
+    if (!stops) continue;
+    if (!spec.gang) work = {};
+    work.tasks.push_back(name);
+    work.placed_at = run->second.placed_at;
+    auto at = index.find(tasks[t].worker.name);
+    if (at != index.end()) {
+      work.as_victim.freed.push_back({at->second, reserved_by(spec)});
+    }
+    auto left = time_left(run->second, now);
+    work.time_left = left && work.time_left
+                         ? std::optional(std::max(*left, *work.time_left))
+                         : std::nullopt;
+    work.accelerators += spec.per_task.accelerators;
+    work.as_victim.loss +=
+        weight * loss_of(spec, now.steady - run->second.placed_at);
+    if (!spec.gang && !work.as_victim.freed.empty()) found.push_back(work);
+  }
+  if (spec.gang && !work.as_victim.freed.empty())
+    found.push_back(std::move(work));
+}
+
+// The runs on these workers that may be stopped for urgent work: those of lower
+// priority and, for a step within its customer's guarantee, the latest runs of
+// other customers' urgent work that exceed their guarantees.
+auto dispatcher::find_victims(
+    const fleet_tables& tables, const backlog_item& item, bool guaranteed,
+    const std::map<std::string_view, std::size_t>& index,
+    clock_reading now) const -> std::vector<stoppable_work> {
+  std::vector<stoppable_work> found;
+  std::map<std::string_view, std::vector<stoppable_work>> borrowed;
+  for (const auto& [id, job] : tables.jobs) {
+    const auto* queue = find_queue(*site_, job.spec.queue);
+    if (queue == nullptr) continue;
+    bool lower = queue->priority > item.job_queue->priority;
+    bool other = guaranteed && job.spec.customer != item.job->spec.customer;
+    if (!lower && !other) continue;
+    auto& list = lower ? found : borrowed[job.spec.customer];
+    for (const auto& [number, occurrence] : job.open) {
+      for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+        add_stoppable_work(job, {id, number, s}, index, now, list);
+      }
+    }
+  }
+  auto in_use = urgent_accelerators(tables);
+  for (auto& [customer, list] : borrowed) {
+    std::ranges::sort(list, std::ranges::greater(), &stoppable_work::placed_at);
+    auto excess = in_use[customer] - guarantee_of(customer);
+    for (auto& work : list) {
+      if (work.accelerators > excess) continue;
+      excess -= work.accelerators;
+      found.push_back(std::move(work));
+    }
+  }
+  return found;
+}
+
+// Lets work go on that ends soon enough by itself: it costs the step only the
+// time until then, in which the step does no work of its own.
+void dispatcher::wait_for_ends(const backlog_item& item,
+                               std::span<stoppable_work> found,
+                               clock_reading now) const {
+  auto max_wait = std::min(max_end_wait, item.due + latest_stop - now.wall);
+  auto own_cores =
+      cores_of(*item.spec) * static_cast<std::int64_t>(item.tasks.size());
+  for (auto& work : found) {
+    if (!work.time_left || *work.time_left > max_wait) {
+      work.time_left.reset();
+      continue;
+    }
+    auto left = std::max(*work.time_left, milliseconds(0));
+    auto wait_cost = own_cores * left.count();
+    if (wait_cost >= work.as_victim.loss) {
+      work.time_left.reset();
+    } else {
+      work.as_victim.loss = wait_cost;
+    }
+  }
+}
+
+// Stops the runs whose loss costs least to free capacity for an urgent step, if
+// the loss is small enough or the step is guaranteed, and reserves the capacity
+// until the runs have ended.
+void dispatcher::reclaim(const backlog_item& item, const fleet_tables& tables,
+                         std::span<const candidate> candidates,
+                         std::span<const std::size_t> rows, placement_need need,
+                         planning_pass& pass, clock_reading now) {
+  if (item.job_queue->priority != 0) return;
+  auto& last_try = reclaim_tried_at_[item.step];
+  if (now.steady - last_try < reclaim_interval) return;
+  last_try = now.steady;
+  std::map<std::string_view, std::size_t> index;
+  for (std::size_t i = 0; i < rows.size(); ++i) {
+    const auto& record = *pass.row(rows[i]).record;
+    const auto& used = workers_.at(record.incarnation.name).used;
+    if (exceeds_unneeded(used, record.capacity, need.per_task)) continue;
+    index[record.incarnation.name] = i;
+  }
+  bool guaranteed = is_guaranteed(item, tables);
+  auto found = find_victims(tables, item, guaranteed, index, now);
+  if (found.empty()) return;
+  wait_for_ends(item, found, now);
+  std::vector<victim> victims;
+  victims.reserve(found.size());
+  for (const auto& work : found) victims.push_back(work.as_victim);
+  bool must_start = guaranteed && now.wall - item.due >= max_rack_wait;
+  need.any_rack = need.any_rack || must_start;
+  auto plan = plan_reclaim(candidates, victims, need);
+  if (!plan || (plan->victims.empty() && !must_start)) return;
+  auto own_work = cores_of(*item.spec) * item.spec->estimate.count() *
+                  static_cast<std::int64_t>(item.tasks.size());
+  auto max_loss =
+      own_work * (guaranteed ? guaranteed_loss_factor : loss_factor);
+  if (!must_start && plan->loss > max_loss) return;
+  reclaim_reservation reservation;
+  reservation.placements = make_placements(item, plan->chosen, rows, pass);
+  milliseconds longest_wait{0};
+  for (auto v : plan->victims) {
+    const auto& work = found[v];
+    if (work.time_left) {
+      longest_wait = std::max(longest_wait, *work.time_left);
+      reservation.ending.insert(reservation.ending.end(), work.tasks.begin(),
+                                work.tasks.end());
+      continue;
+    }
+    for (const auto& ref : work.tasks) {
+      stop_run(runs_.at(ref), displaced{item.step});
+    }
+  }
+  reservation.stop_at = now.steady + longest_wait + end_estimate_error;
+  reservation.until = reservation.stop_at + limits_.reservation_timeout;
+  // The runs to be stopped still use their capacity, so no other step of this
+  // pass may plan with it.
+  for (const auto& c : plan->chosen) {
+    pass.allocate_on(rows[c.candidate], need.per_task * c.tasks);
+  }
+  log_decision("reclaim",
+               {{"step", fleet::to_string(item.step)},
+                {"customer", item.job->spec.customer},
+                {"guaranteed", guaranteed ? "yes" : "no"},
+                {"tasks", std::to_string(reservation.placements.size())},
+                {"stopped", std::to_string(plan->victims.size())},
+                {"ending", std::to_string(reservation.ending.size())},
+                {"lost_core_ms", std::to_string(plan->loss)}});
+  reclaim_reservations_[item.step] = std::move(reservation);
+}
+
+}  // namespace parsleyledge::fleet
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -374,6 +374,14 @@
   auto has_waited_long(const backlog_item& item, time_point now) const -> bool;
   auto is_overdue(const backlog_item& item, planning_pass& pass,
                   time_point now) const -> bool;
+  auto is_usable(const worker_record& record, const worker_state& worker,
+                 clock_reading now) const -> bool;
+  auto make_placements(const backlog_item& item, std::span<const choice> chosen,
+                       std::span<const std::size_t> rows,
+                       const planning_pass& pass) const
+      -> std::vector<placement>;
+
+  // Capacity reclaimed for urgent work, in dispatch_reclaim.cpp.
   auto is_guaranteed(const backlog_item& item, const fleet_tables& tables) const
       -> bool;
   auto urgent_accelerators(const fleet_tables& tables) const
@@ -393,12 +401,6 @@
                planning_pass& pass, clock_reading now);
   void wait_for_ends(const backlog_item& item, std::span<stoppable_work> found,
                      clock_reading now) const;
-  auto is_usable(const worker_record& record, const worker_state& worker,
-                 clock_reading now) const -> bool;
-  auto make_placements(const backlog_item& item, std::span<const choice> chosen,
-                       std::span<const std::size_t> rows,
-                       const planning_pass& pass) const
-      -> std::vector<placement>;
 
   dispatch_limits limits_;
   std::shared_ptr<const site> site_ = std::make_shared<site>();
--- a/src/core/fleet/wait_cause.cpp
+++ b/src/core/fleet/wait_cause.cpp
@@ -46,7 +46,7 @@
 auto find_wait_cause(std::span<const candidate> workers,
                      std::span<const candidate> with_reserved,
                      std::span<const candidate> with_quarantined,
-                     placement_need need) -> wait_cause {
+                     const placement_need& need) -> wait_cause {
   auto in_any_rack = need;
   in_any_rack.any_rack = true;
   if (!need.any_rack && fits_on(workers, in_any_rack)) return rack_full{};
--- a/src/core/fleet/wait_cause.h
+++ b/src/core/fleet/wait_cause.h
@@ -43,6 +43,6 @@
 auto find_wait_cause(std::span<const candidate> workers,
                      std::span<const candidate> with_reserved,
                      std::span<const candidate> with_quarantined,
-                     placement_need need) -> wait_cause;
+                     const placement_need& need) -> wait_cause;
 
 }  // namespace parsleyledge::fleet
