Let claims within a guarantee wait for nothing

The waits for a rack and for work about to end leave less of the 2.7 s for a second attempt if a worker leaves or a start fails, so they are suspected; that they were the cause is not shown. Both stay for urgent work beyond its guarantee; the cheaper choice of racks and of what is stopped stays for all.

--- a/src/core/fleet/dispatch_reclaim.cpp
+++ b/src/core/fleet/dispatch_reclaim.cpp
@@ -18,20 +18,12 @@
 // Also the limit on what an urgent step beyond its guarantee may cost: as much
 // work of the next lower priority as it has itself.
 constexpr std::int64_t loss_factor = 3;
-// The same for an urgent step within its guarantee, as long as it can wait.
-constexpr std::int64_t guaranteed_loss_factor = 12;
-// A guaranteed step waits for this time for a rack of its own at that cost,
-// then it takes any capacity at any cost.
-constexpr milliseconds max_rack_wait{700};
 // Levels beyond this distance from the lowest weigh the same.
 constexpr std::uint32_t max_weighted_levels = 10;
 // Urgent work waits for this time at most for other work to end by itself.
 constexpr milliseconds max_end_wait{1200};
 // Runs that were to end by themselves are stopped this long after that.
 constexpr milliseconds end_estimate_error{200};
-// Work that is in the way of guaranteed work is stopped this long after the
-// claim, so that it is honoured within the 2.7 s that sites allow.
-constexpr milliseconds latest_stop{1200};
 
 /// Core-milliseconds lost if a run is stopped. A stop saves the progress of a
 /// task with checkpoints.
@@ -174,13 +166,11 @@
 // Lets work go on that ends soon enough by itself: it costs the step only the
 // time until then, in which the step does no work of its own.
 void dispatcher::wait_for_ends(const backlog_item& item,
-                               std::span<stoppable_work> found,
-                               clock_reading now) const {
-  auto max_wait = std::min(max_end_wait, item.due + latest_stop - now.wall);
+                               std::span<stoppable_work> found) {
   auto own_cores =
       cores_of(*item.spec) * static_cast<std::int64_t>(item.tasks.size());
   for (auto& work : found) {
-    if (!work.time_left || *work.time_left > max_wait) {
+    if (!work.time_left || *work.time_left > max_end_wait) {
       work.time_left.reset();
       continue;
     }
@@ -215,19 +205,22 @@
   bool guaranteed = is_guaranteed(item, tables);
   auto found = find_victims(tables, item, guaranteed, index, now);
   if (found.empty()) return;
-  wait_for_ends(item, found, now);
+  // A claim has to be honoured in time whatever else happens meanwhile, so it
+  // waits for nothing.
+  if (guaranteed) {
+    for (auto& work : found) work.time_left.reset();
+  } else {
+    wait_for_ends(item, found);
+  }
   std::vector<victim> victims;
   victims.reserve(found.size());
   for (const auto& work : found) victims.push_back(work.as_victim);
-  bool must_start = guaranteed && now.wall - item.due >= max_rack_wait;
-  need.any_rack = need.any_rack || must_start;
+  need.any_rack = need.any_rack || guaranteed;
   auto plan = plan_reclaim(candidates, victims, need);
-  if (!plan || (plan->victims.empty() && !must_start)) return;
+  if (!plan || (plan->victims.empty() && !guaranteed)) return;
   auto own_work = cores_of(*item.spec) * item.spec->estimate.count() *
                   static_cast<std::int64_t>(item.tasks.size());
-  auto max_loss =
-      own_work * (guaranteed ? guaranteed_loss_factor : loss_factor);
-  if (!must_start && plan->loss > max_loss) return;
+  if (!guaranteed && plan->loss > own_work * loss_factor) return;
   reclaim_reservation reservation;
   reservation.placements = make_placements(item, plan->chosen, rows, pass);
   milliseconds longest_wait{0};
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -399,8 +399,8 @@
                std::span<const candidate> candidates,
                std::span<const std::size_t> rows, placement_need need,
                planning_pass& pass, clock_reading now);
-  void wait_for_ends(const backlog_item& item, std::span<stoppable_work> found,
-                     clock_reading now) const;
+  static void wait_for_ends(const backlog_item& item,
+                            std::span<stoppable_work> found);
 
   dispatch_limits limits_;
   std::shared_ptr<const site> site_ = std::make_shared<site>();
