--- a/review/common/worker.h
+++ b/review/common/worker.h
@@ -68,7 +68,7 @@
       ended_runs_.clear();
       finished_.clear();
       late_.clear();
-      fence_ = acked_ = last_end_ = sequence_ = 0;
+      fence_ = last_end_ = sequence_ = 0;
       lease_end_ = 0;
       life_start_ = steady_now();
       born_ = wall_ms();
@@ -303,15 +303,16 @@
     if (fence < fence_) return answer(409, {{"reason", "fence"}});
     fence_ = fence;
     if (auto deadline = whole(body, "deadlineMs")) extend_lease(deadline);
+    // Forgets the ends that there are. A poll that was meant for an earlier
+    // life has no effect on ends that come later.
     auto acked = whole(body, "ackedSeq");
-    if (acked > acked_) {
-      acked_ = acked;
+    auto forgotten = std::erase_if(finished_, [&](const finished_run& one) {
+      return one.number <= acked;
+    });
+    if (forgotten > 0) {
       log_.line("worker " + options_.id + ": ends up to " +
                 std::to_string(acked) + " taken note of");
     }
-    std::erase_if(finished_, [&](const finished_run& one) {
-      return one.number <= acked_;
-    });
     auto life = born_;
     auto wait = whole(body, "waitMs");
     if (wait > 0 && finished_.empty()) {
@@ -383,7 +384,6 @@
   steady_time life_start_;
   std::int64_t born_ = 0;
   std::int64_t fence_ = 0;
-  std::int64_t acked_ = 0;
   std::int64_t last_end_ = 0;
   std::int64_t sequence_ = 0;
   std::int64_t lease_end_ = 0;  // on its own clock
