Let seeds that are not members pass the list of members on

Cause: a replica outside the group greets its seeds, and a process without a disk dropped every message of the replication protocol. The successor never joined, so two members were left of three.

Change: a process that receives a greeting responds with the list of members as it last sent or received it. The leader sends the list to its seeds each second, so they have it, and the successor then greets the members themselves.

--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -166,6 +166,7 @@
   {
     ranked_lock lock(dispatch_mutex_);
     targets.insert(seeds_.begin(), seeds_.end());
+    known_members_ = status.members;
   }
   targets.erase(settings_.listen_peer);
   for (const auto& address : targets) peers_.send(address, out);
@@ -182,6 +183,24 @@
   if (addresses.empty()) return;
   client_.set_addresses(std::move(addresses));
   replica_.add_contacts(members);
+  ranked_lock lock(dispatch_mutex_);
+  known_members_ = std::move(members);
+}
+
+// A replica that wants to join greets its seeds. Perhaps no seed is a member:
+// they may have no disk, or be outside the group themselves. But the leader
+// sends them the list of members, too.
+void fleet_control_node::pass_members_to(const agreement::message& greeting) {
+  const auto* hello = std::get_if<agreement::hello>(&greeting.body);
+  if (hello == nullptr || hello->reply || hello->address.empty()) return;
+  wire::envelope out;
+  {
+    ranked_lock lock(dispatch_mutex_);
+    for (const auto& m : known_members_) {
+      write(m, *out.mutable_roster()->add_members());
+    }
+  }
+  if (out.has_roster()) peers_.send(hello->address, std::move(out));
 }
 
 void fleet_control_node::run_round() {
--- a/src/adapters/fleet_control_node.h
+++ b/src/adapters/fleet_control_node.h
@@ -109,6 +109,7 @@
   void commit(const fleet::command& command, reply_handler done);
   void send_members(const replica_status& status);
   void handle_members(const wire::member_list& list);
+  void pass_members_to(const agreement::message& greeting);
   void schedule_round();
   void run_round();
   void transfer_if_overloaded(milliseconds late);
@@ -156,7 +157,8 @@
   fleet::dispatcher dispatcher_;
   std::shared_ptr<const fleet::site> site_;
   std::vector<std::string> seeds_;
-  time_point members_sent_at_;  // to the seeds and members
+  std::vector<agreement::member> known_members_;  // as last sent or received
+  time_point members_sent_at_;                    // to the seeds and members
 };
 
 }  // namespace parsleyledge
--- a/src/adapters/fleet_control_requests.cpp
+++ b/src/adapters/fleet_control_requests.cpp
@@ -61,8 +61,10 @@
 void fleet_control_node::receive(std::string_view from,
                                  wire::envelope message) {
   if (message.has_agreement()) {
-    if (!settings_.has_disk) return;
-    if (auto m = read(message.agreement())) replica_.receive(std::move(*m));
+    auto m = read(message.agreement());
+    if (!m) return;
+    pass_members_to(*m);
+    if (settings_.has_disk) replica_.receive(std::move(*m));
     return;
   }
   if (message.has_roster()) {
--- a/test/fleet_control_test.cpp
+++ b/test/fleet_control_test.cpp
@@ -1,9 +1,13 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <boost/asio.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <future>
+#include <optional>
+#include <span>
 #include <vector>
 
 #include "adapters/clock.h"
@@ -37,13 +41,102 @@
   return settings;
 }
 
+/// The control processes at these loopback ports, whose IDs are the ports.
+auto members_at(std::span<const std::uint32_t> ports)
+    -> std::vector<agreement::member> {
+  std::vector<agreement::member> members;
+  for (auto port : ports) {
+    members.push_back({{port}, {}, "127.0.0.1:" + std::to_string(port), true});
+  }
+  return members;
+}
+
+/// The settings of a control process at a loopback port, whose seeds are at the
+/// ports of `seeds`. If it is one of them, it may bootstrap the group.
+auto make_settings(std::uint32_t port, std::span<const std::uint32_t> seeds)
+    -> fleet_control_settings {
+  auto self = members_at(std::span(&port, 1)).front();
+  fleet_control_settings settings;
+  settings.name = "control-" + std::to_string(port);
+  settings.group = "fleet";
+  settings.listen_peer = self.address;
+  settings.replica.id = self.id;
+  settings.replica.seed = port;
+  settings.replica.admits_unknown_replicas = true;
+  settings.replica.peers = members_at(seeds);
+  for (const auto& seed : settings.replica.peers) {
+    settings.control.push_back(seed.address);
+  }
+  settings.replica.may_bootstrap =
+      std::ranges::find(seeds, port) != seeds.end();
+  if (!settings.replica.may_bootstrap) settings.replica.peers.push_back(self);
+  return settings;
+}
+
+/// A control process with a thread of its own.
+class control_process {
+ public:
+  explicit control_process(fleet_control_settings settings)
+      : address_(settings.listen_peer), pool_(1) {
+    journal disk{file_store(memory_files())};
+    agreement::recovered_state recovered;
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+          BOOST_LEAF_ASSIGN(recovered,
+                            disk.open({"fleet", settings.replica.id}));
+          return {};
+        },
+        [] { CPPUNIT_FAIL("the journal cannot be opened"); });
+    settings.replica.incarnation = disk.incarnation();
+    fleet::platform_port platform;
+    platform.parse_site = [](std::string_view) -> std::optional<fleet::site> {
+      return {};
+    };
+    node_.emplace(pool_, std::move(settings), std::move(disk),
+                  std::move(recovered), platform, [](std::string_view detail) {
+                    CPPUNIT_FAIL(std::string(detail));
+                  });
+    CPPUNIT_ASSERT_EQUAL(std::string(), node_->start());
+  }
+
+  ~control_process() {
+    node_->stop();
+    pool_.stop();
+    pool_.join();
+  }
+
+  control_process(const control_process&) = delete;
+  auto operator=(const control_process&) -> control_process& = delete;
+
+  auto node() -> fleet_control_node& { return *node_; }
+  auto address() const -> const std::string& { return address_; }
+
+  /// The addresses of the members of the group, one per line. Empty if no
+  /// leader responds.
+  auto members() -> std::string {
+    auto reply =
+        asio::co_spawn(asio::make_strand(pool_),
+                       node_->serve(fleet::ping_request{}, milliseconds(500)),
+                       asio::use_future)
+            .get();
+    return reply.status == reply_status::done ? reply.text : std::string();
+  }
+
+ private:
+  std::string address_;
+  asio::thread_pool pool_;
+  std::optional<fleet_control_node> node_;
+};
+
 }  // namespace
 
-/// Requests to a control process during a hand-over of the leadership.
+/// Control processes during a transfer of the leadership, and when they join a
+/// group.
 class fleet_control_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(fleet_control_test);
   CPPUNIT_TEST(a_hand_over_refuses_no_change_that_the_next_leader_can_commit);
   CPPUNIT_TEST(a_report_that_cannot_be_decoded_again_is_not_committed);
+  CPPUNIT_TEST(a_replica_joins_through_a_seed_without_a_disk);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -143,6 +236,24 @@
     CPPUNIT_ASSERT(odd == reply_status::invalid);
     CPPUNIT_ASSERT(valid == reply_status::done);
   }
+
+  // Guards against the loss of the state: the successor of a replaced machine
+  // never joined, as its seeds were no members, and the next disk that was lost
+  // left the group without a quorum.
+  void a_replica_joins_through_a_seed_without_a_disk() {
+    constexpr std::uint32_t leader_port = 18'934;
+    constexpr std::uint32_t seed_port = 18'935;
+    constexpr std::uint32_t joining_port = 18'936;
+    auto seed_settings = make_settings(seed_port, std::array{leader_port});
+    seed_settings.has_disk = false;
+    control_process seed(std::move(seed_settings));
+    control_process leader(make_settings(leader_port, std::array{leader_port}));
+    leader.node().set_control_addresses({seed.address()});
+    control_process joining(make_settings(joining_port, std::array{seed_port}));
+    CPPUNIT_ASSERT(fakes::eventually([&] {
+      return leader.members().find(joining.address()) != std::string::npos;
+    }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_control_test);
