Let a replica that joins greet seeds that its settings name later

A successor that starts while its seeds are gone never joins.

Cause: changed seeds reached the list of recipients of the leader, but not the replica, which went on greeting the seeds of its start.

Change: the node passes new seeds to the replica as contacts, with their IDs.

Evidence: fleet_control_test::a_replica_joins_through_seeds_named_later failed before (no member after 30 s) and passes now.

--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -142,10 +142,12 @@
   metrics_.latency("decision_seconds").record(duration);
 }
 
-void fleet_control_node::set_control_addresses(
-    std::vector<std::string> addresses) {
+// A replica that is not a member of the group greets the new seeds, too.
+void fleet_control_node::set_seeds(std::span<const agreement::member> seeds) {
+  replica_.add_contacts(seeds);
   ranked_lock lock(dispatch_mutex_);
-  seeds_ = std::move(addresses);
+  seeds_.clear();
+  for (const auto& seed : seeds) seeds_.push_back(seed.address);
 }
 
 // The seeds may all be processes without a disk, and a member that lost its
--- a/src/adapters/fleet_control_node.h
+++ b/src/adapters/fleet_control_node.h
@@ -6,6 +6,7 @@
 #include <boost/asio/thread_pool.hpp>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -65,8 +66,8 @@
   /// The leader's peer address; empty if it is unknown to this process.
   auto leader_address() -> std::string;
 
-  /// Replaces the seeds, which are peer addresses of control processes.
-  void set_control_addresses(std::vector<std::string> addresses);
+  /// Replaces the seeds, which are control processes.
+  void set_seeds(std::span<const agreement::member> seeds);
 
   /// Starts a transfer of leadership to another replica. The process can stop
   /// once leads() returns false.
--- a/src/apps/fleet_control.cpp
+++ b/src/apps/fleet_control.cpp
@@ -37,6 +37,15 @@
   return {ip.to_uint()};
 }
 
+auto seeds_of(const platform::node_settings& node)
+    -> std::vector<agreement::member> {
+  std::vector<agreement::member> seeds;
+  for (const auto& address : platform::peer_addresses(node)) {
+    seeds.push_back({replica_id_of(address), {}, address, true});
+  }
+  return seeds;
+}
+
 auto make_settings(const platform::node_settings& node)
     -> fleet_control_settings {
   fleet_control_settings settings;
@@ -46,10 +55,7 @@
   settings.control = platform::peer_addresses(node);
   settings.replica.id = replica_id_of(settings.listen_peer);
   settings.replica.delays.tick = milliseconds(50);
-  for (const auto& address : settings.control) {
-    settings.replica.peers.push_back(
-        {replica_id_of(address), {}, address, true});
-  }
+  settings.replica.peers = seeds_of(node);
   auto self = std::ranges::find(settings.replica.peers, settings.replica.id,
                                 &agreement::member::id);
   settings.replica.admits_unknown_replicas = true;
@@ -146,7 +152,7 @@
              {"seeds", absl::StrJoin(node_file.seeds, ",")}});
 
   auto apply_settings = [&](const platform::node_settings& changed) {
-    node.set_control_addresses(platform::peer_addresses(changed));
+    node.set_seeds(seeds_of(changed));
   };
   wait_for_signal([&] { watcher.reload_if_changed(apply_settings); },
                   settings_poll_interval);
--- a/test/fleet_control_test.cpp
+++ b/test/fleet_control_test.cpp
@@ -137,6 +137,7 @@
   CPPUNIT_TEST(a_hand_over_refuses_no_change_that_the_next_leader_can_commit);
   CPPUNIT_TEST(a_report_that_cannot_be_decoded_again_is_not_committed);
   CPPUNIT_TEST(a_replica_joins_through_a_seed_without_a_disk);
+  CPPUNIT_TEST(a_replica_joins_through_seeds_named_later);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -248,12 +249,26 @@
     seed_settings.has_disk = false;
     control_process seed(std::move(seed_settings));
     control_process leader(make_settings(leader_port, std::array{leader_port}));
-    leader.node().set_control_addresses({seed.address()});
+    leader.node().set_seeds(members_at(std::array{seed_port}));
     control_process joining(make_settings(joining_port, std::array{seed_port}));
     CPPUNIT_ASSERT(fakes::eventually([&] {
       return leader.members().find(joining.address()) != std::string::npos;
     }));
   }
+
+  // Guards against a successor that never joins, as it started while the seeds
+  // in its settings were all gone.
+  void a_replica_joins_through_seeds_named_later() {
+    constexpr std::uint32_t leader_port = 18'937;
+    constexpr std::uint32_t gone_port = 18'938;
+    constexpr std::uint32_t joining_port = 18'939;
+    control_process leader(make_settings(leader_port, std::array{leader_port}));
+    control_process joining(make_settings(joining_port, std::array{gone_port}));
+    joining.node().set_seeds(members_at(std::array{leader_port}));
+    CPPUNIT_ASSERT(fakes::eventually([&] {
+      return leader.members().find(joining.address()) != std::string::npos;
+    }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_control_test);
