Let a removed replica rejoin through the members on its disk

A healthy replica that was removed while it was partitioned, and then restarted, stays outside the group if its seeds are gone.

Cause: such a replica greets its seeds and the contacts it has heard of since its start, but not the members that its own log names.

Change: it greets these members, too.

Evidence: agreement_test::a_removed_replica_rejoins_through_the_members_on_its_disk failed before and passes now.

--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -239,6 +239,9 @@
   auto own = address_of(settings_.id);
   std::set<replica_id> all;
   for (const auto& peer : settings_.peers) all.insert(peer.id);
+  // A replica that was removed from the group may know its members only from
+  // its disk.
+  for (const auto& m : members_) all.insert(m.id);
   for (const auto& [id, address] : contacts_) all.insert(id);
   all.erase(settings_.id);
   for (auto id : all) send(id, hello{false, false, own});
--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -557,6 +557,7 @@
   CPPUNIT_TEST(a_snapshot_of_entries_in_the_log_discards_none_after_it);
   CPPUNIT_TEST(a_snapshot_is_received_from_one_leader);
   CPPUNIT_TEST(a_voter_that_was_removed_while_partitioned_votes_again);
+  CPPUNIT_TEST(a_removed_replica_rejoins_through_the_members_on_its_disk);
   CPPUNIT_TEST(survives_random_faults_and_replacements);
   CPPUNIT_TEST_SUITE_END();
 
@@ -1106,6 +1107,26 @@
     }
   }
 
+  // Guards against a healthy replica that stays outside the group permanently:
+  // it was removed while partitioned, has restarted since, and its seeds are
+  // gone.
+  void a_removed_replica_rejoins_through_the_members_on_its_disk() {
+    group g(3, 4, true);
+    CPPUNIT_ASSERT(g.commit("before"));
+    g.start({4});
+    wait_for_voter(g, {4});
+    replica_id removed{id_of(*g.wait_for_leader()).value % 3 + 1};
+    g.set_partitioned(removed, true);
+    g.run(milliseconds(6000));
+    CPPUNIT_ASSERT(!voter_ids(g).contains(removed.value));
+    g.crash(removed);
+    g.seeds_unreachable = true;
+    g.start(removed);
+    g.set_partitioned(removed, false);
+    wait_for_voter(g, removed);
+    g.check_no_entry_lost();
+  }
+
   // Guards against the loss of an acknowledged entry, and against a replica
   // that never votes again, whatever disturbances within the tolerance come
   // together.
