Let a leader that was overloaded stand for election again

Cause: the node of a replica had one operation, transfer, which retired the replica: it gives its leadership away and never stands for election again. That is right for a process that shuts down. The overload detector used it for a process that goes on, and so did the refusal of the operator's request to remove the replica that leads.

Change: the node offers both operations of the replica under their names, transfer_leadership and retire; only the shutdown retires.

--- a/src/adapters/control_node.cpp
+++ b/src/adapters/control_node.cpp
@@ -65,8 +65,8 @@
   return {};
 }
 
-void control_node::transfer() {
-  replica_.transfer();
+void control_node::retire() {
+  replica_.retire();
 }
 
 auto control_node::leads() -> bool {
@@ -329,7 +329,7 @@
                {409, "Replica leads",
                 "it transfers its leadership; repeat the request",
                 run_outcome::not_run});
-    replica_.transfer();
+    replica_.transfer_leadership();
     return;
   }
   replica_.change_members(edit, [this, from, i = call.id()](bool accepted) {
--- a/src/adapters/control_node.h
+++ b/src/adapters/control_node.h
@@ -56,9 +56,10 @@
   /// empty string on success.
   auto start() -> std::string;
 
-  /// Starts a transfer of leadership to another replica. The process can stop
-  /// once leads() returns false.
-  void transfer();
+  /// Prepares for the end of the process: starts a transfer of leadership to
+  /// another replica, and does not stand for election from now on. The process
+  /// can stop once leads() returns false.
+  void retire();
 
   /// Whether this replica has the role of the leader.
   auto leads() -> bool;
--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -65,8 +65,8 @@
   return {};
 }
 
-void fleet_control_node::transfer() {
-  replica_.transfer();
+void fleet_control_node::retire() {
+  replica_.retire();
 }
 
 auto fleet_control_node::leads() -> bool {
@@ -109,7 +109,7 @@
   log_event(log_level::warning, "leader_overloaded",
             {{"late_ms", late.count()}});
   metrics_.counter("overload_transfers_total").fetch_add(1);
-  replica_.transfer();
+  replica_.transfer_leadership();
 }
 
 // Changes in quick succession share one decision. After a decision, the next
--- a/src/adapters/fleet_control_node.h
+++ b/src/adapters/fleet_control_node.h
@@ -69,9 +69,10 @@
   /// Replaces the seeds, which are control processes.
   void set_seeds(std::span<const agreement::member> seeds);
 
-  /// Starts a transfer of leadership to another replica. The process can stop
-  /// once leads() returns false.
-  void transfer();
+  /// Prepares for the end of the process: starts a transfer of leadership to
+  /// another replica, and does not stand for election from now on. The process
+  /// can stop once leads() returns false.
+  void retire();
 
   /// Whether this replica has the role of the leader.
   auto leads() -> bool;
--- a/src/adapters/replica_node.cpp
+++ b/src/adapters/replica_node.cpp
@@ -98,10 +98,15 @@
 }
 
 template <typename Machine>
-void basic_replica_node<Machine>::transfer() {
+void basic_replica_node<Machine>::transfer_leadership() {
   enqueue(transfer_request{});
 }
 
+template <typename Machine>
+void basic_replica_node<Machine>::retire() {
+  enqueue(retirement{});
+}
+
 template <typename Machine>
 void basic_replica_node<Machine>::enqueue(input item) {
   ranked_lock lock(inbox_mutex_);
@@ -158,7 +163,10 @@
                     [accepted, done = std::move(p.done)] { done(accepted); });
               },
               [&](tick&) { add(replica_.tick(now)); },
-              [&](transfer_request&) { add(replica_.retire(now)); },
+              [&](transfer_request&) {
+                add(replica_.transfer_leadership(now));
+              },
+              [&](retirement&) { add(replica_.retire(now)); },
               [&](encoded_snapshot& s) { snapshots.push_back(s); }},
           item);
     }
--- a/src/adapters/replica_node.h
+++ b/src/adapters/replica_node.h
@@ -82,9 +82,13 @@
                           change,
                       std::function<void(bool)> done);
 
-  /// Transfers leadership to another replica if this one leads. From now on it
-  /// does not stand for election, as its process is about to stop.
-  void transfer();
+  /// Transfers leadership to another replica if this one leads. It may be
+  /// elected again.
+  void transfer_leadership();
+
+  /// Transfers leadership if this replica leads. From now on it does not stand
+  /// for election, as its process is about to stop.
+  void retire();
 
   /// Stops the ticks and discards all queued and later input, without calling
   /// the handlers of proposals.
@@ -117,12 +121,14 @@
   };
   struct tick {};
   struct transfer_request {};
+  struct retirement {};
   struct encoded_snapshot {
     agreement::log_position last;
     std::shared_ptr<const std::string> bytes;
   };
-  using input = std::variant<agreement::message, proposal, member_proposal,
-                             tick, transfer_request, encoded_snapshot>;
+  using input =
+      std::variant<agreement::message, proposal, member_proposal, tick,
+                   transfer_request, retirement, encoded_snapshot>;
   struct pending_proposal {
     agreement::term_number term;
     result_handler done;
--- a/src/apps/fleet_control.cpp
+++ b/src/apps/fleet_control.cpp
@@ -158,7 +158,7 @@
                   settings_poll_interval);
   log_event(log_level::info, "handing_over");
   auto deadline = steady_now() + leadership_transfer_timeout;
-  node.transfer();
+  node.retire();
   while (node.leads() && steady_now() < deadline) {
     boost::asio::steady_timer timer(pool, leadership_poll_interval);
     timer.wait();
--- a/test/fleet_control_test.cpp
+++ b/test/fleet_control_test.cpp
@@ -111,6 +111,23 @@
   auto node() -> fleet_control_node& { return *node_; }
   auto address() const -> const std::string& { return address_; }
 
+  /// Occupies the thread again and again until the process gives its
+  /// leadership away.
+  void overload() {
+    constexpr milliseconds pause{300};
+    auto& transfers = node_->counters().counter("overload_transfers_total");
+    auto before = transfers.load();
+    CPPUNIT_ASSERT(fakes::eventually([&] {
+      std::promise<void> paused;
+      asio::post(pool_, [&] {
+        fakes::pause_for(pause);
+        paused.set_value();
+      });
+      paused.get_future().wait();
+      return transfers.load() > before;
+    }));
+  }
+
   /// The addresses of the members of the group, one per line. Empty if no
   /// leader responds.
   auto members() -> std::string {
@@ -138,6 +155,7 @@
   CPPUNIT_TEST(a_report_that_cannot_be_decoded_again_is_not_committed);
   CPPUNIT_TEST(a_replica_joins_through_a_seed_without_a_disk);
   CPPUNIT_TEST(a_replica_joins_through_seeds_named_later);
+  CPPUNIT_TEST(a_leader_that_was_overloaded_can_lead_again);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -181,7 +199,7 @@
     std::vector<std::future<fleet::reply>> replies;
     for (std::uint64_t i = 1; i <= changes; ++i) {
       replies.push_back(call(fleet::start_wave_request{i, {}}));
-      if (i == changes / 2) node.transfer();
+      if (i == changes / 2) node.retire();
     }
     std::uint64_t refused = 0;
     for (auto& reply : replies) {
@@ -269,6 +287,24 @@
       return leader.members().find(joining.address()) != std::string::npos;
     }));
   }
+
+  // Guards against a group without a leader once each of its members has led
+  // and been slow for a while, although all are well again.
+  void a_leader_that_was_overloaded_can_lead_again() {
+    const std::vector<std::uint32_t> ports = {18'932, 18'933};
+    control_process first(make_settings(ports[0], ports));
+    control_process second(make_settings(ports[1], ports));
+    CPPUNIT_ASSERT(fakes::eventually(
+        [&] { return first.node().leads() || second.node().leads(); }));
+    auto& old_leader = first.node().leads() ? first : second;
+    auto& new_leader = first.node().leads() ? second : first;
+    old_leader.overload();
+    CPPUNIT_ASSERT(
+        fakes::eventually([&] { return new_leader.node().leads(); }));
+    new_leader.overload();
+    CPPUNIT_ASSERT(
+        fakes::eventually([&] { return old_leader.node().leads(); }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_control_test);
--- a/test/system_test.cpp
+++ b/test/system_test.cpp
@@ -94,6 +94,7 @@
   CPPUNIT_TEST(a_claim_without_a_response_frees_its_key);
   CPPUNIT_TEST(preserves_acknowledged_changes);
   CPPUNIT_TEST(a_paused_leader_reverts_no_change);
+  CPPUNIT_TEST(a_leader_that_was_not_removed_can_lead_again);
   CPPUNIT_TEST(an_isolated_entry_rejects_requests);
   CPPUNIT_TEST(a_draining_endpoint_gets_no_requests);
   CPPUNIT_TEST(a_graceful_shutdown_aborts_no_request);
@@ -486,6 +487,26 @@
     }));
   }
 
+  // Guards against a group without a leader: a replica that transferred its
+  // leadership, because the operator asked to remove it, never stood for
+  // election again, although it is still a member.
+  void a_leader_that_was_not_removed_can_lead_again() {
+    process_site site(22300);
+    site.start_all();
+    constexpr int replicas = 3;
+    for (int i = 0; i < replicas; ++i) {
+      int leader = 0;
+      CPPUNIT_ASSERT(eventually([&] { return (leader = site.leader()) != 0; }));
+      auto target = "/v1/replicas/" + std::to_string(leader);
+      CPPUNIT_ASSERT_EQUAL(409,
+                           site.call(1, {"DELETE", target, {}, {}}).status);
+      CPPUNIT_ASSERT(eventually([&] {
+        auto next = site.leader();
+        return next != 0 && next != leader;
+      }));
+    }
+  }
+
   void an_isolated_entry_rejects_requests() {
     process_site site(21500);
     site.start_all();
