--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -4,9 +4,11 @@
 #include <unistd.h>
 
 #include <boost/asio.hpp>
+#include <boost/beast.hpp>
 #include <cstdio>
 #include <fstream>
 #include <string>
+#include <thread>
 #include <tuple>
 #include <vector>
 
@@ -155,6 +157,7 @@
   CPPUNIT_TEST(rejects_reports_with_invalid_ids);
   CPPUNIT_TEST(rejects_reports_with_invalid_addresses);
   CPPUNIT_TEST(a_call_to_an_invalid_address_gets_no_response);
+  CPPUNIT_TEST(a_start_without_a_response_is_not_repeated_by_the_client);
   CPPUNIT_TEST(rejects_reports_with_odd_fields);
   CPPUNIT_TEST(deep_nesting_is_an_error);
   CPPUNIT_TEST(any_mutation_of_a_report_is_read_or_rejected);
@@ -428,6 +431,83 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), faults);
   }
 
+  // Guards against two runs of one task: a start that got no response on a kept
+  // connection was repeated below the dispatcher, which took the rejection of
+  // the copy to mean that the task could be placed elsewhere.
+  void a_start_without_a_response_is_not_repeated_by_the_client() {
+    using boost::asio::ip::tcp;
+    boost::asio::io_context server_context;
+    tcp::acceptor acceptor(server_context,
+                           {boost::asio::ip::address_v4::loopback(), 0});
+    auto address =
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    std::size_t starts = 0;
+    std::thread worker([&] {
+      auto answer = [&](tcp::socket& socket, std::string_view status,
+                        std::string_view body) {
+        boost::asio::write(
+            socket, boost::asio::buffer(
+                        "HTTP/1.1 " + std::string(status) +
+                        "\r\nContent-Length: " + std::to_string(body.size()) +
+                        "\r\n\r\n" + std::string(body)));
+      };
+      auto read_request = [](tcp::socket& socket) {
+        boost::beast::flat_buffer buffer;
+        boost::beast::http::request<boost::beast::http::string_body> request;
+        boost::beast::error_code ec;
+        boost::beast::http::read(socket, buffer, request, ec);
+        return std::string(request.target());
+      };
+      // Answers a poll, and closes the connection when the start has arrived.
+      tcp::socket kept(server_context);
+      acceptor.accept(kept);
+      read_request(kept);
+      answer(kept, "200 OK", R"({"clockMs":5,"running":[],"finished":[]})");
+      if (read_request(kept) == "/api/run-start") ++starts;
+      kept.close();
+      // Rejects what comes on later connections. The test itself opens the
+      // last one.
+      while (true) {
+        tcp::socket socket(server_context);
+        acceptor.accept(socket);
+        auto target = read_request(socket);
+        if (target == "/end") return;
+        if (target == "/api/run-start") ++starts;
+        answer(socket, "503 Service Unavailable", "");
+      }
+    });
+    boost::asio::io_context context;
+    platform::platform_http_client client({});
+    auto call = [&](fleet::worker_request request) {
+      auto response =
+          boost::asio::co_spawn(context,
+                                client.call_worker({1,
+                                                    {"i-1", 5},
+                                                    address,
+                                                    7,
+                                                    std::move(request),
+                                                    milliseconds(2000)}),
+                                boost::asio::use_future);
+      context.restart();
+      context.run();
+      return response.get();
+    };
+    auto polled = call(fleet::poll_request{});
+    fleet::start_request start;
+    start.run = 1;
+    auto started = call(start);
+    tcp::socket last(context);
+    last.connect(acceptor.local_endpoint());
+    boost::asio::write(
+        last, boost::asio::buffer(std::string("GET /end HTTP/1.1\r\n\r\n")));
+    worker.join();
+    CPPUNIT_ASSERT(std::holds_alternative<fleet::poll_response>(polled));
+    const auto* none = std::get_if<fleet::worker_no_response>(&started);
+    CPPUNIT_ASSERT(none != nullptr);
+    CPPUNIT_ASSERT(none->sent);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts);
+  }
+
   void rejects_reports_with_odd_fields() {
     const std::vector<std::pair<std::string, std::string>> numbers = {
         {"\"cpu\": 16000", "cpu"},
