Let every leader know which replicas replace another

Cause: the leader that admits an unknown replica counted that a voter which stops responding is to be removed, in its own memory. In the planned replacement of its machine it is the one that leaves, so the next leader removed nobody: three machines were four voters with a quorum of three.

Change: the members note which of them was admitted in place of another. The note is part of the log, so every leader has it. A leader that does not know when the replica was admitted waits for the whole window from its election; once the window has passed without a replaced voter, it clears the note, so that a voter that fails long after an admission stays.

--- a/src/adapters/agreement_codec.cpp
+++ b/src/adapters/agreement_codec.cpp
@@ -147,10 +147,15 @@
   to.set_life(from.incarnation.value);
   to.set_address(from.address);
   to.set_voter(from.voter);
+  to.set_replaces(from.replaces_another);
 }
 
 auto read(const wire::member& from) -> ag::member {
-  return {{from.id()}, {from.life()}, from.address(), from.voter()};
+  return {{from.id()},
+          {from.life()},
+          from.address(),
+          from.voter(),
+          from.replaces()};
 }
 
 void write(const ag::log_entry& from, wire::log_entry& to) {
--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -323,28 +323,38 @@
   if (find_member(in.from) != nullptr || address.empty()) return;
   auto changed = members_;
   changed.push_back(
-      {in.from, in.from_incarnation, std::string(address), false});
-  if (!propose_members(std::move(changed))) return;
-  if (now_ - last_admitted_at_ > replacement_window) pending_replacements_ = 0;
-  last_admitted_at_ = now_;
-  ++pending_replacements_;
+      {in.from, in.from_incarnation, std::string(address), false, true});
+  if (propose_members(std::move(changed))) last_admitted_at_ = now_;
 }
 
 // Removes a voter that stopped responding at about the time when an unknown
-// replica was admitted, once that replica is a voter.
+// replica was admitted, once that replica is a voter. The members show that one
+// was admitted, as the leader that admitted it may be the voter to remove. A
+// new leader does not know when, and waits for the whole window again.
 void replica::remove_replaced_voter() {
-  bool due = pending_replacements_ > 0 &&
-             now_ - last_admitted_at_ < replacement_window &&
+  auto replacement =
+      std::ranges::find(members_, true, &member::replaces_another);
+  bool due = replacement != members_.end() &&
              std::ranges::all_of(members_, &member::voter);
-  if (!due || now_ - leading_since_ < unresponsive_timeout) return;
+  if (!due) return;
+  if (now_ - std::max(leading_since_, last_admitted_at_) > replacement_window) {
+    auto changed = members_;
+    for (auto& m : changed) m.replaces_another = false;
+    propose_members(std::move(changed));
+    return;
+  }
+  if (now_ - leading_since_ < unresponsive_timeout) return;
   for (const auto& m : members_) {
     auto it = progress_.find(m.id);
     bool unresponsive = m.id != settings_.id && it != progress_.end() &&
                         now_ - it->second.received_at > unresponsive_timeout;
     if (!unresponsive) continue;
     auto changed = members_;
+    for (auto& c : changed) {
+      if (c.id == replacement->id) c.replaces_another = false;
+    }
     std::erase_if(changed, [&](const member& c) { return c.id == m.id; });
-    if (propose_members(std::move(changed))) --pending_replacements_;
+    propose_members(std::move(changed));
     return;
   }
 }
@@ -357,7 +367,8 @@
   if (known == nullptr || known->incarnation == incarnation) return;
   auto changed = members_;
   for (auto& m : changed) {
-    if (m.id == id) m = {id, incarnation, std::string(address), false};
+    if (m.id != id) continue;
+    m = {id, incarnation, std::string(address), false, m.replaces_another};
   }
   propose_members(std::move(changed));
 }
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -73,9 +73,10 @@
   auto propose(std::span<const std::string> commands)
       -> std::optional<log_position>;
 
-  /// Appends a membership entry, which may change one member. Returns false if
-  /// this replica is not the leader, the previous change is not committed yet,
-  /// or no entry of the current term is committed.
+  /// Appends a membership entry, which may add, remove or promote one member
+  /// and change other notes on them. Returns false if this replica is not the
+  /// leader, the previous change is not committed yet, or no entry of the
+  /// current term is committed.
   auto propose_members(std::vector<member> members) -> bool;
 
   /// Returns the effects of earlier proposals, with the messages that
@@ -203,9 +204,7 @@
   time_point transfer_started_at_;
   time_point transfer_deadline_;
   time_point leading_since_;
-  time_point last_admitted_at_;  // when the last unknown replica was admitted
-  // Unknown replicas admitted for which no voter was removed yet.
-  std::uint32_t pending_replacements_ = 0;
+  time_point last_admitted_at_;  // when this leader last admitted a replica
   bool transferring_ = false;
   bool retiring_ = false;                     // the process is about to end
   std::vector<replica_id> transfer_targets_;  // the current one is the last
--- a/src/core/agreement/types.h
+++ b/src/core/agreement/types.h
@@ -33,6 +33,8 @@
   incarnation_number incarnation;
   std::string address;  // ip:port of the peer socket
   bool voter = true;
+  // Admitted in place of another member, which is yet to be removed.
+  bool replaces_another = false;
 
   auto operator==(const member&) const -> bool = default;
 };
--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -553,6 +553,8 @@
   CPPUNIT_TEST(a_replica_with_a_lost_disk_rejoins_through_an_added_contact);
   CPPUNIT_TEST(an_unknown_replica_replaces_a_lost_voter);
   CPPUNIT_TEST(an_unknown_replica_replaces_a_voter_lost_later);
+  CPPUNIT_TEST(the_next_leader_removes_a_replaced_leader);
+  CPPUNIT_TEST(an_admission_of_long_ago_removes_no_voter);
   CPPUNIT_TEST(a_restart_after_an_admission_removes_no_voter);
   CPPUNIT_TEST(a_snapshot_of_entries_in_the_log_discards_none_after_it);
   CPPUNIT_TEST(a_snapshot_is_received_from_one_leader);
@@ -988,6 +990,48 @@
     g.check_no_entry_lost();
   }
 
+  // Guards against the loss of the state: a leader that admitted its own
+  // successor and then left stayed a voter, and the next disk that was lost
+  // left the group without a quorum.
+  void the_next_leader_removes_a_replaced_leader() {
+    for (std::uint64_t seed = 1; seed <= 9; ++seed) {
+      group g(3, seed, true);
+      CPPUNIT_ASSERT(g.commit("before"));
+      g.start({4});
+      wait_for_voter(g, {4});
+      auto replaced = id_of(*g.wait_for_leader());
+      if (seed % 3 != 0) g.transfer_from(replaced);
+      if (seed % 2 == 0) g.compact(id_of(*g.wait_for_leader()));
+      g.lose_disk(replaced);
+      g.run(milliseconds(9000));
+      auto left = voter_ids(g);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, left.size());
+      CPPUNIT_ASSERT(!left.contains(replaced.value));
+      // The group tolerates the loss of another disk.
+      replica_id next{*left.begin()};
+      g.lose_disk(next);
+      CPPUNIT_ASSERT(g.commit("after"));
+      g.check_no_entry_lost();
+    }
+  }
+
+  // Guards against a voter that the next leader takes for one that an unknown
+  // replica replaced, although nothing was replaced for a while.
+  void an_admission_of_long_ago_removes_no_voter() {
+    group g(3, 7, true);
+    CPPUNIT_ASSERT(g.commit("before"));
+    g.start({4});
+    wait_for_voter(g, {4});
+    g.run(milliseconds(12'000));
+    auto old_leader = id_of(*g.wait_for_leader());
+    g.transfer_from(old_leader);
+    g.crash(old_leader);
+    g.run(milliseconds(9000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, voter_ids(g).size());
+    CPPUNIT_ASSERT(g.commit("after"));
+    g.check_no_entry_lost();
+  }
+
   void a_restart_after_an_admission_removes_no_voter() {
     group g(3, 6, true);
     CPPUNIT_ASSERT(g.commit("before"));
