Let accepted jobs run on when their queue is removed

Cause: the tables keep the name of the queue only. What is needed to run a job (the service, the priority, the attempts, the terms of advice) was looked up in the configuration in force, and a job without a queue there was skipped. On the same look-up: such a job was never given up however often it failed, was never stopped for urgent work, and was started without the ticket of its queue's policy.

Change: an accepted job stores its queue as it was then, and all look-ups for a job use the queue in force, or else the stored one.

--- a/src/adapters/fleet_codec.cpp
+++ b/src/adapters/fleet_codec.cpp
@@ -80,6 +80,35 @@
   return to;
 }
 
+// Without what only requests need: the host, the prefix and their limits.
+void write(const queue& from, wire::fleet_queue& to) {
+  to.set_service(from.service);
+  to.set_priority(from.priority);
+  to.set_attempts(from.attempts);
+  to.set_stretch(from.stretch);
+  to.set_objective_ms(from.objective.count());
+  if (!from.advice) return;
+  to.mutable_advice()->set_decide_ms(from.advice->decide.count());
+  to.mutable_advice()->set_each_ms(from.advice->each.count());
+  to.mutable_advice()->set_validity_ms(from.advice->validity.count());
+}
+
+auto read(const wire::fleet_queue& from, std::string_view name) -> queue {
+  queue to;
+  to.name = name;
+  to.service = from.service();
+  to.priority = from.priority();
+  to.attempts = from.attempts();
+  to.stretch = from.stretch();
+  to.objective = milliseconds(from.objective_ms());
+  if (from.has_advice()) {
+    to.advice = advice_terms{milliseconds(from.advice().decide_ms()),
+                             milliseconds(from.advice().each_ms()),
+                             milliseconds(from.advice().validity_ms())};
+  }
+  return to;
+}
+
 void write(const job_spec& from, wire::fleet_job_spec& to) {
   to.set_id(from.id.value);
   to.set_queue(from.queue);
@@ -89,6 +118,9 @@
   to.set_times(from.occurrences);
   to.set_first_due(to_ms(from.first_due));
   to.set_interval_ms(from.interval.count());
+  if (!from.accepted_by.service.empty()) {
+    write(from.accepted_by, *to.mutable_accepted_by());
+  }
 }
 
 auto read(const wire::fleet_job_spec& from) -> job_spec {
@@ -101,6 +133,9 @@
   to.occurrences = from.times();
   to.first_due = at_ms(from.first_due());
   to.interval = milliseconds(from.interval_ms());
+  if (from.has_accepted_by()) {
+    to.accepted_by = read(from.accepted_by(), to.queue);
+  }
   return to;
 }
 
--- a/src/adapters/fleet_control_requests.cpp
+++ b/src/adapters/fleet_control_requests.cpp
@@ -229,6 +229,7 @@
   request.spec.id = *id;
   request.spec.queue = resolved.queue->name;
   request.spec.customer = resolved.customer;
+  request.spec.accepted_by = *resolved.queue;
   log_event(
       log_level::info, "job_submitted",
       {{"job", fleet::to_string(*id)},
--- a/src/core/fleet/backlog.cpp
+++ b/src/core/fleet/backlog.cpp
@@ -102,7 +102,7 @@
   std::vector<backlog_item> backlog;
   for (const auto& [id, job] : tables.jobs) {
     if (is_ended(job)) continue;
-    const auto* job_queue = find_queue(config, job.spec.queue);
+    const auto* job_queue = queue_of(config, job.spec);
     if (job_queue == nullptr) continue;
     auto total = occurrences_of(job.spec);
     std::size_t collected_tasks = 0;
--- a/src/core/fleet/dispatch_gang_reservations.cpp
+++ b/src/core/fleet/dispatch_gang_reservations.cpp
@@ -93,7 +93,7 @@
   for (const auto* run : worker->second.runs) {
     const auto& spec = tables.jobs.at(run->task.job).spec;
     const auto& step = spec.steps[run->task.step];
-    const auto* queue = find_queue(*site_, spec.queue);
+    const auto* queue = queue_of(*site_, spec);
     bool lower = queue != nullptr && queue->priority > priority;
     if (!lower || step.long_running) available -= reserved_by(step);
   }
--- a/src/core/fleet/dispatch_reclaim.cpp
+++ b/src/core/fleet/dispatch_reclaim.cpp
@@ -58,7 +58,7 @@
     -> std::map<std::string_view, std::int64_t> {
   std::map<std::string_view, std::int64_t> in_use;
   for (const auto& [id, job] : tables.jobs) {
-    const auto* queue = find_queue(*site_, job.spec.queue);
+    const auto* queue = queue_of(*site_, job.spec);
     if (queue == nullptr || queue->priority != 0) continue;
     for (const auto& [number, occurrence] : job.open) {
       for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
@@ -97,7 +97,7 @@
     std::vector<stoppable_work>& found) const {
   const auto& spec = job.spec.steps[ref.step];
   const auto& tasks = job.open.at(ref.occurrence).steps[ref.step].tasks;
-  const auto* queue = find_queue(*site_, job.spec.queue);
+  const auto* queue = queue_of(*site_, job.spec);
   if (spec.long_running || queue == nullptr) return;
   auto weight = loss_weight(*site_, queue->priority);
   stoppable_work work;
@@ -138,7 +138,7 @@
   std::vector<stoppable_work> found;
   std::map<std::string_view, std::vector<stoppable_work>> borrowed;
   for (const auto& [id, job] : tables.jobs) {
-    const auto* queue = find_queue(*site_, job.spec.queue);
+    const auto* queue = queue_of(*site_, job.spec);
     if (queue == nullptr) continue;
     bool lower = queue->priority > item.job_queue->priority;
     bool other = guaranteed && job.spec.customer != item.job->spec.customer;
--- a/src/core/fleet/dispatch_responses.cpp
+++ b/src/core/fleet/dispatch_responses.cpp
@@ -273,7 +273,7 @@
                                  worker_state& worker, const task_ref& task,
                                  clock_reading now) {
   const auto& spec = tables.jobs.at(task.job).spec;
-  const auto* queue = find_queue(*site_, spec.queue);
+  const auto* queue = queue_of(*site_, spec);
   if (queue == nullptr || queue->priority != 0) return;
   worker.retained.expire(now.steady);
   worker.retained.retain(reserved_by(spec.steps[task.step]),
--- a/src/core/fleet/dispatch_tracking.cpp
+++ b/src/core/fleet/dispatch_tracking.cpp
@@ -172,7 +172,7 @@
 // which a task crashes the workers that start it.
 void dispatcher::fail_if_hopeless(const job_record& job, clock_reading now) {
   if (is_ended(job) || failing_jobs_.contains(job.spec.id)) return;
-  const auto* queue = find_queue(*site_, job.spec.queue);
+  const auto* queue = queue_of(*site_, job.spec);
   for (const auto& [number, occurrence] : job.open) {
     for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
       const auto& step = occurrence.steps[s];
--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -274,7 +274,7 @@
   const auto& snapshot = job.spec.steps[ref.step].gang
                              ? step.snapshot
                              : step.tasks[ref.index].snapshot;
-  const auto* queue = find_queue(*site_, job.spec.queue);
+  const auto* queue = queue_of(*site_, job.spec);
   std::string_view ticket;
   if (queue != nullptr && queue->advice) {
     ticket = tickets_.ticket({ref.job, ref.occurrence, ref.step}, run.worker,
--- a/src/core/fleet/job_spec.h
+++ b/src/core/fleet/job_spec.h
@@ -6,6 +6,7 @@
 
 #include "core/fleet/ids.h"
 #include "core/fleet/resources.h"
+#include "core/fleet/site.h"
 #include "core/time.h"
 
 namespace parsleyledge::fleet {
@@ -44,6 +45,9 @@
   std::uint32_t occurrences = 0;  // 0: one, due at once
   time_point first_due;           // wall clock, of the first occurrence
   milliseconds interval{0};       // between occurrences
+  // The queue as it was when it accepted the job, which runs on if the queue is
+  // removed. Stored without what only requests need.
+  fleet::queue accepted_by;
 
   auto operator==(const job_spec&) const -> bool = default;
 };
--- a/src/core/fleet/site.cpp
+++ b/src/core/fleet/site.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/fleet/job_spec.h"
+
 namespace parsleyledge::fleet {
 
 auto find_queue(const site& config, std::string_view host,
@@ -19,4 +21,11 @@
   return it == config.queues.end() || it->name != name ? nullptr : &*it;
 }
 
+auto queue_of(const site& config, const job_spec& spec) -> const queue* {
+  if (const auto* configured = find_queue(config, spec.queue)) {
+    return configured;
+  }
+  return spec.accepted_by.service.empty() ? nullptr : &spec.accepted_by;
+}
+
 }  // namespace parsleyledge::fleet
--- a/src/core/fleet/site.h
+++ b/src/core/fleet/site.h
@@ -10,11 +10,15 @@
 
 namespace parsleyledge::fleet {
 
+struct job_spec;
+
 /// Time limits for advice from the policy of a queue.
 struct advice_terms {
   milliseconds decide{0};    // base time of a call
   milliseconds each{0};      // additional time per worker asked about
   milliseconds validity{0};  // of a ticket
+
+  auto operator==(const advice_terms&) const -> bool = default;
 };
 
 /// A queue to which customers submit jobs. Its host and path prefix select it.
@@ -30,6 +34,8 @@
   milliseconds timeout{0};
   bool allows_anonymous = false;  // accepts jobs without a key
   std::optional<advice_terms> advice;
+
+  auto operator==(const queue&) const -> bool = default;
 };
 
 /// A pool of workers.
@@ -61,4 +67,8 @@
 /// The queue of this name, or null.
 auto find_queue(const site& config, std::string_view name) -> const queue*;
 
+/// The queue of a job. If the configuration has removed it, the queue as it was
+/// when the job was accepted. Null if neither is known.
+auto queue_of(const site& config, const job_spec& spec) -> const queue*;
+
 }  // namespace parsleyledge::fleet
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -69,6 +69,7 @@
 class dispatcher_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(dispatcher_test);
   CPPUNIT_TEST(steps_run_in_order);
+  CPPUNIT_TEST(work_of_a_removed_queue_runs_on);
   CPPUNIT_TEST(occurrences_start_when_they_are_due);
   CPPUNIT_TEST(a_gang_that_fails_too_often_fails_its_job);
   CPPUNIT_TEST(guaranteed_work_reclaims_from_lower_priorities);
@@ -141,6 +142,29 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against accepted jobs that neither run nor fail once a configuration
+  // removes their queue, also after a restart from a snapshot.
+  void work_of_a_removed_queue_runs_on() {
+    fleet_site site(2);
+    auto first = make_step(1, 1);
+    auto second = make_step(2, 1);
+    second.after = {0};
+    auto id = site.submit("q1", {first, second});
+    auto failing = site.submit("q1", {first, second});
+    site.run_for(milliseconds(500));
+    site.remove_queue("q1");
+    site.restore_snapshot();
+    site.replace_leader();
+    site.run_for(milliseconds(200));
+    site.fail_run(failing);
+    site.run_for(milliseconds(500));
+    site.fail_run(failing);
+    site.run_for(seconds(4));
+    assert_state(job_state::complete, site, id);
+    assert_state(job_state::failed, site, failing);
+    assert_clean(site);
+  }
+
   void steps_run_in_order() {
     fleet_site site(2);
     auto second = make_step(3, 1);
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -94,6 +94,13 @@
   dispatcher_.set_config(site);
 }
 
+void fleet_site::remove_queue(std::string_view name) {
+  auto site = std::make_shared<fleet::site>(*site_);
+  std::erase_if(site->queues, [&](const auto& q) { return q.name == name; });
+  site_ = site;
+  dispatcher_.set_config(site_);
+}
+
 void fleet_site::report_all() {
   for (std::size_t i = 0; i < workers.size(); ++i) {
     if (workers[i].unreachable || now_ < workers[i].silent_until) continue;
@@ -177,6 +184,9 @@
   spec.id = {next_job_++};
   spec.queue = queue;
   spec.customer = customer;
+  if (const auto* accepting = find_queue(*site_, queue)) {
+    spec.accepted_by = *accepting;
+  }
   spec.steps = std::move(steps);
   spec.occurrences = times;
   spec.first_due = now_ + first;
@@ -679,7 +689,7 @@
     violations.insert("start on a draining worker");
   const auto& spec = job(o.task.job).spec.steps[o.task.step];
   record_event("starts", o.task, o.run, w);
-  const auto* job_queue = find_queue(*site_, job(o.task.job).spec.queue);
+  const auto* job_queue = queue_of(*site_, job(o.task.job).spec);
   if (job_queue != nullptr && job_queue->advice) {
     auto ticket = tickets_.find(o.ticket);
     if (ticket == tickets_.end() || ticket->second < now_ ||
@@ -895,7 +905,7 @@
 auto fleet_site::has_capacity_twice(const fleet::job_record& job,
                                     const fleet::step_spec& step) const
     -> bool {
-  const auto* queue = find_queue(*site_, job.spec.queue);
+  const auto* queue = queue_of(*site_, job.spec);
   std::int64_t count = 0;
   for (const auto& w : workers) {
     bool allowed = queue == nullptr || !queue->advice ||
--- a/test/fakes/fleet_site.h
+++ b/test/fakes/fleet_site.h
@@ -79,6 +79,9 @@
   void configure(std::int64_t guaranteed_a, std::int64_t guaranteed_b = 0,
                  std::uint32_t attempts = 2);
 
+  /// Removes a queue from the configuration.
+  void remove_queue(std::string_view name);
+
   /// Adds a policy to queue q1 that allows these workers only. Its tickets are
   /// valid for `validity`.
   void set_policy(std::set<std::string> allowed, milliseconds validity);
--- a/test/fleet_units_test.cpp
+++ b/test/fleet_units_test.cpp
@@ -272,6 +272,9 @@
       CPPUNIT_ASSERT(read.has_value());
       CPPUNIT_ASSERT_EQUAL(original.index(), read->index());
       CPPUNIT_ASSERT_EQUAL(bytes, encode(*read));
+      if (const auto* added = std::get_if<add_job>(&original)) {
+        CPPUNIT_ASSERT(added->spec == std::get<add_job>(*read).spec);
+      }
     }
     CPPUNIT_ASSERT(!decode_command("").has_value());
   }
@@ -366,6 +369,14 @@
     spec.steps[1].after = {0};
     spec.occurrences = 2;
     spec.first_due = at_ms(77);
+    spec.accepted_by.name = spec.queue;
+    spec.accepted_by.service = "s";
+    spec.accepted_by.priority = 2;
+    spec.accepted_by.attempts = 3;
+    spec.accepted_by.stretch = 1.5;
+    spec.accepted_by.objective = milliseconds(250);
+    spec.accepted_by.advice =
+        advice_terms{milliseconds(20), milliseconds(2), milliseconds(3000)};
     worker_record w;
     w.incarnation = {"w1", 99};
     w.address = "10.0.0.1:80";
