--- a/test/journal_test.cpp
+++ b/test/journal_test.cpp
@@ -175,7 +175,8 @@
     journal disk(files);
     open(disk, state);
     write(disk, {entry(1, "a"), entry(2, "b"), entry(3, "c")});
-    std::vector<member> members{{{1}, {9}, "x", true}};
+    std::vector<member> members{{{1}, {9}, "x", true},
+                                {{2}, {8}, "y", false, true}};
     std::vector<log_entry> tail{entry(3, "c")};
     CPPUNIT_ASSERT_EQUAL(std::string(), error_of([&] {
                            return disk.write_snapshot(
