--- a/test/fleet_control_test.cpp
+++ b/test/fleet_control_test.cpp
@@ -28,7 +28,7 @@
 constexpr std::uint64_t changes = 3000;
 
 /// A control process that is a group of its own.
-auto make_settings(agreement::incarnation_number incarnation)
+auto make_lone_settings(agreement::incarnation_number incarnation)
     -> fleet_control_settings {
   fleet_control_settings settings;
   settings.name = "leader";
@@ -171,7 +171,7 @@
           return {};
         },
         [] { CPPUNIT_FAIL("the journal cannot be opened"); });
-    auto settings = make_settings(disk.incarnation());
+    auto settings = make_lone_settings(disk.incarnation());
     fleet::platform_port platform;
     platform.parse_site = [](std::string_view) -> std::optional<fleet::site> {
       return {};
@@ -224,7 +224,7 @@
           return {};
         },
         [] { CPPUNIT_FAIL("the journal cannot be opened"); });
-    auto settings = make_settings(disk.incarnation());
+    auto settings = make_lone_settings(disk.incarnation());
     fleet::platform_port platform;
     platform.parse_site = [](std::string_view) -> std::optional<fleet::site> {
       return {};
