--- a/src/adapters/fleet_control_node.h
+++ b/src/adapters/fleet_control_node.h
@@ -155,6 +155,7 @@
   // Earliest start of the next decision, in ticks of the steady clock.
   std::atomic<std::chrono::steady_clock::rep> next_decision_{0};
 
+  // Guards what follows, but for members_sent_at_, which the rounds use.
   ranked_mutex dispatch_mutex_{lock_rank::worker_table};
   fleet::dispatcher dispatcher_;
   std::shared_ptr<const fleet::site> site_;
