Log each decision on a member of a control group, and count its voters

The leader now logs a line for each member that it admits, readmits, promotes, removes or keeps, with the reason, the number of voters, the member's silence and the entries that it lacks. The metrics address has group_voters and group_live_voters, /state the members. No decision changes.

--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -205,9 +205,15 @@
   if (out.has_roster()) peers_.send(hello->address, std::move(out));
 }
 
+void fleet_control_node::record_group(const replica_status& status) {
+  metrics_.gauge("group_voters") = status.voters;
+  metrics_.gauge("group_live_voters") = status.live_voters;
+}
+
 void fleet_control_node::run_round() {
   auto status = replica_.status();
   send_members(status);
+  record_group(status);
   decide([&](const fleet::fleet_tables& tables) {
     update_leadership(tables, status);
     return dispatcher_.tick(tables, read_clocks());
@@ -358,6 +364,14 @@
   out["term"] = status.term;
   out["commit"] = status.commit;
   out["leader"] = status.leader_address;
+  out["voters"] = status.voters;
+  json::array members;
+  for (const auto& m : status.members) {
+    members.push_back({{"address", m.address},
+                       {"voter", m.voter},
+                       {"replaces_another", m.replaces_another}});
+  }
+  out["members"] = std::move(members);
   out["peer_bytes_sent"] = peers_.bytes_sent();
   replica_.read_state([&](const fleet::fleet_state& state) {
     ranked_lock lock(dispatch_mutex_);
--- a/src/adapters/fleet_control_node.h
+++ b/src/adapters/fleet_control_node.h
@@ -110,6 +110,7 @@
       -> resolved_job;
   void commit(const fleet::command& command, reply_handler done);
   void send_members(const replica_status& status);
+  void record_group(const replica_status& status);
   void handle_members(const wire::member_list& list);
   void pass_members_to(const agreement::message& greeting);
   void schedule_round();
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -76,6 +76,15 @@
   return it->second;
 }
 
+auto metrics::gauge(std::string_view name) -> std::atomic<std::uint64_t>& {
+  std::lock_guard lock(mutex_);
+  auto it = gauges_.find(name);
+  if (it == gauges_.end()) {
+    it = gauges_.try_emplace(std::string(name), 0).first;
+  }
+  return it->second;
+}
+
 auto metrics::latency(std::string_view name) -> latency_metric& {
   std::lock_guard lock(mutex_);
   auto it = latencies_.find(name);
@@ -97,6 +106,10 @@
     previous_name = base_name;
     out.append(name).append(" ").append(std::to_string(value)).append("\n");
   }
+  for (const auto& [name, value] : gauges_) {
+    out.append("# TYPE ").append(name).append(" gauge\n");
+    out.append(name).append(" ").append(std::to_string(value)).append("\n");
+  }
   for (const auto& [name, value] : latencies_) value.print(name, out);
   return out;
 }
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -44,6 +44,10 @@
   /// for the lifetime of this object.
   auto counter(std::string_view name) -> std::atomic<std::uint64_t>&;
 
+  /// The gauge of this name, created on first use. The reference is valid for
+  /// the lifetime of this object.
+  auto gauge(std::string_view name) -> std::atomic<std::uint64_t>&;
+
   /// The latency of this name, created on first use. The reference is valid
   /// for the lifetime of this object.
   auto latency(std::string_view name) -> latency_metric&;
@@ -54,6 +58,7 @@
  private:
   mutable std::mutex mutex_;  // leaf: no lock is taken under it
   std::map<std::string, std::atomic<std::uint64_t>, std::less<>> counters_;
+  std::map<std::string, std::atomic<std::uint64_t>, std::less<>> gauges_;
   std::map<std::string, latency_metric, std::less<>> latencies_;
 };
 
--- a/src/adapters/replica_node.cpp
+++ b/src/adapters/replica_node.cpp
@@ -203,6 +203,18 @@
              {"term", static_cast<std::int64_t>(term.value)}});
 }
 
+template <typename Machine>
+void basic_replica_node<Machine>::log_decision(
+    const ag::member_decision& decision) {
+  log_event(log_level::info, "member_decision",
+            {{"action", to_string(decision.action)},
+             {"member", decision.address},
+             {"reason", decision.reason},
+             {"voters", static_cast<std::int64_t>(decision.voters)},
+             {"silent_ms", decision.silence.count()},
+             {"behind", static_cast<std::int64_t>(decision.behind.value)}});
+}
+
 template <typename Machine>
 void basic_replica_node<Machine>::execute(std::vector<ag::effect> effects) {
   while (!effects.empty()) {
@@ -225,6 +237,8 @@
       } else if (const auto* s = std::get_if<ag::persist_snapshot>(&e)) {
         restore(*s);
         applied = true;
+      } else if (const auto* d = std::get_if<ag::member_decision>(&e)) {
+        log_decision(*d);
       }
     }
     std::vector<ag::effect> more;
@@ -414,6 +428,8 @@
   s.snapshot = replica_.snapshot_position().index.value;
   s.may_serve = can_serve_applied(steady_now());
   s.members.assign(replica_.members().begin(), replica_.members().end());
+  s.voters = replica_.voter_count();
+  s.live_voters = replica_.live_voter_count();
   if (const auto* leader = replica_.find_member(replica_.leader())) {
     s.leader_address = leader->address;
   }
--- a/src/adapters/replica_node.h
+++ b/src/adapters/replica_node.h
@@ -30,6 +30,8 @@
   std::string leader_address;  // empty if the leader is unknown
   bool may_serve = false;
   std::vector<agreement::member> members;
+  std::size_t voters = 0;
+  std::size_t live_voters = 0;  // 0 unless this replica leads
 };
 
 /// Runs one replica of a state machine: executes the replica's effects as disk
@@ -147,6 +149,7 @@
   void apply(const agreement::log_entry& entry,
              std::vector<finished>& finished);
   void restore(const agreement::persist_snapshot& snapshot);
+  void log_decision(const agreement::member_decision& decision);
   void snapshot_if_due();
   void install_snapshot(const encoded_snapshot& snapshot);
   void schedule_tick();
--- a/src/core/agreement/effect.h
+++ b/src/core/agreement/effect.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -41,9 +42,26 @@
   log_entry entry;
 };
 
+enum class member_action { admitted, readmitted, promoted, removed, kept };
+
+/// Log a decision of the leader on a member, with the state that it had before.
+struct member_decision {
+  member_action action = member_action::kept;
+  replica_id id;
+  std::string address;
+  std::string_view reason;  // a literal
+  std::size_t voters = 0;
+  milliseconds silence{};  // since the leader last heard from it
+  log_index behind;        // how many entries it lacks
+};
+
 /// An action that the caller of a replica executes. Writes come before messages
 /// and the application of entries, except for messages with `before_sync`.
-using effect = std::variant<persist_hard_state, persist_entries,
-                            persist_snapshot, send_message, apply_entry>;
+using effect =
+    std::variant<persist_hard_state, persist_entries, persist_snapshot,
+                 send_message, apply_entry, member_decision>;
+
+/// The name of the action, for logs.
+auto to_string(member_action value) -> std::string_view;
 
 }  // namespace parsleyledge::agreement
--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -70,6 +70,22 @@
   if (!members_.empty()) role_ = is_voter() ? role::follower : role::learner;
 }
 
+auto to_string(member_action value) -> std::string_view {
+  switch (value) {
+    case member_action::admitted:
+      return "admitted";
+    case member_action::readmitted:
+      return "readmitted";
+    case member_action::promoted:
+      return "promoted";
+    case member_action::removed:
+      return "removed";
+    case member_action::kept:
+      return "kept";
+  }
+  return "unknown";
+}
+
 auto replica::last_position() const -> log_position {
   return log_.empty() ? snapshot_last_ : log_.back().position;
 }
@@ -92,10 +108,18 @@
 }
 
 auto replica::quorum_size() const -> std::size_t {
+  return voter_count() / 2 + 1;
+}
+
+auto replica::voter_count() const -> std::size_t {
   return static_cast<std::size_t>(
-             std::ranges::count(members_, true, &member::voter)) /
-             2 +
-         1;
+      std::ranges::count(members_, true, &member::voter));
+}
+
+auto replica::live_voter_count() const -> std::size_t {
+  if (role_ != role::leader) return 0;
+  return static_cast<std::size_t>(std::ranges::count_if(
+      members_, [&](const member& m) { return m.voter && is_live(m); }));
 }
 
 auto replica::has_quorum(const std::map<replica_id, bool>& votes) const
@@ -321,10 +345,13 @@
 void replica::admit_unknown_replica(const message& in,
                                     std::string_view address) {
   if (find_member(in.from) != nullptr || address.empty()) return;
+  member added{in.from, in.from_incarnation, std::string(address), false, true};
   auto changed = members_;
-  changed.push_back(
-      {in.from, in.from_incarnation, std::string(address), false, true});
-  if (propose_members(std::move(changed))) last_admitted_at_ = now_;
+  changed.push_back(added);
+  auto decision = describe(member_action::admitted, added, "replaces another");
+  if (!propose_members(std::move(changed))) return;
+  last_admitted_at_ = now_;
+  effects_.emplace_back(std::move(decision));
 }
 
 // Removes a voter that stopped responding at about the time when an unknown
@@ -340,7 +367,9 @@
   if (now_ - std::max(leading_since_, last_admitted_at_) > replacement_window) {
     auto changed = members_;
     for (auto& m : changed) m.replaces_another = false;
-    propose_members(std::move(changed));
+    change_members(std::move(changed),
+                   describe(member_action::kept, *replacement,
+                            "no voter was lost in the window"));
     return;
   }
   if (now_ - leading_since_ < unresponsive_timeout) return;
@@ -354,23 +383,49 @@
       if (c.id == replacement->id) c.replaces_another = false;
     }
     std::erase_if(changed, [&](const member& c) { return c.id == m.id; });
-    propose_members(std::move(changed));
+    change_members(std::move(changed),
+                   describe(member_action::removed, m, "silent"));
     return;
   }
 }
 
+auto replica::silence_of(replica_id id) const -> milliseconds {
+  auto it = progress_.find(id);
+  if (id == settings_.id || it == progress_.end()) return {};
+  return std::chrono::duration_cast<milliseconds>(now_ -
+                                                  it->second.received_at);
+}
+
+auto replica::is_live(const member& m) const -> bool {
+  return silence_of(m.id) < settings_.delays.election_min;
+}
+
+auto replica::describe(member_action action, const member& about,
+                       std::string_view reason) const -> member_decision {
+  log_index behind{last_position().index.value - match_index(about.id).value};
+  return {action, about.id,      about.address,
+          reason, voter_count(), silence_of(about.id),
+          behind};
+}
+
+void replica::change_members(std::vector<member> members,
+                             member_decision decision) {
+  if (propose_members(std::move(members)))
+    effects_.emplace_back(std::move(decision));
+}
+
 // A member that returns under a new incarnation lost its disk. It becomes a
 // learner, because it no longer knows its votes and acknowledged entries.
 void replica::readmit_member(replica_id id, incarnation_number incarnation,
                              std::string_view address) {
   const auto* known = find_member(id);
   if (known == nullptr || known->incarnation == incarnation) return;
+  member readmitted{id, incarnation, std::string(address), false,
+                    known->replaces_another};
   auto changed = members_;
-  for (auto& m : changed) {
-    if (m.id != id) continue;
-    m = {id, incarnation, std::string(address), false, m.replaces_another};
-  }
-  propose_members(std::move(changed));
+  std::ranges::replace(changed, *known, readmitted);
+  change_members(std::move(changed), describe(member_action::readmitted,
+                                              readmitted, "lost its disk"));
 }
 
 void replica::promote_learners() {
@@ -387,7 +442,8 @@
     for (auto& c : changed) {
       if (c.id == m.id) c.voter = true;
     }
-    propose_members(std::move(changed));
+    change_members(std::move(changed),
+                   describe(member_action::promoted, m, "caught up"));
     return;
   }
 }
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -109,6 +109,13 @@
   auto may_serve(time_point now) const -> bool;
 
   auto current_role() const -> role { return role_; }
+
+  auto voter_count() const -> std::size_t;
+
+  /// The number of voters that this leader has heard from lately, with itself;
+  /// 0 if this replica does not lead.
+  auto live_voter_count() const -> std::size_t;
+
   auto current_term() const -> term_number { return hard_.term; }
   auto leader() const -> replica_id { return leader_; }
   auto commit_index() const -> log_index { return commit_; }
@@ -169,6 +176,11 @@
   void forward_to_leader(const message& in);
   void promote_learners();
   void remove_replaced_voter();
+  auto is_live(const member& m) const -> bool;
+  auto silence_of(replica_id id) const -> milliseconds;
+  auto describe(member_action action, const member& about,
+                std::string_view reason) const -> member_decision;
+  void change_members(std::vector<member> members, member_decision decision);
   void send_append(replica_id to, bool heartbeat);
   void send_snapshot(replica_id to, progress& peer);
   void broadcast(bool heartbeat);
