Remove a replaced replica however late it leaves

Cause: a voter counted as the replaced one only if it was silent for 3 s within 10 s of the admission of the newcomer or of the leader's election. After that the note of the replacement was cleared, and the old replica stayed one of four voters. Evidence: with the log lines of the leader of such a play writes "kept, no voter was lost in the window" 10 s after the admission and nothing when the old machine leaves. Ruled out: that the note is lost (the same line names it), that the departure is not noticed (within the window it ends in "removed").

Change: the size of the group, the number of members without the note, is replicated and no longer expires. While there are more voters than that, the leader removes one that leaves or is silent for 3 s, if the others keep a live majority. A replica that gets SIGTERM asks the leader for its removal while it still responds, so that no quorum depends on it once it is gone. Replicas of the first start, and those that the tolerated losses require, add to the size. A voter that was removed though it only paused is admitted again and votes. The removal of a member that has a note no longer takes back the note of another one; a newcomer that is gone before it votes is removed; a learner no longer blocks removals.

Replaced checks, which demanded the fault: an_admission_of_long_ago_removes_no_voter expected a surplus voter that stops late to stay. Its concern, that a voter is taken for a replaced one although nothing is replaced any more, is checked by no_voter_is_removed_after_a_replacement, for a minute instead of 9 s; that the surplus voter goes and votes again after its return, by a_surplus_voter_that_stops_late_is_ removed. The second half of a_restart_after_an_admission_removes_no_voter expected the same of a voter that is down for 9 s; it is removed now and has to vote again.

--- a/src/adapters/agreement_codec.cpp
+++ b/src/adapters/agreement_codec.cpp
@@ -88,6 +88,17 @@
   greeting.set_formed(from.bootstrapped);
   greeting.set_reply(from.reply);
   greeting.set_address(from.address);
+  if (from.first_start_age)
+    greeting.set_first_start_age_ms(from.first_start_age->count());
+}
+
+static void write_body(const ag::departure&, wire::agreement_message& to) {
+  to.set_departure(true);
+}
+
+static void write_body(const ag::departure_reply&,
+                       wire::agreement_message& to) {
+  to.set_departure_reply(true);
 }
 
 static auto read_body(const wire::agreement_message& from)
@@ -134,8 +145,16 @@
       return ag::timeout_now{};
     case body::kGreeting: {
       const auto& greeting = from.greeting();
-      return ag::hello{greeting.formed(), greeting.reply(), greeting.address()};
+      ag::hello read{
+          greeting.formed(), greeting.reply(), greeting.address(), {}};
+      if (greeting.has_first_start_age_ms())
+        read.first_start_age = milliseconds(greeting.first_start_age_ms());
+      return read;
     }
+    case body::kDeparture:
+      return ag::departure{};
+    case body::kDepartureReply:
+      return ag::departure_reply{};
     case body::BODY_NOT_SET:
       break;
   }
--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -73,6 +73,11 @@
   return replica_.status().role == agreement::role::leader;
 }
 
+auto fleet_control_node::awaits_departure() -> bool {
+  auto status = replica_.status();
+  return status.is_member && !status.departure_decided;
+}
+
 void fleet_control_node::stop() {
   stopped_ = true;
   replica_.stop();
@@ -207,6 +212,7 @@
 
 void fleet_control_node::record_group(const replica_status& status) {
   metrics_.gauge("group_voters") = status.voters;
+  metrics_.gauge("group_size") = status.group_size;
   metrics_.gauge("group_live_voters") = status.live_voters;
 }
 
@@ -365,6 +371,7 @@
   out["commit"] = status.commit;
   out["leader"] = status.leader_address;
   out["voters"] = status.voters;
+  out["group_size"] = status.group_size;
   json::array members;
   for (const auto& m : status.members) {
     members.push_back({{"address", m.address},
--- a/src/adapters/fleet_control_node.h
+++ b/src/adapters/fleet_control_node.h
@@ -70,10 +70,14 @@
   void set_seeds(std::span<const agreement::member> seeds);
 
   /// Prepares for the end of the process: starts a transfer of leadership to
-  /// another replica, and does not stand for election from now on. The process
-  /// can stop once leads() returns false.
+  /// another replica, and does not stand for election from now on. Then asks
+  /// the leader for the removal of this replica in case it was replaced. The
+  /// process can stop once leads() and awaits_departure() return false.
   void retire();
 
+  /// Whether no leader has decided on the removal of this replica yet.
+  auto awaits_departure() -> bool;
+
   /// Whether this replica has the role of the leader.
   auto leads() -> bool;
 
--- a/src/adapters/replica_node.cpp
+++ b/src/adapters/replica_node.cpp
@@ -211,6 +211,7 @@
              {"member", decision.address},
              {"reason", decision.reason},
              {"voters", static_cast<std::int64_t>(decision.voters)},
+             {"group_size", static_cast<std::int64_t>(decision.size)},
              {"silent_ms", decision.silence.count()},
              {"behind", static_cast<std::int64_t>(decision.behind.value)}});
 }
@@ -429,7 +430,10 @@
   s.may_serve = can_serve_applied(steady_now());
   s.members.assign(replica_.members().begin(), replica_.members().end());
   s.voters = replica_.voter_count();
+  s.group_size = replica_.group_size();
   s.live_voters = replica_.live_voter_count();
+  s.is_member = replica_.find_member(replica_.settings().id) != nullptr;
+  s.departure_decided = replica_.departure_decided();
   if (const auto* leader = replica_.find_member(replica_.leader())) {
     s.leader_address = leader->address;
   }
--- a/src/adapters/replica_node.h
+++ b/src/adapters/replica_node.h
@@ -31,7 +31,11 @@
   bool may_serve = false;
   std::vector<agreement::member> members;
   std::size_t voters = 0;
+  std::size_t group_size = 0;   // the number of voters wanted
   std::size_t live_voters = 0;  // 0 unless this replica leads
+  bool is_member = false;
+  // Whether a leader has decided on the removal of this replica, which retires.
+  bool departure_decided = false;
 };
 
 /// Runs one replica of a state machine: executes the replica's effects as disk
@@ -88,8 +92,9 @@
   /// elected again.
   void transfer_leadership();
 
-  /// Transfers leadership if this replica leads. From now on it does not stand
-  /// for election, as its process is about to stop.
+  /// Transfers leadership if this replica leads, and asks the leader for the
+  /// removal of this replica in case it was replaced. From now on it does not
+  /// stand for election, as its process is about to stop.
   void retire();
 
   /// Stops the ticks and discards all queued and later input, without calling
--- a/src/apps/fleet_control.cpp
+++ b/src/apps/fleet_control.cpp
@@ -27,7 +27,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds leadership_transfer_timeout{2000};
-constexpr std::chrono::milliseconds leadership_poll_interval{20};
+constexpr std::chrono::milliseconds departure_timeout{1000};
+constexpr std::chrono::milliseconds retirement_poll_interval{20};
 constexpr std::chrono::milliseconds response_drain_timeout{1500};
 constexpr std::uint32_t extra_threads = 1;  // may block on the disk
 
@@ -64,6 +65,9 @@
     settings.replica.peers.push_back(
         {settings.replica.id, {}, settings.listen_peer, true});
   }
+  settings.replica.first_start = node.first_start;
+  // A majority is left when as many machines as tolerated are lost.
+  settings.replica.min_voters = 2 * node.tolerated_machines + 1;
   settings.has_disk = !node.data_folder.empty();
   settings.limits.max_lease = node.max_lease;
   settings.limits.lease = node.max_lease * 9 / 10;
@@ -157,12 +161,16 @@
   wait_for_signal([&] { watcher.reload_if_changed(apply_settings); },
                   settings_poll_interval);
   log_event(log_level::info, "handing_over");
-  auto deadline = steady_now() + leadership_transfer_timeout;
+  auto wait_while = [&](auto condition, std::chrono::milliseconds limit) {
+    auto deadline = steady_now() + limit;
+    while (condition() && steady_now() < deadline) {
+      boost::asio::steady_timer timer(pool, retirement_poll_interval);
+      timer.wait();
+    }
+  };
   node.retire();
-  while (node.leads() && steady_now() < deadline) {
-    boost::asio::steady_timer timer(pool, leadership_poll_interval);
-    timer.wait();
-  }
+  wait_while([&] { return node.leads(); }, leadership_transfer_timeout);
+  wait_while([&] { return node.awaits_departure(); }, departure_timeout);
   server.drain();
   server.close_idle();
   wait_until_idle(server, response_drain_timeout);
--- a/src/core/agreement/effect.h
+++ b/src/core/agreement/effect.h
@@ -51,6 +51,7 @@
   std::string address;
   std::string_view reason;  // a literal
   std::size_t voters = 0;
+  std::size_t size = 0;    // the number of voters wanted
   milliseconds silence{};  // since the leader last heard from it
   log_index behind;        // how many entries it lacks
 };
--- a/src/core/agreement/message.h
+++ b/src/core/agreement/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -63,11 +64,22 @@
   bool bootstrapped = false;
   bool reply = false;
   std::string address;
+  // How long the sender has run, if it started together with the whole site and
+  // has not joined a group yet.
+  std::optional<milliseconds> first_start_age;
 };
 
+/// A replica whose process is about to end asks the leader for its removal, in
+/// case it was replaced.
+struct departure {};
+
+/// The leader's response, once it has removed the sender or keeps it.
+struct departure_reply {};
+
 using message_body =
     std::variant<vote_request, vote_reply, append_request, append_reply,
-                 snapshot_chunk, snapshot_reply, timeout_now, hello>;
+                 snapshot_chunk, snapshot_reply, timeout_now, hello, departure,
+                 departure_reply>;
 
 /// A message between two replicas. Unless it is a hello, the receiver discards
 /// it if `to_incarnation` is not its own incarnation, or if it is a reply from
--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -17,12 +17,13 @@
 constexpr milliseconds empty_report_validity{1000};
 constexpr milliseconds snapshot_resend_interval{1000};
 constexpr std::uint64_t max_promotion_lag = 64;  // entries
-// How long after the admission of an unknown replica a voter that does not
-// respond is taken for the one that it replaces. The voter may have failed
-// before or after the admission.
-constexpr milliseconds replacement_window{10'000};
 // Longer than a restart, so that a voter that restarts is not removed.
 constexpr milliseconds unresponsive_timeout{3000};
+// How long a departure holds after the last message that says so. A member that
+// responds later has returned.
+constexpr milliseconds departure_validity{1000};
+// Between the starts of the replicas of a site that starts for the first time.
+constexpr milliseconds first_start_spread{1000};
 // How long a voter waits for a message of a leader before it asks to be
 // admitted, since a voter that was removed receives no message that tells it.
 constexpr milliseconds silence_before_hello{2000};
@@ -59,11 +60,13 @@
       commit_(disk.snapshot_last.index),
       applied_(disk.snapshot_last.index),
       random_(settings_.seed) {
+  started_at_ = now;
   for (auto& entry : disk.entries) {
     if (entry.kind == entry_kind::membership) adopt_members(entry);
     log_.push_back(std::move(entry));
   }
   persisted_ = last_position().index;
+  started_empty_ = persisted_ == log_index{};
   // The time of the last message from the leader is lost in a restart, so the
   // replica grants no vote before a full election timeout has passed.
   election_due_ = now + random_timeout();
@@ -116,6 +119,11 @@
       std::ranges::count(members_, true, &member::voter));
 }
 
+auto replica::group_size() const -> std::size_t {
+  return static_cast<std::size_t>(
+      std::ranges::count(members_, false, &member::replaces_another));
+}
+
 auto replica::live_voter_count() const -> std::size_t {
   if (role_ != role::leader) return 0;
   return static_cast<std::size_t>(std::ranges::count_if(
@@ -239,8 +247,15 @@
       heartbeat_due_ = now + settings_.delays.heartbeat;
       broadcast(true);
       promote_learners();
-      remove_replaced_voter();
+      remove_surplus_member();
+    }
+  } else if (retiring_) {
+    // It does not ask to be admitted, as its process is about to end.
+    if (now >= heartbeat_due_) {
+      heartbeat_due_ = now + settings_.delays.heartbeat;
+      send_departure();
     }
+    if (may_stand() && now >= election_due_) start_election(true, false);
   } else {
     // The group does not know the new incarnation of a replica that lost its
     // disk and sends nothing to it until it receives a hello.
@@ -268,7 +283,19 @@
   for (const auto& m : members_) all.insert(m.id);
   for (const auto& [id, address] : contacts_) all.insert(id);
   all.erase(settings_.id);
-  for (auto id : all) send(id, hello{false, false, own});
+  auto age = role_ == role::bootstrapping ? first_start_age() : std::nullopt;
+  for (auto id : all) send(id, hello{false, false, own, age});
+}
+
+void replica::send_departure() {
+  if (departure_decided_ || leader_ == settings_.id) return;
+  if (find_member(settings_.id) != nullptr) send(leader_, departure{});
+}
+
+auto replica::first_start_age() const -> std::optional<milliseconds> {
+  bool is_first = settings_.first_start && started_empty_;
+  if (!is_first) return {};
+  return std::chrono::duration_cast<milliseconds>(now_ - started_at_);
 }
 
 void replica::add_contact(replica_id id, std::string_view address) {
@@ -318,7 +345,7 @@
   effects_.emplace_back(send_message{
       {settings_.id, settings_.incarnation, in.from, in.from_incarnation,
        hard_.term,
-       hello{role_ != role::bootstrapping, true, address_of(settings_.id)}},
+       hello{role_ != role::bootstrapping, true, address_of(settings_.id), {}}},
       greeting.address,
       false});
   if (role_ != role::leader) {
@@ -326,8 +353,7 @@
     return;
   }
   readmit_member(in.from, in.from_incarnation, greeting.address);
-  if (settings_.admits_unknown_replicas)
-    admit_unknown_replica(in, greeting.address);
+  if (settings_.admits_unknown_replicas) admit_unknown_replica(in, greeting);
 }
 
 // An unknown replica may have the addresses of followers only.
@@ -342,51 +368,27 @@
 
 // An unknown replica is added as a learner, because it has no log or term to
 // vote by, and promoted to a voter once it has caught up.
-void replica::admit_unknown_replica(const message& in,
-                                    std::string_view address) {
-  if (find_member(in.from) != nullptr || address.empty()) return;
-  member added{in.from, in.from_incarnation, std::string(address), false, true};
+void replica::admit_unknown_replica(const message& in, const hello& greeting) {
+  if (find_member(in.from) != nullptr || greeting.address.empty()) return;
+  member added{in.from, in.from_incarnation, greeting.address, false,
+               replaces_another(greeting)};
   auto changed = members_;
   changed.push_back(added);
-  auto decision = describe(member_action::admitted, added, "replaces another");
-  if (!propose_members(std::move(changed))) return;
-  last_admitted_at_ = now_;
-  effects_.emplace_back(std::move(decision));
-}
-
-// Removes a voter that stopped responding at about the time when an unknown
-// replica was admitted, once that replica is a voter. The members show that one
-// was admitted, as the leader that admitted it may be the voter to remove. A
-// new leader does not know when, and waits for the whole window again.
-void replica::remove_replaced_voter() {
-  auto replacement =
-      std::ranges::find(members_, true, &member::replaces_another);
-  bool due = replacement != members_.end() &&
-             std::ranges::all_of(members_, &member::voter);
-  if (!due) return;
-  if (now_ - std::max(leading_since_, last_admitted_at_) > replacement_window) {
-    auto changed = members_;
-    for (auto& m : changed) m.replaces_another = false;
-    change_members(std::move(changed),
-                   describe(member_action::kept, *replacement,
-                            "no voter was lost in the window"));
-    return;
-  }
-  if (now_ - leading_since_ < unresponsive_timeout) return;
-  for (const auto& m : members_) {
-    auto it = progress_.find(m.id);
-    bool unresponsive = m.id != settings_.id && it != progress_.end() &&
-                        now_ - it->second.received_at > unresponsive_timeout;
-    if (!unresponsive) continue;
-    auto changed = members_;
-    for (auto& c : changed) {
-      if (c.id == replacement->id) c.replaces_another = false;
-    }
-    std::erase_if(changed, [&](const member& c) { return c.id == m.id; });
-    change_members(std::move(changed),
-                   describe(member_action::removed, m, "silent"));
-    return;
-  }
+  change_members(std::move(changed),
+                 describe(member_action::admitted, added,
+                          added.replaces_another ? "replaces another"
+                                                 : "adds to the size"));
+}
+
+// A replica that starts together with the leader belongs to the group from the
+// beginning. A later one replaces a member, which may be lost already or leave
+// any time later.
+auto replica::replaces_another(const hello& greeting) const -> bool {
+  if (group_size() < settings_.min_voters) return false;
+  auto own_age = first_start_age();
+  if (!own_age || !greeting.first_start_age) return true;
+  return std::chrono::abs(*own_age - *greeting.first_start_age) >
+         first_start_spread;
 }
 
 auto replica::silence_of(replica_id id) const -> milliseconds {
@@ -400,12 +402,87 @@
   return silence_of(m.id) < settings_.delays.election_min;
 }
 
+// Whether the process of a member is about to end, or has ended since it said
+// so.
+auto replica::is_departing(replica_id id) const -> bool {
+  auto it = progress_.find(id);
+  if (it == progress_.end() || !it->second.departing_at) return false;
+  return it->second.received_at <=
+         *it->second.departing_at + departure_validity;
+}
+
+// Which member was replaced shows only once it leaves. Until then, each voter
+// may be the one in a group with more voters than its size.
+auto replica::is_surplus(const member& m) const -> bool {
+  return m.voter ? voter_count() > group_size() : m.replaces_another;
+}
+
+auto replica::others_keep_quorum(replica_id without) const -> bool {
+  std::size_t voters = 0;
+  std::size_t live = 0;
+  for (const auto& m : members_) {
+    if (!m.voter || m.id == without) continue;
+    ++voters;
+    if (is_live(m)) ++live;
+  }
+  return live >= voters / 2 + 1;
+}
+
+// Removes a surplus member that leaves or does not respond, however long after
+// the admission of its successor. If another one than the replaced one is
+// removed, because it was silent for a while, it is admitted again when it
+// returns, and the replaced one is removed later.
+void replica::remove_surplus_member() {
+  const member* chosen = nullptr;
+  for (const auto& m : members_) {
+    if (m.id == settings_.id) continue;
+    bool departing = is_departing(m.id);
+    auto& peer = progress_[m.id];
+    if (!departing && silence_of(m.id) <= unresponsive_timeout) {
+      peer.kept_despite_silence = false;
+      continue;
+    }
+    if (!is_surplus(m) || !others_keep_quorum(m.id)) {
+      if (!departing && !peer.kept_despite_silence) {
+        peer.kept_despite_silence = true;
+        effects_.emplace_back(describe(member_action::kept, m,
+                                       is_surplus(m)
+                                           ? "silent, the others lack a quorum"
+                                           : "silent, not surplus"));
+      }
+      continue;
+    }
+    bool better = chosen == nullptr ||
+                  (departing && !is_departing(chosen->id)) ||
+                  (departing == is_departing(chosen->id) &&
+                   silence_of(m.id) > silence_of(chosen->id));
+    if (better) chosen = &m;
+  }
+  if (chosen == nullptr) return;
+  remove_member(chosen->id, is_departing(chosen->id) ? "departing" : "silent");
+}
+
+void replica::remove_member(replica_id id, std::string_view reason) {
+  auto removed = *find_member(id);
+  auto changed = members_;
+  std::erase_if(changed, [&](const member& m) { return m.id == id; });
+  // The group keeps its size: the removal of a member that replaces no other
+  // completes the replacement by one that does.
+  if (!removed.replaces_another) {
+    auto successor =
+        std::ranges::find(changed, true, &member::replaces_another);
+    if (successor != changed.end()) successor->replaces_another = false;
+  }
+  contacts_[id] = removed.address;  // to respond to its departure
+  change_members(std::move(changed),
+                 describe(member_action::removed, removed, reason));
+}
+
 auto replica::describe(member_action action, const member& about,
                        std::string_view reason) const -> member_decision {
   log_index behind{last_position().index.value - match_index(about.id).value};
-  return {action, about.id,      about.address,
-          reason, voter_count(), silence_of(about.id),
-          behind};
+  return {action,        about.id,     about.address,        reason,
+          voter_count(), group_size(), silence_of(about.id), behind};
 }
 
 void replica::change_members(std::vector<member> members,
@@ -414,6 +491,35 @@
     effects_.emplace_back(std::move(decision));
 }
 
+void replica::handle(const message& in, const departure&) {
+  if (role_ != role::leader) return;
+  const auto* leaving = find_member(in.from);
+  if (leaving == nullptr) {
+    // The removal counts once it is committed.
+    if (members_index_ <= commit_) reply(in, departure_reply{});
+    return;
+  }
+  if (leaving->incarnation != in.from_incarnation) return;
+  bool first = !is_departing(in.from);
+  progress_[in.from].departing_at = now_;
+  if (voter_count() > group_size()) {
+    remove_surplus_member();
+    return;
+  }
+  // A successor that is not a voter yet may become one before the sender ends.
+  bool awaits_successor = members_.size() > group_size();
+  if (awaits_successor) return;
+  if (first) {
+    effects_.emplace_back(
+        describe(member_action::kept, *leaving, "departing, not surplus"));
+  }
+  reply(in, departure_reply{});
+}
+
+void replica::handle(const message&, const departure_reply&) {
+  departure_decided_ = true;
+}
+
 // A member that returns under a new incarnation lost its disk. It becomes a
 // learner, because it no longer knows its votes and acknowledged entries.
 void replica::readmit_member(replica_id id, incarnation_number incarnation,
@@ -540,10 +646,7 @@
   leading_since_ = now_;
   transferring_ = false;
   progress_.clear();
-  for (const auto& m : members_) {
-    progress_[m.id] = {
-        last_position().index.next(), {}, {}, 0, false, {}, {}, {}};
-  }
+  for (const auto& m : members_) progress_[m.id] = new_progress();
   heartbeat_due_ = now_ + settings_.delays.heartbeat;
   log_entry no_op{
       {hard_.term, last_position().index.next()}, entry_kind::no_op, {}, {}};
@@ -551,6 +654,13 @@
   broadcast(true);
 }
 
+auto replica::new_progress() const -> progress {
+  progress peer;
+  peer.next = last_position().index.next();
+  peer.received_at = now_;
+  return peer;
+}
+
 void replica::append_local(std::vector<log_entry> entries) {
   for (const auto& entry : entries) {
     log_.push_back(entry);
@@ -567,10 +677,7 @@
       // A new incarnation starts with an empty log, so the progress of the
       // earlier one does not count.
       auto it = progress_.find(m.id);
-      if (it == progress_.end() || !m.voter) {
-        progress_[m.id] = {
-            last_position().index.next(), {}, {}, 0, false, {}, {}, {}};
-      }
+      if (it == progress_.end() || !m.voter) progress_[m.id] = new_progress();
     }
     std::erase_if(progress_, [&](const auto& item) {
       return find_member(item.first) == nullptr;
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -48,8 +48,13 @@
   // that replaces another may only join an existing group.
   bool may_bootstrap = true;
   // Whether a leader admits replicas that are not members. Each is assumed to
-  // replace a member that stops responding at about the same time.
+  // replace a member, unless it starts together with the group or the group has
+  // fewer than `min_voters`.
   bool admits_unknown_replicas = false;
+  // The number of voters that the tolerated losses require.
+  std::size_t min_voters = 0;
+  // Whether the whole site starts for the first time.
+  bool first_start = false;
 };
 
 /// One replica of the log. Implements Raft (Ongaro and Ousterhout, 2014) with
@@ -96,9 +101,14 @@
 
   /// Prepares for the end of the process: from now on the replica stands for
   /// election only if it is the only voter, and if it leads, it transfers the
-  /// leadership.
+  /// leadership. Then it asks the next leader for its removal, which the leader
+  /// grants if the replica was replaced.
   auto retire(time_point now) -> std::vector<effect>;
 
+  /// Whether a leader has decided on the removal of this replica since it
+  /// retired.
+  auto departure_decided() const -> bool { return departure_decided_; }
+
   /// Starts a leadership transfer to the first voter that acknowledges the
   /// whole log from now on, so that it is known to run.
   auto transfer_leadership(time_point now) -> std::vector<effect>;
@@ -110,6 +120,9 @@
 
   auto current_role() const -> role { return role_; }
 
+  /// The number of voters that the group should have: of the members that
+  /// replace no other.
+  auto group_size() const -> std::size_t;
   auto voter_count() const -> std::size_t;
 
   /// The number of voters that this leader has heard from lately, with itself;
@@ -146,8 +159,12 @@
     std::uint64_t snapshot_offset = 0;
     bool in_snapshot = false;
     time_point sent_at;
+    // When the peer was last heard from. A peer that was not heard from yet
+    // counts from when it became one.
     time_point received_at;
     time_point resent_at;  // when missing entries were last sent again
+    std::optional<time_point> departing_at;  // its last departure message
+    bool kept_despite_silence = false;       // and logged
   };
 
   struct bootstrap_candidate {
@@ -163,6 +180,8 @@
   void handle(const message& in, const snapshot_reply& response);
   void handle(const message& in, const timeout_now& request);
   void handle(const message& in, const hello& greeting);
+  void handle(const message& in, const departure& request);
+  void handle(const message& in, const departure_reply& response);
 
   auto accepts(const message& in) const -> bool;
   void become_follower(term_number term, replica_id leader);
@@ -172,15 +191,23 @@
   void send_hello();
   void readmit_member(replica_id id, incarnation_number incarnation,
                       std::string_view address);
-  void admit_unknown_replica(const message& in, std::string_view address);
+  void admit_unknown_replica(const message& in, const hello& greeting);
+  auto replaces_another(const hello& greeting) const -> bool;
+  auto first_start_age() const -> std::optional<milliseconds>;
   void forward_to_leader(const message& in);
   void promote_learners();
-  void remove_replaced_voter();
+  void remove_surplus_member();
+  auto is_surplus(const member& m) const -> bool;
   auto is_live(const member& m) const -> bool;
+  auto is_departing(replica_id id) const -> bool;
   auto silence_of(replica_id id) const -> milliseconds;
+  auto others_keep_quorum(replica_id without) const -> bool;
+  void remove_member(replica_id id, std::string_view reason);
   auto describe(member_action action, const member& about,
                 std::string_view reason) const -> member_decision;
   void change_members(std::vector<member> members, member_decision decision);
+  void send_departure();
+  auto new_progress() const -> progress;
   void send_append(replica_id to, bool heartbeat);
   void send_snapshot(replica_id to, progress& peer);
   void broadcast(bool heartbeat);
@@ -216,9 +243,11 @@
   time_point transfer_started_at_;
   time_point transfer_deadline_;
   time_point leading_since_;
-  time_point last_admitted_at_;  // when this leader last admitted a replica
+  time_point started_at_;
+  bool started_empty_ = false;  // with an empty disk
   bool transferring_ = false;
-  bool retiring_ = false;                     // the process is about to end
+  bool retiring_ = false;  // the process is about to end
+  bool departure_decided_ = false;
   std::vector<replica_id> transfer_targets_;  // the current one is the last
   time_point transfer_target_since_;
   bool in_pre_vote_ = false;
--- a/src/core/agreement/types.h
+++ b/src/core/agreement/types.h
@@ -33,7 +33,8 @@
   incarnation_number incarnation;
   std::string address;  // ip:port of the peer socket
   bool voter = true;
-  // Admitted in place of another member, which is yet to be removed.
+  // Admitted in place of another member, which is yet to be removed. Such
+  // members do not count towards the size of the group.
   bool replaces_another = false;
 
   auto operator==(const member&) const -> bool = default;
--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -1,7 +1,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -37,8 +39,10 @@
 class group {
  public:
   group(std::uint32_t size, std::uint64_t seed,
-        bool admits_unknown_replicas = false)
-      : admits_unknown_replicas_(admits_unknown_replicas), random_(seed) {
+        bool admits_unknown_replicas = false, std::size_t min_voters = 0)
+      : admits_unknown_replicas_(admits_unknown_replicas),
+        min_voters_(min_voters),
+        random_(seed) {
     for (std::uint32_t i = 1; i <= size; ++i) {
       peers_.push_back({{i}, {}, "r" + std::to_string(i), true});
     }
@@ -55,6 +59,8 @@
     settings.peers = peers_;
     settings.seed = random_();
     settings.admits_unknown_replicas = admits_unknown_replicas_;
+    settings.min_voters = min_voters_;
+    settings.first_start = now == first_start_at;
     settings.may_bootstrap = id.value <= peers_.size();
     if (seeds_unreachable) {
       settings.may_bootstrap = false;
@@ -190,6 +196,15 @@
                        committed_entries.rbegin()->first);
   }
 
+  /// Whether the members that a replica goes by are committed.
+  auto has_committed_members(const replica& r) const -> bool {
+    for (auto it = history_.rbegin(); it != history_.rend(); ++it) {
+      if (it->second.kind != entry_kind::membership) continue;
+      return std::ranges::equal(it->second.members, r.members());
+    }
+    return false;
+  }
+
   /// Starts a transfer of the leadership.
   void transfer() {
     auto* at = leader();
@@ -197,6 +212,9 @@
     execute(at->settings().id, at->transfer_leadership(now));
   }
 
+  /// Prepares a replica for the end of its process.
+  void retire(replica_id id) { execute(id, replicas_[id]->retire(now)); }
+
   auto at(std::uint32_t id) -> replica& { return *replicas_.at({id}); }
   auto alive(std::uint32_t id) -> bool { return replicas_[{id}] != nullptr; }
 
@@ -214,7 +232,8 @@
     d.log = r.log_tail();
   }
 
-  time_point now = at_ms(1'000'000);
+  static constexpr time_point first_start_at = at_ms(1'000'000);
+  time_point now = first_start_at;
   network_faults faults;
   std::set<std::string> acknowledged;
 
@@ -334,6 +353,7 @@
   }
 
   bool admits_unknown_replicas_ = false;
+  std::size_t min_voters_ = 0;
   std::mt19937_64 random_;
   std::uint64_t incarnations_ = 0;
   std::vector<member> peers_;
@@ -380,7 +400,8 @@
 class random_faults {
  public:
   random_faults(std::uint32_t voters, std::uint64_t seed)
-      : group_(bootstrap_size, seed, true), random_(seed) {
+      : group_(bootstrap_size, seed, true, voters - (voters + 1) % 2),
+        random_(seed) {
     CPPUNIT_ASSERT(group_.commit("first"));
     for (std::uint32_t id = 1; id <= voters; ++id) {
       all_.push_back({id});
@@ -439,7 +460,9 @@
   /// Whether the group has not yet made up for all disks that it lost.
   auto disks_to_make_up_for() -> std::size_t {
     auto* leader = group_.leader();
-    if (leader == nullptr) return all_.size();
+    // A change of members that is not committed may never take effect.
+    if (leader == nullptr || !group_.has_committed_members(*leader))
+      return all_.size();
     auto gone = std::ranges::count_if(leader->members(), [&](const member& m) {
       return m.voter && std::ranges::find(all_, m.id) == all_.end();
     });
@@ -527,6 +550,161 @@
   std::size_t tolerated_ = 0;
 };
 
+/// One replacement of a replica in a group of three, drawn from a seed: the
+/// replaced replica leaves between 0 s and ten minutes after its successor has
+/// started, or before that. The successor may be cut off at first, the leader
+/// changes, and the others are disturbed, one at a time.
+class drawn_replacement {
+ public:
+  explicit drawn_replacement(std::uint64_t seed)
+      : group_(group_size, seed, true), random_(seed) {
+    CPPUNIT_ASSERT(group_.commit("before"));
+    auto leader = id_of(*group_.wait_for_leader());
+    replaced_ = pick(2) == 0 ? leader : replica_id{leader.value % 3 + 1};
+    planned_ = pick(3) != 0;
+    draw_events();
+  }
+
+  void run() {
+    for (const auto& [at, event] : events_) {
+      if (at > group_.now) {
+        group_.run(std::chrono::duration_cast<milliseconds>(at - group_.now));
+      }
+      event();
+    }
+    group_.run(settling_time);
+  }
+
+  /// Checks that the group has its size, that each voter runs and may lead, and
+  /// that it tolerates a lost disk.
+  void check() {
+    auto* leader = group_.wait_for_leader();
+    CPPUNIT_ASSERT_MESSAGE("no leader", leader != nullptr);
+    std::set<replica_id> voters;
+    for (const auto& m : leader->members()) {
+      CPPUNIT_ASSERT_MESSAGE("a learner is left", m.voter);
+      voters.insert(m.id);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{group_size}, voters.size());
+    CPPUNIT_ASSERT_MESSAGE("the replaced replica is a voter",
+                           !voters.contains(replaced_));
+    for (auto id : voters) {
+      CPPUNIT_ASSERT(group_.at(id.value).current_role() != role::learner);
+    }
+    auto lost = *std::next(voters.begin(), static_cast<long>(pick(group_size)));
+    group_.lose_disk(lost);
+    CPPUNIT_ASSERT_MESSAGE("a lost disk is not tolerated",
+                           group_.commit("after"));
+    start(lost);
+    wait_for_voter(group_, lost);
+    group_.check_no_entry_lost();
+  }
+
+ private:
+  static constexpr std::uint32_t group_size = 3;
+  static constexpr replica_id successor{group_size + 1};
+  // Until the group has its size again after the last event: a voter that
+  // returns has to notice that it was removed, and the replaced one has to be
+  // silent for some seconds.
+  static constexpr milliseconds settling_time{10'000};
+  static constexpr milliseconds shutdown_time{1500};
+  static constexpr milliseconds first_start{10'000};  // of the successor
+
+  auto pick(std::size_t limit) -> std::size_t { return random_() % limit; }
+
+  // Between 1 ms and `limit`, short times as likely as long ones.
+  auto pick_time(milliseconds limit) -> milliseconds {
+    std::uniform_real_distribution<double> exponent(
+        0, std::log(static_cast<double>(limit.count())));
+    return milliseconds(std::llround(std::exp(exponent(random_))));
+  }
+
+  template <typename Event>
+  void add_event(milliseconds at, Event event) {
+    events_.emplace(start_ + at, std::move(event));
+  }
+
+  void draw_events() {
+    start_ = group_.now;
+    auto leaves_at = first_start + pick_time(milliseconds(600'000));
+    if (pick(4) == 0) leaves_at = first_start - pick_time(milliseconds(8000));
+    add_event(first_start, [this] { start(successor); });
+    add_event(leaves_at, [this] { leave(); });
+    if (pick(2) == 0) {
+      auto at = first_start + pick_time(milliseconds(1000));
+      bool frozen = pick(2) == 0;
+      add_event(at, [this, frozen] { set_cut(successor, frozen, true); });
+      add_event(at + pick_time(milliseconds(20'000)),
+                [this, frozen] { set_cut(successor, frozen, false); });
+    }
+    auto end = std::max(leaves_at, first_start) + milliseconds(10'000);
+    for (auto i = pick(4); i > 0; --i) {
+      add_event(milliseconds(pick(end.count())), [this] { group_.transfer(); });
+    }
+    auto faults = pick(3);
+    for (std::size_t i = 0; i < faults; ++i) {
+      auto at = first_start + (end - first_start) * i / faults;
+      auto length = pick_time((end - first_start) / faults);
+      draw_fault(at, std::min(length, milliseconds(15'000)));
+    }
+  }
+
+  // Another member than the replaced one, which may be the successor.
+  void draw_fault(milliseconds at, milliseconds length) {
+    auto number = static_cast<std::uint32_t>(pick(group_size));
+    replica_id id{(replaced_.value + number) % (group_size + 1) + 1};
+    auto kind = pick(3);
+    add_event(at, [this, id, kind] {
+      if (kind == 0) {
+        if (group_.alive(id.value)) group_.crash(id);
+      } else {
+        set_cut(id, kind == 1, true);
+      }
+    });
+    add_event(at + length, [this, id, kind] {
+      if (kind == 0) {
+        if (!group_.alive(id.value)) start(id);
+      } else {
+        set_cut(id, kind == 1, false);
+      }
+    });
+  }
+
+  void set_cut(replica_id id, bool frozen, bool on) {
+    if (frozen) {
+      group_.set_frozen(id, on);
+    } else {
+      group_.set_partitioned(id, on);
+    }
+  }
+
+  void leave() {
+    if (planned_) {
+      group_.retire(replaced_);
+      group_.run(shutdown_time);
+    }
+    group_.lose_disk(replaced_);
+  }
+
+  /// Starts a replica. It and the others have each other's addresses, as from
+  /// the list of members that a leader sends once a second.
+  void start(replica_id id) {
+    group_.start(id);
+    for (std::uint32_t other = 1; other <= group_size + 1; ++other) {
+      group_.at(id.value).add_contact({other}, "r" + std::to_string(other));
+      if (!group_.alive(other)) continue;
+      group_.at(other).add_contact(id, "r" + std::to_string(id.value));
+    }
+  }
+
+  group group_;
+  std::mt19937_64 random_;
+  replica_id replaced_;
+  bool planned_ = false;
+  time_point start_;
+  std::multimap<time_point, std::function<void()>> events_;
+};
+
 }  // namespace
 
 class agreement_test : public CppUnit::TestFixture {
@@ -554,7 +732,13 @@
   CPPUNIT_TEST(an_unknown_replica_replaces_a_lost_voter);
   CPPUNIT_TEST(an_unknown_replica_replaces_a_voter_lost_later);
   CPPUNIT_TEST(the_next_leader_removes_a_replaced_leader);
-  CPPUNIT_TEST(an_admission_of_long_ago_removes_no_voter);
+  CPPUNIT_TEST(a_replacement_leaves_a_group_of_its_size);
+  CPPUNIT_TEST(a_retiring_replica_that_was_replaced_is_removed_at_once);
+  CPPUNIT_TEST(a_retiring_replica_of_a_group_of_its_size_stays);
+  CPPUNIT_TEST(a_surplus_voter_that_stops_late_is_removed);
+  CPPUNIT_TEST(no_voter_is_removed_after_a_replacement);
+  CPPUNIT_TEST(a_replica_of_the_first_start_replaces_no_other);
+  CPPUNIT_TEST(a_removed_replica_of_the_first_start_replaces_another);
   CPPUNIT_TEST(a_restart_after_an_admission_removes_no_voter);
   CPPUNIT_TEST(a_snapshot_of_entries_in_the_log_discards_none_after_it);
   CPPUNIT_TEST(a_snapshot_is_received_from_one_leader);
@@ -598,7 +782,7 @@
                      {1},
                      {1},
                      {0},
-                     hello{false, true, "r" + std::to_string(id)}},
+                     hello{false, true, "r" + std::to_string(id), {}}},
                     now);
     };
     report_empty(2);
@@ -1015,9 +1199,66 @@
     }
   }
 
-  // Guards against a voter that the next leader takes for one that an unknown
-  // replica replaced, although nothing was replaced for a while.
-  void an_admission_of_long_ago_removes_no_voter() {
+  // Guards against the loss of the state: a replaced replica that left late
+  // stayed a voter, and the next disk that was lost left no quorum.
+  void a_replacement_leaves_a_group_of_its_size() {
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+      try {
+        drawn_replacement replacement(seed);
+        replacement.run();
+        replacement.check();
+      } catch (CppUnit::Exception& e) {
+        e.setMessage(CppUnit::Message(e.message().shortDescription(),
+                                      e.message().details(),
+                                      "seed " + std::to_string(seed)));
+        throw;
+      }
+    }
+  }
+
+  // Guards against a replaced replica that stays a voter until it has been
+  // silent for a while, as its process ended in the middle of that.
+  void a_retiring_replica_that_was_replaced_is_removed_at_once() {
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+      group g(3, seed, true);
+      CPPUNIT_ASSERT(g.commit("before"));
+      g.start({4});
+      wait_for_voter(g, {4});
+      g.run(milliseconds(20'000));
+      auto leader = id_of(*g.wait_for_leader());
+      auto retiring = seed % 2 == 0 ? leader : replica_id{leader.value % 3 + 1};
+      g.retire(retiring);
+      g.run(milliseconds(1000));
+      CPPUNIT_ASSERT(g.at(retiring.value).departure_decided());
+      auto left = voter_ids(g);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, left.size());
+      CPPUNIT_ASSERT(!left.contains(retiring.value));
+      g.lose_disk(retiring);
+      g.lose_disk({*left.begin()});
+      CPPUNIT_ASSERT(g.commit("after"));
+      g.check_no_entry_lost();
+    }
+  }
+
+  // Guards against a group that shrinks when its replicas restart.
+  void a_retiring_replica_of_a_group_of_its_size_stays() {
+    group g(3, 2, true);
+    CPPUNIT_ASSERT(g.commit("before"));
+    replica_id retiring{id_of(*g.wait_for_leader()).value % 3 + 1};
+    g.retire(retiring);
+    g.run(milliseconds(300));
+    CPPUNIT_ASSERT(g.at(retiring.value).departure_decided());
+    g.crash(retiring);
+    g.run(milliseconds(60'000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, voter_ids(g).size());
+    g.start(retiring);
+    wait_for_voter(g, retiring);
+    g.check_no_entry_lost();
+  }
+
+  // Guards against a surplus of voters that stays for good: one that stopped
+  // long after the admission of another replica was kept.
+  void a_surplus_voter_that_stops_late_is_removed() {
     group g(3, 7, true);
     CPPUNIT_ASSERT(g.commit("before"));
     g.start({4});
@@ -1027,8 +1268,34 @@
     g.transfer_from(old_leader);
     g.crash(old_leader);
     g.run(milliseconds(9000));
+    auto left = voter_ids(g);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, left.size());
+    CPPUNIT_ASSERT(!left.contains(old_leader.value));
+    CPPUNIT_ASSERT(g.commit("after"));
+    g.start(old_leader);
+    wait_for_voter(g, old_leader);
     CPPUNIT_ASSERT_EQUAL(std::size_t{4}, voter_ids(g).size());
+    g.check_no_entry_lost();
+  }
+
+  // Guards against a voter that is taken for a replaced one, although the
+  // replacement was completed long ago.
+  void no_voter_is_removed_after_a_replacement() {
+    group g(3, 7, true);
+    CPPUNIT_ASSERT(g.commit("before"));
+    g.start({4});
+    wait_for_voter(g, {4});
+    g.lose_disk({3});
+    g.run(milliseconds(12'000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, voter_ids(g).size());
+    auto old_leader = id_of(*g.wait_for_leader());
+    g.transfer_from(old_leader);
+    g.crash(old_leader);
+    g.run(milliseconds(60'000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, voter_ids(g).size());
     CPPUNIT_ASSERT(g.commit("after"));
+    g.start(old_leader);
+    wait_for_voter(g, old_leader);
     g.check_no_entry_lost();
   }
 
@@ -1044,11 +1311,54 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{4}, voter_ids(g).size());
     g.crash({3});
     g.run(milliseconds(9000));
+    CPPUNIT_ASSERT(voter_ids(g) == (std::set<std::uint32_t>{1, 2, 4}));
+    g.start({3});
+    wait_for_voter(g, {3});
     CPPUNIT_ASSERT_EQUAL(std::size_t{4}, voter_ids(g).size());
     CPPUNIT_ASSERT(g.commit("after"));
     g.check_no_entry_lost();
   }
 
+  // Guards against a group that takes a replica of its first start for the
+  // replacement of another, and removes one that is silent.
+  void a_replica_of_the_first_start_replaces_no_other() {
+    group g(3, 9, true);
+    g.start({4});
+    wait_for_voter(g, {4});
+    g.crash({2});
+    g.run(milliseconds(20'000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, voter_ids(g).size());
+    g.start({2});
+    wait_for_voter(g, {2});
+    g.start({5});
+    wait_for_voter(g, {5});
+    g.crash({2});
+    g.run(milliseconds(6000));
+    CPPUNIT_ASSERT(voter_ids(g) == (std::set<std::uint32_t>{1, 3, 4, 5}));
+    g.check_no_entry_lost();
+  }
+
+  // Guards against a removed replica that counts as one of the first start when
+  // it returns, so that the group keeps a surplus.
+  void a_removed_replica_of_the_first_start_replaces_another() {
+    group g(3, 10, true);
+    CPPUNIT_ASSERT(g.commit("before"));
+    g.start({4});
+    wait_for_voter(g, {4});
+    replica_id removed{id_of(*g.wait_for_leader()).value % 3 + 1};
+    g.set_partitioned(removed, true);
+    g.run(milliseconds(6000));
+    CPPUNIT_ASSERT(!voter_ids(g).contains(removed.value));
+    g.set_partitioned(removed, false);
+    wait_for_voter(g, removed);
+    auto leader = id_of(*g.wait_for_leader());
+    g.transfer_from(leader);
+    g.lose_disk(leader);
+    g.run(milliseconds(6000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, voter_ids(g).size());
+    g.check_no_entry_lost();
+  }
+
   // Guards against the loss of entries that a replica acknowledged before a
   // snapshot arrived that the leader had sent because they were under way.
   void a_snapshot_of_entries_in_the_log_discards_none_after_it() {
--- a/test/fakes/process_site.cpp
+++ b/test/fakes/process_site.cpp
@@ -138,6 +138,68 @@
           std::to_string(first_port_ + 90 + number)});
 }
 
+auto process_site::fleet_ip(int number) const -> std::string {
+  return "127." + std::to_string(first_port_ / 256) + "." +
+         std::to_string(first_port_ % 256) + "." + std::to_string(number);
+}
+
+auto process_site::fleet_control_address(int number) const -> std::string {
+  return fleet_ip(number) + ":" + std::to_string(first_port_ + 2);
+}
+
+auto process_site::fleet_metrics_address(int number) const -> std::string {
+  return fleet_ip(number) + ":" + std::to_string(first_port_ + 3);
+}
+
+void process_site::start_fleet_control(int number, bool first_start) {
+  auto name = "fleet-control-" + std::to_string(number);
+  auto settings_path = folder_ + "/" + name + ".conf";
+  auto peer_port = first_port_ + 1;
+  std::ofstream(settings_path)
+      << "node=" << name << "\nip=" << fleet_ip(number)
+      << "\nlisten.control=" << fleet_control_address(number)
+      << "\ndataDir=" << folder_ << "/" << name << ".data"
+      << "\nportRange=" << peer_port << "," << peer_port
+      << "\nseeds=" << fleet_control_address(1) << ","
+      << fleet_control_address(2) << "," << fleet_control_address(3)
+      << "\nbootstrap=" << (first_start ? "true" : "false")
+      << "\ntolerate.machines=1\n";
+  launch(name, "parsleyledge-fleet-control",
+         {"--node_file", settings_path, "--metrics_port",
+          std::to_string(first_port_ + 3)});
+}
+
+void process_site::erase_fleet_data(int number) {
+  std::filesystem::remove_all(folder_ + "/fleet-control-" +
+                              std::to_string(number) + ".data");
+}
+
+auto process_site::call_fleet_control(int number, http_request request)
+    -> http_response {
+  return exchange(fleet_control_address(number), std::move(request));
+}
+
+auto process_site::fleet_metric(int number, std::string_view name) -> long {
+  http_request request;
+  request.target = "/metrics";
+  auto text =
+      "\n" + exchange(fleet_metrics_address(number), std::move(request)).body;
+  auto line = "\n" + std::string(name) + " ";
+  auto at = text.find(line);
+  return at == std::string::npos
+             ? -1
+             : std::strtol(text.c_str() + at + line.size(), nullptr, 10);
+}
+
+auto process_site::fleet_role(int number) -> std::string {
+  http_request request;
+  request.target = "/state";
+  auto response = exchange(fleet_metrics_address(number), std::move(request));
+  if (response.status != 200) return {};
+  auto role = boost::json::parse(response.body).at("role").as_string();
+  return {role.begin(), role.end()};
+}
+
 void process_site::start_endpoint(int number, std::vector<std::string> flags) {
   flags.insert(flags.end(), {"--entry", entries(), "--listen_http",
                              address(endpoint_port(number)), "--journal",
@@ -223,13 +285,17 @@
 }
 
 auto process_site::call(int entry, http_request request) -> http_response {
+  return exchange(address(entry_port(entry)), std::move(request));
+}
+
+auto process_site::exchange(std::string_view address, http_request request)
+    -> http_response {
   exchange_limits limits;
   limits.timeout = std::chrono::seconds(15);
   limits.idle_connections = 0;
   auto result =
-      boost::asio::co_spawn(
-          pool_, client_.exchange(address(entry_port(entry)), request, limits),
-          boost::asio::use_future)
+      boost::asio::co_spawn(pool_, client_.exchange(address, request, limits),
+                            boost::asio::use_future)
           .get();
   if (auto* answered = std::get_if<exchange_completed>(&result)) {
     return std::move(answered->response);
--- a/test/fakes/process_site.h
+++ b/test/fakes/process_site.h
@@ -34,6 +34,23 @@
   /// platform's SIGKILL.
   void start_fleet_entry(int number, std::chrono::seconds grace);
 
+  /// Starts a control process of the fleet on a machine of its own: a loopback
+  /// address that depends on `number`. Machines 1 to 3 are the seeds. A first
+  /// start is that of the whole site; a process that is started again keeps its
+  /// data folder unless `erase_fleet_data` removes it.
+  void start_fleet_control(int number, bool first_start);
+  void erase_fleet_data(int number);
+
+  /// Sends a request to the address of a fleet's control process for workers
+  /// and operators.
+  auto call_fleet_control(int number, http_request request) -> http_response;
+
+  /// The value of a metric of a fleet's control process; -1 if unavailable.
+  auto fleet_metric(int number, std::string_view name) -> long;
+
+  /// The role of a fleet's control process in its group; empty if unavailable.
+  auto fleet_role(int number) -> std::string;
+
   /// Starts parsleyctl, which uses entry 1, under a name of its own.
   void start_ctl(std::string_view name, std::vector<std::string> arguments);
 
@@ -108,6 +125,11 @@
   void launch(std::string_view name, std::string_view program,
               std::vector<std::string> flags);
   auto address(int port) const -> std::string;
+  auto fleet_ip(int number) const -> std::string;
+  auto fleet_control_address(int number) const -> std::string;
+  auto fleet_metrics_address(int number) const -> std::string;
+  auto exchange(std::string_view address, http_request request)
+      -> http_response;
   auto entries() const -> std::string;
 
   int first_port_;
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -785,7 +785,7 @@
         "node=edge-1\nrole=x\nip=10.1.0.19\nzone=a\nlisten.front=10.1.0.19:85\n"
         "portRange=7000,7015\nseeds=10.1.0.19:86,10.2.0.35:86\nbootstrap=true\n"
         "limits.cores=2\nlimits.cpuShare=0.5\nbounds.graceS=6\n"
-        "bounds.reuseAfterS=3\nnew.key=1\n"
+        "bounds.reuseAfterS=3\ntolerate.machines=2\nnew.key=1\n"
         "advice=\n");
     CPPUNIT_ASSERT(std::holds_alternative<platform::node_settings>(result));
     const auto& node = std::get<platform::node_settings>(result);
@@ -793,6 +793,7 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{6000}, node.grace.count());
     CPPUNIT_ASSERT_EQUAL(std::int64_t{3000}, node.min_restart_time.count());
     CPPUNIT_ASSERT(node.first_start);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, node.tolerated_machines);
     CPPUNIT_ASSERT_EQUAL(std::string("10.2.0.35:7000"),
                          platform::peer_address(node, node.seeds[1]));
   }
@@ -805,6 +806,8 @@
         {valid + "seeds=here", 4},
         {valid + "bounds.graceS=soon", 4},
         {valid + "limits.cores=0", 4},
+        {valid + "tolerate.machines=-1", 4},
+        {valid + "tolerate.machines=1.5", 4},
         {valid + "listen.front=front", 4},
         {"ip=10.0.0.1\nportRange=7000,7015\n", 0},
         {"node=n\nip=10.0.0.1\nportRange=9,5\n", 3},
