--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -1256,7 +1256,7 @@
     g.check_no_entry_lost();
   }
 
-  // Guards against a surplus of voters that stays for good: one that stopped
+  // Guards against a surplus of voters that stays permanently: one that stopped
   // long after the admission of another replica was kept.
   void a_surplus_voter_that_stops_late_is_removed() {
     group g(3, 7, true);
