Let the members of a group carry their data centre and when they were admitted

Nothing decides by them yet. A replica tells its data centre, and when it was admitted, if it was a member before; a learner how long its process has run.

--- a/src/adapters/agreement_codec.cpp
+++ b/src/adapters/agreement_codec.cpp
@@ -56,6 +56,7 @@
   appended.set_accepted(from.accepted);
   appended.set_match(from.match.value);
   appended.set_sent_at(to_ms(from.sent_at));
+  if (from.uptime) appended.set_uptime_ms(from.uptime->count());
 }
 
 static void write_body(const ag::snapshot_chunk& from,
@@ -90,6 +91,8 @@
   greeting.set_address(from.address);
   if (from.first_start_age)
     greeting.set_first_start_age_ms(from.first_start_age->count());
+  greeting.set_data_centre(from.data_centre);
+  if (from.admitted_at) greeting.set_admitted_at(from.admitted_at->value);
 }
 
 static void write_body(const ag::departure&, wire::agreement_message& to) {
@@ -123,8 +126,13 @@
     }
     case body::kAppended: {
       const auto& appended = from.appended();
-      return ag::append_reply{
-          appended.accepted(), {appended.match()}, at_ms(appended.sent_at())};
+      ag::append_reply read{appended.accepted(),
+                            {appended.match()},
+                            at_ms(appended.sent_at()),
+                            {}};
+      if (appended.has_uptime_ms())
+        read.uptime = milliseconds(appended.uptime_ms());
+      return read;
     }
     case body::kChunk: {
       const auto& chunk = from.chunk();
@@ -145,10 +153,15 @@
       return ag::timeout_now{};
     case body::kGreeting: {
       const auto& greeting = from.greeting();
-      ag::hello read{
-          greeting.formed(), greeting.reply(), greeting.address(), {}};
+      ag::hello read;
+      read.bootstrapped = greeting.formed();
+      read.reply = greeting.reply();
+      read.address = greeting.address();
+      read.data_centre = greeting.data_centre();
       if (greeting.has_first_start_age_ms())
         read.first_start_age = milliseconds(greeting.first_start_age_ms());
+      if (greeting.has_admitted_at())
+        read.admitted_at = ag::log_index{greeting.admitted_at()};
       return read;
     }
     case body::kDeparture:
@@ -166,15 +179,14 @@
   to.set_life(from.incarnation.value);
   to.set_address(from.address);
   to.set_voter(from.voter);
-  to.set_replaces(from.replaces_another);
+  to.set_surplus(from.surplus);
+  to.set_data_centre(from.data_centre);
+  to.set_admitted_at(from.admitted_at.value);
 }
 
 auto read(const wire::member& from) -> ag::member {
-  return {{from.id()},
-          {from.life()},
-          from.address(),
-          from.voter(),
-          from.replaces()};
+  return {{from.id()},    {from.life()},      from.address(),      from.voter(),
+          from.surplus(), from.data_centre(), {from.admitted_at()}};
 }
 
 void write(const ag::log_entry& from, wire::log_entry& to) {
--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -376,7 +376,8 @@
   for (const auto& m : status.members) {
     members.push_back({{"address", m.address},
                        {"voter", m.voter},
-                       {"replaces_another", m.replaces_another}});
+                       {"surplus", m.surplus},
+                       {"data_centre", m.data_centre}});
   }
   out["members"] = std::move(members);
   out["peer_bytes_sent"] = peers_.bytes_sent();
--- a/src/apps/fleet_control.cpp
+++ b/src/apps/fleet_control.cpp
@@ -68,6 +68,8 @@
   settings.replica.first_start = node.first_start;
   // A majority is left when as many machines as tolerated are lost.
   settings.replica.min_voters = 2 * node.tolerated_machines + 1;
+  settings.replica.catch_up_time = node.catch_up_time;
+  settings.replica.data_centre = node.data_centre;
   settings.has_disk = !node.data_folder.empty();
   settings.limits.max_lease = node.max_lease;
   settings.limits.lease = node.max_lease * 9 / 10;
--- a/src/core/agreement/message.h
+++ b/src/core/agreement/message.h
@@ -36,6 +36,8 @@
   // which index to continue.
   log_index match;
   time_point sent_at;
+  // How long the process of a learner has run.
+  std::optional<milliseconds> uptime{};
 };
 
 /// One chunk of a snapshot of the state up to `last`.
@@ -67,6 +69,9 @@
   // How long the sender has run, if it started together with the whole site and
   // has not joined a group yet.
   std::optional<milliseconds> first_start_age;
+  std::string data_centre{};
+  // When the group admitted the sender, if it was a member before.
+  std::optional<log_index> admitted_at{};
 };
 
 /// A replica whose process is about to end asks the leader for its removal, in
--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -93,7 +93,7 @@
 
 auto replica::group_size() const -> std::size_t {
   return static_cast<std::size_t>(
-      std::ranges::count(members_, false, &member::replaces_another));
+      std::ranges::count(members_, false, &member::surplus));
 }
 
 auto replica::live_voter_count() const -> std::size_t {
@@ -536,7 +536,17 @@
     commit_ = committed;
     apply_committed();
   }
-  reply(in, append_reply{true, match, request.sent_at});
+  acknowledge(in, match, request.sent_at);
+}
+
+void replica::acknowledge(const message& in, log_index match,
+                          time_point sent_at) {
+  append_reply response{true, match, sent_at, {}};
+  if (!is_voter()) {
+    response.uptime =
+        std::chrono::duration_cast<milliseconds>(now_ - started_at_);
+  }
+  reply(in, response);
 }
 
 void replica::handle(const message& in, const append_reply& response) {
@@ -551,6 +561,7 @@
   auto& peer = it->second;
   peer.acked_at = std::max(peer.acked_at, response.sent_at);
   peer.received_at = now_;
+  if (response.uptime) peer.started_at = now_ - *response.uptime;
   if (response.accepted) {
     peer.in_snapshot = false;
     peer.match = std::max(peer.match, response.match);
@@ -600,7 +611,7 @@
   last_leader_contact_ = now_;
   election_due_ = now_ + random_timeout();
   if (chunk.last.index <= commit_) {
-    reply(in, append_reply{true, commit_, chunk.sent_at});
+    acknowledge(in, commit_, chunk.sent_at);
     return;
   }
   // The log already contains what the snapshot covers, from appends that were
@@ -608,7 +619,7 @@
   if (term_at(chunk.last.index) == chunk.last.term) {
     commit_ = chunk.last.index;
     apply_committed();
-    reply(in, append_reply{true, commit_, chunk.sent_at});
+    acknowledge(in, commit_, chunk.sent_at);
     return;
   }
   if (incoming_last_ != chunk.last || incoming_term_ != in.term) {
@@ -630,7 +641,7 @@
       role_ = is_voter() ? role::follower : role::learner;
       effects_.emplace_back(
           persist_snapshot{snapshot_last_, members_, snapshot_});
-      reply(in, append_reply{true, commit_, chunk.sent_at});
+      acknowledge(in, commit_, chunk.sent_at);
       return;
     }
   }
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -53,6 +53,10 @@
   bool admits_unknown_replicas = false;
   // The number of voters that the tolerated losses require.
   std::size_t min_voters = 0;
+  // How long the process of a replica that replaces another must have run
+  // before it counts.
+  milliseconds catch_up_time{};
+  std::string data_centre;  // of this replica
   // Whether the whole site starts for the first time.
   bool first_start = false;
 };
@@ -164,11 +168,14 @@
     time_point received_at;
     time_point resent_at;  // when missing entries were last sent again
     std::optional<time_point> departing_at;  // its last departure message
-    bool kept_despite_silence = false;       // and logged
+    // When the process of a learner started, as far as is known.
+    std::optional<time_point> started_at;
+    bool kept_despite_silence = false;  // and logged
   };
 
   struct bootstrap_candidate {
     incarnation_number incarnation;
+    std::string data_centre;
     time_point reported_at;
   };
 
@@ -189,10 +196,11 @@
   void become_leader();
   void bootstrap_group();
   void send_hello();
-  void readmit_member(replica_id id, incarnation_number incarnation,
-                      std::string_view address);
+  void readmit_member(const message& in, const hello& greeting);
   void admit_unknown_replica(const message& in, const hello& greeting);
+  auto starts_with_group(const hello& greeting) const -> bool;
   auto replaces_another(const hello& greeting) const -> bool;
+  auto own_admission() const -> std::optional<log_index>;
   auto first_start_age() const -> std::optional<milliseconds>;
   void forward_to_leader(const message& in);
   void promote_learners();
@@ -218,6 +226,7 @@
   void append_local(std::vector<log_entry> entries);
   void adopt_members(const log_entry& entry);
   void restore_members_before(log_index index);
+  void acknowledge(const message& in, log_index match, time_point sent_at);
   void send(replica_id to, message_body body, bool before_sync = false);
   void reply(const message& in, message_body body);
   auto address_of(replica_id id) const -> std::string;
--- a/src/core/agreement/replica_membership.cpp
+++ b/src/core/agreement/replica_membership.cpp
@@ -51,7 +51,9 @@
   for (const auto& [id, address] : contacts_) all.insert(id);
   all.erase(settings_.id);
   auto age = role_ == role::bootstrapping ? first_start_age() : std::nullopt;
-  for (auto id : all) send(id, hello{false, false, own, age});
+  hello greeting{false,          false, own, age, settings_.data_centre,
+                 own_admission()};
+  for (auto id : all) send(id, greeting);
 }
 
 void replica::send_departure() {
@@ -84,9 +86,11 @@
   for (const auto& peer : settings_.peers) {
     auto it = bootstrap_candidates_.find(peer.id);
     if (peer.id == settings_.id) {
-      voters.push_back({peer.id, settings_.incarnation, peer.address, true});
+      voters.push_back({peer.id, settings_.incarnation, peer.address, true,
+                        false, settings_.data_centre});
     } else if (it != bootstrap_candidates_.end()) {
-      voters.push_back({peer.id, it->second.incarnation, peer.address, true});
+      voters.push_back({peer.id, it->second.incarnation, peer.address, true,
+                        false, it->second.data_centre});
     } else {
       return;
     }
@@ -105,21 +109,26 @@
     if (greeting.bootstrapped) {
       bootstrap_candidates_.erase(in.from);
     } else {
-      bootstrap_candidates_[in.from] = {in.from_incarnation, now_};
+      bootstrap_candidates_[in.from] = {in.from_incarnation,
+                                        greeting.data_centre, now_};
     }
     return;
   }
-  effects_.emplace_back(send_message{
-      {settings_.id, settings_.incarnation, in.from, in.from_incarnation,
-       hard_.term,
-       hello{role_ != role::bootstrapping, true, address_of(settings_.id), {}}},
-      greeting.address,
-      false});
+  effects_.emplace_back(send_message{{settings_.id, settings_.incarnation,
+                                      in.from, in.from_incarnation, hard_.term,
+                                      hello{role_ != role::bootstrapping,
+                                            true,
+                                            address_of(settings_.id),
+                                            {},
+                                            settings_.data_centre,
+                                            {}}},
+                                     greeting.address,
+                                     false});
   if (role_ != role::leader) {
     if (find_member(in.from) == nullptr) forward_to_leader(in);
     return;
   }
-  readmit_member(in.from, in.from_incarnation, greeting.address);
+  readmit_member(in, greeting);
   if (settings_.admits_unknown_replicas) admit_unknown_replica(in, greeting);
 }
 
@@ -137,27 +146,48 @@
 // vote by, and promoted to a voter once it has caught up.
 void replica::admit_unknown_replica(const message& in, const hello& greeting) {
   if (find_member(in.from) != nullptr || greeting.address.empty()) return;
-  member added{in.from, in.from_incarnation, greeting.address, false,
-               replaces_another(greeting)};
+  member added;
+  added.id = in.from;
+  added.incarnation = in.from_incarnation;
+  added.address = greeting.address;
+  added.voter = false;
+  added.surplus = replaces_another(greeting);
+  added.data_centre = greeting.data_centre;
+  if (greeting.admitted_at) {
+    added.admitted_at = *greeting.admitted_at;
+  } else if (!starts_with_group(greeting)) {
+    added.admitted_at = last_position().index.next();
+  }
   auto changed = members_;
   changed.push_back(added);
-  change_members(std::move(changed),
-                 describe(member_action::admitted, added,
-                          added.replaces_another ? "replaces another"
-                                                 : "adds to the size"));
+  change_members(
+      std::move(changed),
+      describe(member_action::admitted, added,
+               added.surplus ? "replaces another" : "adds to the size"));
 }
 
 // A replica that starts together with the leader belongs to the group from the
 // beginning. A later one replaces a member, which may be lost already or leave
 // any time later.
-auto replica::replaces_another(const hello& greeting) const -> bool {
-  if (group_size() < settings_.min_voters) return false;
+auto replica::starts_with_group(const hello& greeting) const -> bool {
   auto own_age = first_start_age();
-  if (!own_age || !greeting.first_start_age) return true;
-  return std::chrono::abs(*own_age - *greeting.first_start_age) >
+  if (!own_age || !greeting.first_start_age) return false;
+  return std::chrono::abs(*own_age - *greeting.first_start_age) <=
          first_start_spread;
 }
 
+auto replica::replaces_another(const hello& greeting) const -> bool {
+  return group_size() >= settings_.min_voters && !starts_with_group(greeting);
+}
+
+// A replica that was removed and does not know when it was admitted ranks with
+// the members since the first start, so that it replaces no later one.
+auto replica::own_admission() const -> std::optional<log_index> {
+  if (members_.empty()) return {};
+  const auto* self = find_member(settings_.id);
+  return self == nullptr ? log_index{} : self->admitted_at;
+}
+
 auto replica::silence_of(replica_id id) const -> milliseconds {
   auto it = progress_.find(id);
   if (id == settings_.id || it == progress_.end()) return {};
@@ -181,7 +211,7 @@
 // Which member was replaced shows only once it leaves. Until then, each voter
 // may be the one in a group with more voters than its size.
 auto replica::is_surplus(const member& m) const -> bool {
-  return m.voter ? voter_count() > group_size() : m.replaces_another;
+  return m.voter ? voter_count() > group_size() : m.surplus;
 }
 
 auto replica::others_keep_quorum(replica_id without) const -> bool {
@@ -235,10 +265,9 @@
   std::erase_if(changed, [&](const member& m) { return m.id == id; });
   // The group keeps its size: the removal of a member that replaces no other
   // completes the replacement by one that does.
-  if (!removed.replaces_another) {
-    auto successor =
-        std::ranges::find(changed, true, &member::replaces_another);
-    if (successor != changed.end()) successor->replaces_another = false;
+  if (!removed.surplus) {
+    auto successor = std::ranges::find(changed, true, &member::surplus);
+    if (successor != changed.end()) successor->surplus = false;
   }
   contacts_[id] = removed.address;  // to respond to its departure
   change_members(std::move(changed),
@@ -289,12 +318,14 @@
 
 // A member that returns under a new incarnation lost its disk. It becomes a
 // learner, because it no longer knows its votes and acknowledged entries.
-void replica::readmit_member(replica_id id, incarnation_number incarnation,
-                             std::string_view address) {
-  const auto* known = find_member(id);
-  if (known == nullptr || known->incarnation == incarnation) return;
-  member readmitted{id, incarnation, std::string(address), false,
-                    known->replaces_another};
+void replica::readmit_member(const message& in, const hello& greeting) {
+  const auto* known = find_member(in.from);
+  if (known == nullptr || known->incarnation == in.from_incarnation) return;
+  auto readmitted = *known;
+  readmitted.incarnation = in.from_incarnation;
+  readmitted.address = greeting.address;
+  readmitted.data_centre = greeting.data_centre;
+  readmitted.voter = false;
   auto changed = members_;
   std::ranges::replace(changed, *known, readmitted);
   change_members(std::move(changed), describe(member_action::readmitted,
--- a/src/core/agreement/types.h
+++ b/src/core/agreement/types.h
@@ -35,7 +35,12 @@
   bool voter = true;
   // Admitted in place of another member, which is yet to be removed. Such
   // members do not count towards the size of the group.
-  bool replaces_another = false;
+  bool surplus = false;
+  std::string data_centre{};
+  // The index of the entry that admitted it; 0 for a member since the first
+  // start. Of two members in a data centre, the later one may replace the
+  // earlier one.
+  log_index admitted_at{};
 
   auto operator==(const member&) const -> bool = default;
 };
