Log which voters a control group without a leader waits for

Each replica now logs group_without_leader, with the voters that do not respond to it and for how long, and serves how long it has had no leader and how many voters are missing.

--- a/src/adapters/control_node.cpp
+++ b/src/adapters/control_node.cpp
@@ -678,6 +678,8 @@
                    {"role", to_string(status.role)},
                    {"leader", status.leader_address},
                    {"serving", status.may_serve},
+                   {"without_leader_ms", status.quorum.without_leader.count()},
+                   {"missing_voters", status.quorum.missing.size()},
                    {"term", status.term},
                    {"commit", status.commit},
                    {"last", status.last},
--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -214,6 +214,9 @@
   metrics_.gauge("group_voters") = status.voters;
   metrics_.gauge("group_size") = status.group_size;
   metrics_.gauge("group_live_voters") = status.live_voters;
+  metrics_.gauge("group_without_leader_milliseconds") =
+      static_cast<std::uint64_t>(status.quorum.without_leader.count());
+  metrics_.gauge("group_missing_voters") = status.quorum.missing.size();
 }
 
 void fleet_control_node::run_round() {
--- a/src/adapters/replica_node.cpp
+++ b/src/adapters/replica_node.cpp
@@ -18,6 +18,32 @@
 namespace leaf = boost::leaf;
 
 constexpr std::uint64_t snapshot_threshold_bytes = 16u << 20;  // of the log
+// Longer than an election whose first votes are split.
+constexpr milliseconds outage_log_delay{3000};
+constexpr milliseconds outage_log_interval{30'000};
+
+auto describe(std::span<const ag::quorum_status::missing_member> missing)
+    -> std::string {
+  std::string text;
+  for (const auto& m : missing) {
+    if (!text.empty()) text += ", ";
+    text += m.address;
+    text += m.silence
+                ? " silent for " + std::to_string(m.silence->count()) + " ms"
+                : " not heard";
+  }
+  return text;
+}
+
+auto describe(std::span<const ag::member> members) -> std::string {
+  std::string text;
+  for (const auto& m : members) {
+    if (!text.empty()) text += ", ";
+    text += m.address + (m.voter ? " voter" : " learner");
+    if (m.surplus) text += " surplus";
+  }
+  return text;
+}
 
 }  // namespace
 
@@ -183,6 +209,7 @@
     }
     add(replica_.flush(now));
     log_role_change();
+    log_quorum(now);
   }
   for (const auto& snapshot : snapshots) install_snapshot(snapshot);
   for (const auto& callback : callbacks) callback();
@@ -203,6 +230,37 @@
              {"term", static_cast<std::int64_t>(term.value)}});
 }
 
+// Called with the replica's lock held. The last line of an outage tells which
+// voters the group waits for, whatever machine it is read on.
+template <typename Machine>
+void basic_replica_node<Machine>::log_quorum(time_point now) {
+  auto status = replica_.quorum(now);
+  if (status.without_leader == milliseconds{}) {
+    if (logged_quorum_.without_leader == milliseconds{}) return;
+    log_event(log_level::info, "group_has_leader",
+              {{"outage_ms", logged_quorum_.without_leader.count()}});
+    logged_quorum_ = {};
+    return;
+  }
+  if (status.without_leader < outage_log_delay) return;
+  auto address = [](const auto& missing) { return missing.address; };
+  bool changed = logged_quorum_.without_leader == milliseconds{} ||
+                 status.has_quorum != logged_quorum_.has_quorum ||
+                 !std::ranges::equal(status.missing, logged_quorum_.missing, {},
+                                     address, address);
+  if (!changed && now - quorum_logged_at_ < outage_log_interval) {
+    logged_quorum_.without_leader = status.without_leader;
+    return;
+  }
+  log_event(log_level::warning, "group_without_leader",
+            {{"since_ms", status.without_leader.count()},
+             {"has_quorum", status.has_quorum},
+             {"missing", describe(status.missing)},
+             {"members", describe(replica_.members())}});
+  quorum_logged_at_ = now;
+  logged_quorum_ = std::move(status);
+}
+
 template <typename Machine>
 void basic_replica_node<Machine>::log_decision(
     const ag::member_decision& decision) {
@@ -432,6 +490,7 @@
   s.voters = replica_.voter_count();
   s.group_size = replica_.group_size();
   s.live_voters = replica_.live_voter_count();
+  s.quorum = replica_.quorum(steady_now());
   s.is_member = replica_.find_member(replica_.settings().id) != nullptr;
   s.departure_decided = replica_.departure_decided();
   if (const auto* leader = replica_.find_member(replica_.leader())) {
--- a/src/adapters/replica_node.h
+++ b/src/adapters/replica_node.h
@@ -33,6 +33,7 @@
   std::size_t voters = 0;
   std::size_t group_size = 0;   // the number of voters wanted
   std::size_t live_voters = 0;  // 0 unless this replica leads
+  agreement::quorum_status quorum;
   bool is_member = false;
   // Whether a leader has decided on the removal of this replica, which retires.
   bool departure_decided = false;
@@ -160,6 +161,7 @@
   void schedule_tick();
   void fail(std::string_view detail);
   void log_role_change();
+  void log_quorum(time_point now);
   auto can_serve_applied(time_point now) const -> bool;
 
   boost::asio::thread_pool& pool_;
@@ -174,6 +176,8 @@
   bool snapshot_in_progress_ = false;                         // likewise
   agreement::role logged_role_{};                             // likewise
   agreement::term_number logged_term_;                        // likewise
+  agreement::quorum_status logged_quorum_;                    // likewise
+  time_point quorum_logged_at_;                               // likewise
   std::atomic<std::uint64_t> applied_term_{0};  // of the last applied entry
 
   ranked_mutex inbox_mutex_{lock_rank::inbox};
--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -191,6 +191,7 @@
     -> std::vector<effect> {
   now_ = now;
   if (!accepts(in)) return take_effects();
+  record_contact(in);
   std::visit([&](const auto& body) { handle(in, body); }, in.body);
   return take_effects();
 }
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "core/agreement/effect.h"
+#include "core/agreement/quorum_status.h"
 
 namespace parsleyledge::agreement {
 
@@ -133,6 +134,10 @@
   /// 0 if this replica does not lead.
   auto live_voter_count() const -> std::size_t;
 
+  /// Whether the group lacks a leader, and which voters it waits for, as far as
+  /// this replica knows.
+  auto quorum(time_point now) const -> quorum_status;
+
   auto current_term() const -> term_number { return hard_.term; }
   auto leader() const -> replica_id { return leader_; }
   auto commit_index() const -> log_index { return commit_; }
@@ -191,6 +196,9 @@
   void handle(const message& in, const departure_reply& response);
 
   auto accepts(const message& in) const -> bool;
+  void record_contact(const message& in);
+  auto silence_of_peer(replica_id id, time_point now) const
+      -> std::optional<milliseconds>;
   void become_follower(term_number term, replica_id leader);
   void start_election(bool pre_vote, bool transfer);
   void become_leader();
@@ -275,6 +283,7 @@
   log_position incoming_last_;
   term_number incoming_term_;  // of the leader that sends it
 
+  std::map<replica_id, time_point> heard_at_;  // last message of each peer
   std::map<replica_id, progress> progress_;
   std::map<replica_id, bool> votes_;
   // Addresses learned from hello messages or `add_contact`.
--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -718,6 +718,7 @@
   CPPUNIT_TEST(a_replica_with_a_lost_disk_does_not_vote);
   CPPUNIT_TEST(survives_a_second_disk_loss_after_recovery);
   CPPUNIT_TEST(a_partitioned_leader_steps_down);
+  CPPUNIT_TEST(a_replica_without_a_leader_names_the_voters_it_waits_for);
   CPPUNIT_TEST(a_rejoining_replica_does_not_disrupt_the_leader);
   CPPUNIT_TEST(a_frozen_leader_does_not_serve);
   CPPUNIT_TEST(transfers_leadership_within_200_ms);
@@ -925,6 +926,42 @@
     }
   }
 
+  // Guards against an outage that no log explains, since no replica tells which
+  // voters it waits for.
+  void a_replica_without_a_leader_names_the_voters_it_waits_for() {
+    auto missing = [](const quorum_status& status) {
+      std::set<std::string> addresses;
+      for (const auto& m : status.missing) addresses.insert(m.address);
+      return addresses;
+    };
+    group g(3, 5);
+    CPPUNIT_ASSERT(g.commit("before"));
+    g.run(milliseconds(1000));
+    for (std::uint32_t id : {1, 2, 3}) {
+      CPPUNIT_ASSERT(g.at(id).quorum(g.now).without_leader == milliseconds{});
+      CPPUNIT_ASSERT(g.at(id).quorum(g.now).has_quorum);
+    }
+    g.crash({2});
+    g.crash({3});
+    g.run(milliseconds(10'000));
+    auto alone = g.at(1).quorum(g.now);
+    CPPUNIT_ASSERT(alone.without_leader > milliseconds(5000));
+    CPPUNIT_ASSERT(!alone.has_quorum);
+    CPPUNIT_ASSERT(missing(alone) == (std::set<std::string>{"r2", "r3"}));
+    CPPUNIT_ASSERT(alone.missing.front().silence > milliseconds(9000));
+    // A voter that returns without its disk does not vote.
+    g.lose_disk({3});
+    g.start({3});
+    g.run(milliseconds(5000));
+    CPPUNIT_ASSERT(missing(g.at(1).quorum(g.now)) ==
+                   (std::set<std::string>{"r2", "r3"}));
+    g.start({2});
+    wait_for_voter(g, {3});
+    for (std::uint32_t id : {1, 2, 3}) {
+      CPPUNIT_ASSERT(g.at(id).quorum(g.now).without_leader == milliseconds{});
+    }
+  }
+
   void a_rejoining_replica_does_not_disrupt_the_leader() {
     group g(5, 3);
     auto* leader = g.wait_for_leader();
