Show that a machine that does not count decides whether a group survives

Six tests with processes, red on this code: three control replicas with disks, a fourth that replaces one of them, and a disk lost together with the machine that does not count, with or without a loss of power of all others.

--- a/test/fakes/process_site.cpp
+++ b/test/fakes/process_site.cpp
@@ -155,15 +155,18 @@
   auto name = "fleet-control-" + std::to_string(number);
   auto settings_path = folder_ + "/" + name + ".conf";
   auto peer_port = first_port_ + 1;
+  auto data_centre = fleet_data_centres_.try_emplace(number, number);
   std::ofstream(settings_path)
-      << "node=" << name << "\nip=" << fleet_ip(number)
+      << "node=" << name << "\nip=" << fleet_ip(number) << "\nzone=dc"
+      << data_centre.first->second
       << "\nlisten.control=" << fleet_control_address(number)
       << "\ndataDir=" << folder_ << "/" << name << ".data"
       << "\nportRange=" << peer_port << "," << peer_port
       << "\nseeds=" << fleet_control_address(1) << ","
       << fleet_control_address(2) << "," << fleet_control_address(3)
       << "\nbootstrap=" << (first_start ? "true" : "false")
-      << "\ntolerate.machines=1\n";
+      << "\ntolerate.machines=" << tolerated_machines_
+      << "\nbounds.catchupS=4\n";
   launch(name, "parsleyledge-fleet-control",
          {"--node_file", settings_path, "--metrics_port",
           std::to_string(first_port_ + 3)});
@@ -174,6 +177,14 @@
                               std::to_string(number) + ".data");
 }
 
+void process_site::set_fleet_data_centre(int number, int data_centre) {
+  fleet_data_centres_[number] = data_centre;
+}
+
+void process_site::set_tolerated_machines(int count) {
+  tolerated_machines_ = count;
+}
+
 auto process_site::call_fleet_control(int number, http_request request)
     -> http_response {
   return exchange(fleet_control_address(number), std::move(request));
--- a/test/fakes/process_site.h
+++ b/test/fakes/process_site.h
@@ -37,9 +37,14 @@
   /// Starts a control process of the fleet on a machine of its own: a loopback
   /// address that depends on `number`. Machines 1 to 3 are the seeds. A first
   /// start is that of the whole site; a process that is started again keeps its
-  /// data folder unless `erase_fleet_data` removes it.
+  /// data folder unless `erase_fleet_data` removes it. The machine is in a data
+  /// centre of its own unless `set_fleet_data_centre` says otherwise.
   void start_fleet_control(int number, bool first_start);
   void erase_fleet_data(int number);
+  void set_fleet_data_centre(int number, int data_centre);
+
+  /// How many machines of the fleet may be lost at the same time; 1 by default.
+  void set_tolerated_machines(int count);
 
   /// Sends a request to the address of a fleet's control process for workers
   /// and operators.
@@ -135,6 +140,8 @@
   int first_port_;
   std::string folder_;
   std::map<std::string, pid_t, std::less<>> pids_;
+  std::map<int, int> fleet_data_centres_;
+  int tolerated_machines_ = 1;
   boost::asio::thread_pool pool_;
   http_client client_;
 };
--- a/test/replacement_test.cpp
+++ b/test/replacement_test.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <csignal>
 #include <string>
+#include <vector>
 
 #include "fakes/process_site.h"
 
@@ -19,12 +20,15 @@
 // The platform's catch-up time: a machine that is removed no longer counts as
 // lost once its successor has run for as long.
 constexpr seconds catch_up{4};
+constexpr milliseconds after_catch_up{6000};
 constexpr milliseconds down_time{1600};  // of a machine that loses its disk
 // The platform's recovery time, for a group that has lost no more than it
 // tolerates.
 constexpr seconds recovery{12};
 constexpr std::string_view config =
     R"({"version":7,"routes":[],"services":[],"tenants":[]})";
+constexpr std::string_view next_config =
+    R"({"version":8,"routes":[],"services":[],"tenants":[]})";
 
 auto name_of(int number) -> std::string {
   return "fleet-control-" + std::to_string(number);
@@ -49,19 +53,68 @@
   return 0;
 }
 
-/// Starts machines 1 to 3 and stores a configuration, then starts the machine
-/// that replaces one of them and waits until it has caught up.
-void start_with_successor(process_site& site) {
+/// Another of the first three machines.
+auto follower(process_site& site) -> int {
+  return leader(site) % 3 + 1;
+}
+
+/// Starts machines 1 to 3 and stores a configuration.
+void start_group(process_site& site) {
   for (int i = 1; i <= 3; ++i) site.start_fleet_control(i, true);
   CPPUNIT_ASSERT(eventually([&] {
     http_request put{"PUT", "/api/config", {}, std::string(config)};
     return site.call_fleet_control(1, std::move(put)).status == 200;
   }));
+}
+
+/// Starts the machine that replaces another one, in the same data centre.
+void start_successor(process_site& site, int replaced) {
+  site.set_fleet_data_centre(successor, replaced);
   site.start_fleet_control(successor, false);
+}
+
+void start_and_await_successor(process_site& site, int replaced) {
+  start_successor(site, replaced);
   pause_for(catch_up);
   CPPUNIT_ASSERT(eventually([&] { return votes(site, successor); }));
 }
 
+/// Machines that are lost at the same moment. All but one return.
+struct losses {
+  int gone = 0;  // for good
+  int lost_disk = 0;
+  bool others_lose_power = false;
+};
+
+void lose(process_site& site, const losses& lost) {
+  std::vector<int> down;
+  for (int i = 1; i <= successor; ++i) {
+    if (i == lost.gone || i == lost.lost_disk || lost.others_lose_power)
+      down.push_back(i);
+  }
+  for (auto i : down) site.signal(name_of(i), SIGKILL);
+  for (auto i : down) site.wait(name_of(i));
+  site.erase_fleet_data(lost.lost_disk);
+  pause_for(down_time);
+  for (auto i : down) {
+    if (i != lost.gone) site.start_fleet_control(i, false);
+  }
+}
+
+/// Checks that what was confirmed is there and that the group serves: each
+/// machine but one reads the configuration.
+void check_nothing_is_lost(process_site& site, int gone) {
+  for (int i = 1; i <= successor; ++i) {
+    if (i == gone) continue;
+    CPPUNIT_ASSERT_MESSAGE(
+        "the configuration is lost",
+        eventually([&] { return reads_config(site, i); }, recovery));
+  }
+  http_request put{"PUT", "/api/config", {}, std::string(next_config)};
+  CPPUNIT_ASSERT_EQUAL(
+      200, site.call_fleet_control(gone % 3 + 1, std::move(put)).status);
+}
+
 /// Kills a machine that returns with an empty disk. The group tolerates it.
 void check_a_lost_disk_is_tolerated(process_site& site, int lost) {
   site.kill(name_of(lost));
@@ -90,6 +143,12 @@
   CPPUNIT_TEST(a_follower_that_is_replaced_stops_being_a_voter_as_it_leaves);
   CPPUNIT_TEST(a_leader_that_is_replaced_stops_being_a_voter_as_it_leaves);
   CPPUNIT_TEST(a_replaced_machine_that_is_lost_late_stops_being_a_voter);
+  CPPUNIT_TEST(a_replaced_follower_that_is_lost_with_a_disk_does_not_count);
+  CPPUNIT_TEST(a_replaced_leader_that_is_lost_with_a_disk_does_not_count);
+  CPPUNIT_TEST(a_replaced_machine_that_is_lost_at_its_end_does_not_count);
+  CPPUNIT_TEST(a_replaced_machine_that_stays_does_not_count);
+  CPPUNIT_TEST(a_successor_that_is_lost_at_once_does_not_count);
+  CPPUNIT_TEST(a_successor_that_is_lost_while_it_catches_up_does_not_count);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -97,8 +156,9 @@
   // replica stayed a voter, so that a lost disk left no quorum.
   void a_follower_that_is_replaced_stops_being_a_voter_as_it_leaves() {
     process_site site(23000);
-    start_with_successor(site);
-    auto leaves = leader(site) % 3 + 1;
+    start_group(site);
+    auto leaves = follower(site);
+    start_and_await_successor(site, leaves);
     site.signal(name_of(leaves), SIGTERM);
     CPPUNIT_ASSERT_EQUAL(0, site.wait(name_of(leaves)));
     check_a_lost_disk_is_tolerated(site, leaves % 3 + 1);
@@ -108,8 +168,9 @@
   // leadership over first.
   void a_leader_that_is_replaced_stops_being_a_voter_as_it_leaves() {
     process_site site(23100);
-    start_with_successor(site);
+    start_group(site);
     auto leaves = leader(site);
+    start_and_await_successor(site, leaves);
     site.signal(name_of(leaves), SIGTERM);
     CPPUNIT_ASSERT_EQUAL(0, site.wait(name_of(leaves)));
     check_a_lost_disk_is_tolerated(site, leaves % 3 + 1);
@@ -119,13 +180,90 @@
   // more than ten seconds after its successor was admitted.
   void a_replaced_machine_that_is_lost_late_stops_being_a_voter() {
     process_site site(23200);
-    start_with_successor(site);
+    start_group(site);
+    auto leaves = follower(site);
+    start_and_await_successor(site, leaves);
     pause_for(seconds(8));
-    auto leaves = leader(site) % 3 + 1;
     site.kill(name_of(leaves));
     pause_for(seconds(5));
     check_a_lost_disk_is_tolerated(site, leaves % 3 + 1);
   }
+
+  // Guards against the loss of the state: a replaced machine and another disk
+  // were lost at the same moment, and the quorum needed the vote of the first.
+  void a_replaced_follower_that_is_lost_with_a_disk_does_not_count() {
+    process_site site(23300);
+    start_group(site);
+    auto gone = follower(site);
+    start_successor(site, gone);
+    pause_for(after_catch_up);
+    lose(site, {gone, gone % 3 + 1, false});
+    check_nothing_is_lost(site, gone);
+  }
+
+  // Guards against the same loss where the leader was replaced and all others
+  // lose power.
+  void a_replaced_leader_that_is_lost_with_a_disk_does_not_count() {
+    process_site site(23400);
+    start_group(site);
+    auto gone = leader(site);
+    start_successor(site, gone);
+    pause_for(after_catch_up);
+    lose(site, {gone, gone % 3 + 1, true});
+    check_nothing_is_lost(site, gone);
+  }
+
+  // Guards against the same loss where the replaced machine is asked to end at
+  // the moment of the losses.
+  void a_replaced_machine_that_is_lost_at_its_end_does_not_count() {
+    process_site site(23500);
+    start_group(site);
+    auto gone = leader(site);
+    start_successor(site, gone);
+    pause_for(after_catch_up);
+    site.signal(name_of(gone), SIGTERM);
+    lose(site, {gone, gone % 3 + 1, true});
+    check_nothing_is_lost(site, gone);
+  }
+
+  // Guards against a replaced machine that gets its vote back, since it returns
+  // with its disk.
+  void a_replaced_machine_that_stays_does_not_count() {
+    process_site site(23600);
+    start_group(site);
+    auto replaced = follower(site);
+    start_successor(site, replaced);
+    pause_for(after_catch_up);
+    lose(site, {0, replaced % 3 + 1, true});
+    CPPUNIT_ASSERT(
+        eventually([&] { return reads_config(site, successor); }, recovery));
+    pause_for(after_catch_up);
+    lose(site, {replaced, (replaced + 1) % 3 + 1, true});
+    check_nothing_is_lost(site, replaced);
+  }
+
+  // Guards against the loss of the state: the quorum needed the vote of a
+  // successor that had just started.
+  void a_successor_that_is_lost_at_once_does_not_count() {
+    process_site site(23700);
+    start_group(site);
+    auto replaced = leader(site);
+    start_successor(site, replaced);
+    pause_for(milliseconds(1500));
+    lose(site, {successor, replaced % 3 + 1, true});
+    check_nothing_is_lost(site, successor);
+  }
+
+  // Guards against the same loss later on and without a loss of power.
+  void a_successor_that_is_lost_while_it_catches_up_does_not_count() {
+    process_site site(23800);
+    start_group(site);
+    auto replaced = follower(site);
+    start_successor(site, replaced);
+    pause_for(seconds(3));
+    lose(site, {successor, replaced % 3 + 1, false});
+    check_nothing_is_lost(site, successor);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(replacement_test);
