Let only machines that count vote, and exchange votes by joint consensus

Callers got no answer about accepted jobs, and operators no configuration, for good: a machine that does not count was lost together with a disk, and the quorum needed its vote.

Cause: a newcomer became a fourth voter 0.1 s after its start and the replaced machine kept its vote until it left, so that the quorum was three of four. Whichever of the two was lost with a disk, two were left. The class: a member has a say in the quorum for longer, or earlier, than the losses are counted by.

Now a newcomer is a learner until its process has run for the catch-up time. Then it takes the vote of a member of its data centre in two entries of the log, with majorities of the old and the new voters in between, so the voters never exceed the size of the group. Where a data centre has two members, the one that may be the replaced one is suspended if the group can spare it.

--- a/src/adapters/agreement_codec.cpp
+++ b/src/adapters/agreement_codec.cpp
@@ -182,11 +182,15 @@
   to.set_surplus(from.surplus);
   to.set_data_centre(from.data_centre);
   to.set_admitted_at(from.admitted_at.value);
+  to.set_exchange(static_cast<std::uint32_t>(from.exchange));
 }
 
 auto read(const wire::member& from) -> ag::member {
-  return {{from.id()},    {from.life()},      from.address(),      from.voter(),
-          from.surplus(), from.data_centre(), {from.admitted_at()}};
+  return {
+      {from.id()},          {from.life()},
+      from.address(),       from.voter(),
+      from.surplus(),       from.data_centre(),
+      {from.admitted_at()}, static_cast<ag::exchange_part>(from.exchange())};
 }
 
 void write(const ag::log_entry& from, wire::log_entry& to) {
--- a/src/core/agreement/effect.h
+++ b/src/core/agreement/effect.h
@@ -42,7 +42,16 @@
   log_entry entry;
 };
 
-enum class member_action { admitted, readmitted, promoted, removed, kept };
+enum class member_action {
+  admitted,
+  readmitted,
+  promoted,
+  exchanged,  // takes the place of another member
+  replaced,   // another member takes its place
+  suspended,  // has no vote while another one of its data centre may leave
+  removed,
+  kept
+};
 
 /// Log a decision of the leader on a member, with the state that it had before.
 struct member_decision {
--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/agreement/quorum.h"
+
 namespace parsleyledge::agreement {
 
 namespace {
@@ -78,14 +80,10 @@
 
 auto replica::is_voter() const -> bool {
   const auto* self = find_member(settings_.id);
-  return self != nullptr && self->voter &&
+  return self != nullptr && has_vote(*self) &&
          self->incarnation == settings_.incarnation;
 }
 
-auto replica::quorum_size() const -> std::size_t {
-  return voter_count() / 2 + 1;
-}
-
 auto replica::voter_count() const -> std::size_t {
   return static_cast<std::size_t>(
       std::ranges::count(members_, true, &member::voter));
@@ -99,16 +97,15 @@
 auto replica::live_voter_count() const -> std::size_t {
   if (role_ != role::leader) return 0;
   return static_cast<std::size_t>(std::ranges::count_if(
-      members_, [&](const member& m) { return m.voter && is_live(m); }));
+      members_, [&](const member& m) { return has_vote(m) && is_live(m); }));
 }
 
 auto replica::has_quorum(const std::map<replica_id, bool>& votes) const
     -> bool {
-  auto granted = std::ranges::count_if(members_, [&](const member& m) {
+  return is_quorum(members_, [&](const member& m) {
     auto it = votes.find(m.id);
-    return m.voter && it != votes.end() && it->second;
+    return it != votes.end() && it->second;
   });
-  return static_cast<std::size_t>(granted) >= quorum_size();
 }
 
 auto replica::term_at(log_index index) const -> std::optional<term_number> {
@@ -219,9 +216,8 @@
     if (now >= heartbeat_due_) {
       heartbeat_due_ = now + settings_.delays.heartbeat;
       broadcast(true);
-      promote_learners();
-      remove_surplus_member();
     }
+    decide_on_members();
   } else if (retiring_) {
     // It does not ask to be admitted, as its process is about to end.
     if (now >= heartbeat_due_) {
@@ -273,7 +269,7 @@
   votes_.clear();
   votes_[settings_.id] = true;
   for (const auto& m : members_) {
-    if (m.voter && m.id != settings_.id) {
+    if (has_vote(m) && m.id != settings_.id) {
       send(m.id, vote_request{last_position(), pre_vote, transfer});
     }
   }
@@ -339,7 +335,7 @@
   leading_since_ = now_;
   transferring_ = false;
   progress_.clear();
-  for (const auto& m : members_) progress_[m.id] = new_progress();
+  for (const auto& m : members_) progress_[m.id] = new_progress(m);
   heartbeat_due_ = now_ + settings_.delays.heartbeat;
   log_entry no_op{
       {hard_.term, last_position().index.next()}, entry_kind::no_op, {}, {}};
@@ -347,8 +343,9 @@
   broadcast(true);
 }
 
-auto replica::new_progress() const -> progress {
+auto replica::new_progress(const member& m) const -> progress {
   progress peer;
+  peer.incarnation = m.incarnation;
   peer.next = last_position().index.next();
   peer.received_at = now_;
   return peer;
@@ -370,7 +367,9 @@
       // A new incarnation starts with an empty log, so the progress of the
       // earlier one does not count.
       auto it = progress_.find(m.id);
-      if (it == progress_.end() || !m.voter) progress_[m.id] = new_progress();
+      bool is_known =
+          it != progress_.end() && it->second.incarnation == m.incarnation;
+      if (!is_known) progress_[m.id] = new_progress(m);
     }
     std::erase_if(progress_, [&](const auto& item) {
       return find_member(item.first) == nullptr;
@@ -406,10 +405,9 @@
 }
 
 auto replica::propose_members(std::vector<member> members) -> bool {
-  if (role_ != role::leader || members_index_ > commit_) return false;
   // A membership change is safe only after an entry of this term is
   // committed.
-  if (term_at(commit_) != hard_.term) return false;
+  if (!may_change_members()) return false;
   log_entry entry{{hard_.term, last_position().index.next()},
                   entry_kind::membership,
                   {},
@@ -587,7 +585,7 @@
 // while one that was not told yet is chosen, as the first may have stopped.
 void replica::continue_transfer(replica_id acknowledged_by) {
   const auto* voter = find_member(acknowledged_by);
-  if (voter == nullptr || !voter->voter) return;
+  if (voter == nullptr || !votes_after_exchange(*voter)) return;
   bool may_choose =
       transfer_targets_.empty() ||
       now_ >= transfer_target_since_ + settings_.delays.transfer_attempt;
@@ -670,19 +668,15 @@
   if (in.term == hard_.term && may_stand()) start_election(false, true);
 }
 
-// Commits an entry once a majority of the voters has it on disk. As in Raft,
-// only entries of the current term are committed by counting replicas.
+// Commits an entry once a quorum has it on disk. As in Raft, only entries of
+// the current term are committed by counting replicas.
 void replica::advance_commit() {
-  std::vector<log_index> matches;
-  for (const auto& m : members_) {
-    if (m.voter) matches.push_back(match_index(m.id));
-  }
-  if (matches.empty()) return;
-  std::ranges::sort(matches, std::greater<>());
-  auto quorum_index = matches[quorum_size() - 1];
+  auto quorum_index = quorum_value(
+      members_, [&](const member& m) { return match_index(m.id); });
   if (quorum_index <= commit_ || term_at(quorum_index) != hard_.term) return;
   commit_ = quorum_index;
   apply_committed();
+  if (in_exchange(members_)) complete_exchange();
 }
 
 void replica::apply_committed() {
@@ -693,17 +687,11 @@
 }
 
 auto replica::lease_start() const -> time_point {
-  std::vector<time_point> acks;
-  for (const auto& m : members_) {
-    if (!m.voter) continue;
+  return quorum_value(members_, [&](const member& m) {
+    if (m.id == settings_.id) return now_;
     auto it = progress_.find(m.id);
-    acks.push_back(m.id == settings_.id    ? now_
-                   : it == progress_.end() ? time_point{}
-                                           : it->second.acked_at);
-  }
-  if (acks.empty()) return {};
-  std::ranges::sort(acks, std::greater<>());
-  return acks[quorum_size() - 1];
+    return it == progress_.end() ? time_point{} : it->second.acked_at;
+  });
 }
 
 auto replica::may_serve(time_point now) const -> bool {
@@ -729,7 +717,7 @@
 
 // The only voter of a group stands even while it retires: nobody else can lead.
 auto replica::may_stand() const -> bool {
-  return is_voter() && (!retiring_ || quorum_size() == 1);
+  return is_voter() && (!retiring_ || voter_count() == 1);
 }
 
 auto replica::retire(time_point now) -> std::vector<effect> {
@@ -739,13 +727,17 @@
 
 auto replica::transfer_leadership(time_point now) -> std::vector<effect> {
   now_ = now;
-  if (role_ != role::leader || transferring_) return take_effects();
+  begin_transfer();
+  return take_effects();
+}
+
+void replica::begin_transfer() {
+  if (role_ != role::leader || transferring_) return;
   transferring_ = true;
   transfer_targets_.clear();
-  transfer_started_at_ = now;
-  transfer_deadline_ = now + settings_.delays.transfer_timeout;
+  transfer_started_at_ = now_;
+  transfer_deadline_ = now_ + settings_.delays.transfer_timeout;
   broadcast(true);
-  return take_effects();
 }
 
 }  // namespace parsleyledge::agreement
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -55,7 +55,7 @@
   // The number of voters that the tolerated losses require.
   std::size_t min_voters = 0;
   // How long the process of a replica that replaces another must have run
-  // before it counts.
+  // before it counts, and takes the place of the other one.
   milliseconds catch_up_time{};
   std::string data_centre;  // of this replica
   // Whether the whole site starts for the first time.
@@ -85,8 +85,8 @@
 
   /// Appends a membership entry, which may add, remove or promote one member
   /// and change other notes on them. Returns false if this replica is not the
-  /// leader, the previous change is not committed yet, or no entry of the
-  /// current term is committed.
+  /// leader, is transferring its leadership, the previous change is not
+  /// committed yet, or no entry of the current term is committed.
   auto propose_members(std::vector<member> members) -> bool;
 
   /// Returns the effects of earlier proposals, with the messages that
@@ -125,9 +125,11 @@
 
   auto current_role() const -> role { return role_; }
 
-  /// The number of voters that the group should have: of the members that
-  /// replace no other.
+  /// The number of members that count, which is the limit of the number of
+  /// voters.
   auto group_size() const -> std::size_t;
+
+  /// The number of voters, without one that is about to replace another.
   auto voter_count() const -> std::size_t;
 
   /// The number of voters that this leader has heard from lately, with itself;
@@ -162,6 +164,7 @@
 
  private:
   struct progress {
+    incarnation_number incarnation;
     log_index next;
     log_index match;
     time_point acked_at;  // send time of the last acknowledged message
@@ -207,23 +210,37 @@
   void readmit_member(const message& in, const hello& greeting);
   void admit_unknown_replica(const message& in, const hello& greeting);
   auto starts_with_group(const hello& greeting) const -> bool;
-  auto replaces_another(const hello& greeting) const -> bool;
   auto own_admission() const -> std::optional<log_index>;
   auto first_start_age() const -> std::optional<milliseconds>;
   void forward_to_leader(const message& in);
-  void promote_learners();
-  void remove_surplus_member();
-  auto is_surplus(const member& m) const -> bool;
+  void begin_transfer();
+  auto may_change_members() const -> bool;
+  void decide_on_members();
+  void complete_exchange();
+  auto exchange_member() -> bool;
+  auto replaced_by(const member& newcomer) const -> const member*;
+  auto exchange(member newcomer, member replaced) -> bool;
+  auto suspend_voter() -> bool;
+  auto promote_learner() -> bool;
+  auto remove_surplus_member() -> bool;
+  void log_silent_members();
+  auto shares_place(const member& newcomer, const member& m) const -> bool;
+  auto may_replace(const member& newcomer, const member& m) const -> bool;
+  auto may_be_replaced_one(const member& m) const -> bool;
+  auto has_live_quorum(std::span<const member> members) const -> bool;
+  auto doubtful_votes(std::span<const member> members) const -> std::size_t;
+  auto tolerates_doubt(std::span<const member> members) const -> bool;
+  auto is_caught_up(const member& m) const -> bool;
+  auto counts(const member& m) const -> bool;
   auto is_live(const member& m) const -> bool;
+  auto is_leaving(const member& m) const -> bool;
   auto is_departing(replica_id id) const -> bool;
   auto silence_of(replica_id id) const -> milliseconds;
-  auto others_keep_quorum(replica_id without) const -> bool;
-  void remove_member(replica_id id, std::string_view reason);
   auto describe(member_action action, const member& about,
                 std::string_view reason) const -> member_decision;
   void change_members(std::vector<member> members, member_decision decision);
   void send_departure();
-  auto new_progress() const -> progress;
+  auto new_progress(const member& m) const -> progress;
   void send_append(replica_id to, bool heartbeat);
   void send_snapshot(replica_id to, progress& peer);
   void broadcast(bool heartbeat);
@@ -241,7 +258,6 @@
   void persist_hard();
   auto lease_start() const -> time_point;
   auto has_quorum(const std::map<replica_id, bool>& votes) const -> bool;
-  auto quorum_size() const -> std::size_t;
   auto term_at(log_index index) const -> std::optional<term_number>;
   auto entry_at(log_index index) const -> const log_entry&;
   auto is_voter() const -> bool;
--- a/src/core/agreement/replica_membership.cpp
+++ b/src/core/agreement/replica_membership.cpp
@@ -2,9 +2,12 @@
 // members.
 
 #include <algorithm>
+#include <map>
 #include <set>
+#include <tuple>
 #include <utility>
 
+#include "core/agreement/quorum.h"
 #include "core/agreement/replica.h"
 
 namespace parsleyledge::agreement {
@@ -33,6 +36,12 @@
       return "readmitted";
     case member_action::promoted:
       return "promoted";
+    case member_action::exchanged:
+      return "exchanged";
+    case member_action::replaced:
+      return "replaced";
+    case member_action::suspended:
+      return "suspended";
     case member_action::removed:
       return "removed";
     case member_action::kept:
@@ -128,6 +137,8 @@
     if (find_member(in.from) == nullptr) forward_to_leader(in);
     return;
   }
+  // Another change of the members would alter both sets of voters.
+  if (in_exchange(members_)) return;
   readmit_member(in, greeting);
   if (settings_.admits_unknown_replicas) admit_unknown_replica(in, greeting);
 }
@@ -143,7 +154,8 @@
 }
 
 // An unknown replica is added as a learner, because it has no log or term to
-// vote by, and promoted to a voter once it has caught up.
+// vote by. If it adds to the size of the group, it becomes a voter once it has
+// caught up. Otherwise it takes the place of another member.
 void replica::admit_unknown_replica(const message& in, const hello& greeting) {
   if (find_member(in.from) != nullptr || greeting.address.empty()) return;
   member added;
@@ -151,19 +163,19 @@
   added.incarnation = in.from_incarnation;
   added.address = greeting.address;
   added.voter = false;
-  added.surplus = replaces_another(greeting);
+  bool belongs_to_group = starts_with_group(greeting);
+  added.surplus = !belongs_to_group && group_size() >= settings_.min_voters;
   added.data_centre = greeting.data_centre;
   if (greeting.admitted_at) {
     added.admitted_at = *greeting.admitted_at;
-  } else if (!starts_with_group(greeting)) {
+  } else if (!belongs_to_group) {
     added.admitted_at = last_position().index.next();
   }
   auto changed = members_;
   changed.push_back(added);
-  change_members(
-      std::move(changed),
-      describe(member_action::admitted, added,
-               added.surplus ? "replaces another" : "adds to the size"));
+  change_members(std::move(changed),
+                 describe(member_action::admitted, added,
+                          added.surplus ? "surplus" : "adds to the size"));
 }
 
 // A replica that starts together with the leader belongs to the group from the
@@ -176,10 +188,6 @@
          first_start_spread;
 }
 
-auto replica::replaces_another(const hello& greeting) const -> bool {
-  return group_size() >= settings_.min_voters && !starts_with_group(greeting);
-}
-
 // A replica that was removed and does not know when it was admitted ranks with
 // the members since the first start, so that it replaces no later one.
 auto replica::own_admission() const -> std::optional<log_index> {
@@ -208,70 +216,251 @@
          *it->second.departing_at + departure_validity;
 }
 
-// Which member was replaced shows only once it leaves. Until then, each voter
-// may be the one in a group with more voters than its size.
-auto replica::is_surplus(const member& m) const -> bool {
-  return m.voter ? voter_count() > group_size() : m.surplus;
+auto replica::is_leaving(const member& m) const -> bool {
+  return is_departing(m.id) || silence_of(m.id) > unresponsive_timeout;
 }
 
-auto replica::others_keep_quorum(replica_id without) const -> bool {
-  std::size_t voters = 0;
-  std::size_t live = 0;
+auto replica::is_caught_up(const member& m) const -> bool {
+  auto it = progress_.find(m.id);
+  return it != progress_.end() && !it->second.in_snapshot &&
+         it->second.match.value + max_promotion_lag >=
+             last_position().index.value &&
+         it->second.match >= members_index_;
+}
+
+// Whether a surplus member counts instead of the one that it replaces. It must
+// have responded since its catch-up time ended, as it may be lost before.
+auto replica::counts(const member& m) const -> bool {
+  auto it = progress_.find(m.id);
+  return is_live(m) && !is_departing(m.id) && is_caught_up(m) &&
+         it->second.started_at &&
+         it->second.acked_at >=
+             *it->second.started_at + settings_.catch_up_time;
+}
+
+// Whether the members would have a quorum if only those that respond voted.
+auto replica::has_live_quorum(std::span<const member> members) const -> bool {
+  return is_quorum(members, [this](const member& m) { return is_live(m); });
+}
+
+// Whether a surplus member belongs in the place of another one: a replacement
+// has the data centre of the replaced machine.
+auto replica::shares_place(const member& newcomer, const member& m) const
+    -> bool {
+  if (m.surplus) return false;
+  if (m.data_centre == newcomer.data_centre) return true;
+  return std::ranges::none_of(members_, [&](const member& other) {
+    return !other.surplus && other.data_centre == newcomer.data_centre;
+  });
+}
+
+// A later member replaces an earlier one of its data centre. Among members of
+// the same admission nobody can tell who was replaced until one of them leaves.
+// An earlier member gets the place of a later one back only while that one is
+// lost, not when it restarts.
+auto replica::may_replace(const member& newcomer, const member& m) const
+    -> bool {
+  if (!shares_place(newcomer, m)) return false;
+  bool is_lost = silence_of(m.id) > unresponsive_timeout;
+  if (newcomer.admitted_at < m.admitted_at) return is_lost;
+  bool is_successor = newcomer.data_centre == m.data_centre &&
+                      newcomer.admitted_at > m.admitted_at;
+  return is_successor || is_lost || is_departing(m.id);
+}
+
+auto replica::replaced_by(const member& newcomer) const -> const member* {
+  auto rank = [&](const member& m) {
+    return std::tuple(m.voter, is_leaving(m), is_departing(m.id),
+                      m.id != settings_.id, silence_of(m.id));
+  };
+  const member* chosen = nullptr;
   for (const auto& m : members_) {
-    if (!m.voter || m.id == without) continue;
-    ++voters;
-    if (is_live(m)) ++live;
+    if (!may_replace(newcomer, m)) continue;
+    if (chosen == nullptr || rank(m) > rank(*chosen)) chosen = &m;
   }
-  return live >= voters / 2 + 1;
+  return chosen;
 }
 
-// Removes a surplus member that leaves or does not respond, however long after
-// the admission of its successor. If another one than the replaced one is
-// removed, because it was silent for a while, it is admitted again when it
-// returns, and the replaced one is removed later.
-void replica::remove_surplus_member() {
-  const member* chosen = nullptr;
+auto replica::may_change_members() const -> bool {
+  return role_ == role::leader && !transferring_ && members_index_ <= commit_ &&
+         term_at(commit_) == hard_.term;
+}
+
+// Decides on one change of the members at a time. The order puts first what the
+// group needs in order to tolerate the next loss.
+void replica::decide_on_members() {
+  if (!may_change_members()) return;
+  if (in_exchange(members_)) {
+    complete_exchange();
+    return;
+  }
+  log_silent_members();
+  if (exchange_member() || suspend_voter() || promote_learner()) return;
+  remove_surplus_member();
+}
+
+// Gives a surplus member that counts the place of the member that it replaces.
+auto replica::exchange_member() -> bool {
+  for (const auto& newcomer : members_) {
+    if (!newcomer.surplus || !counts(newcomer)) continue;
+    const auto* replaced = replaced_by(newcomer);
+    if (replaced != nullptr && exchange(newcomer, *replaced)) return true;
+  }
+  return false;
+}
+
+// A voter is exchanged in two entries of the log (joint consensus), as a change
+// of two members at once could elect two leaders. From the first entry on,
+// decisions take a majority of the old voters and one of the new voters. Once
+// it is committed, the second one ends the vote of the replaced member.
+auto replica::exchange(member newcomer, member replaced) -> bool {
+  // Leadership goes first, as a leader without a vote does not serve.
+  if (replaced.voter && replaced.id == settings_.id) {
+    begin_transfer();
+    return true;
+  }
+  auto changed = members_;
+  for (auto& m : changed) {
+    if (m.id == newcomer.id) {
+      m.surplus = replaced.voter;
+      if (replaced.voter) m.exchange = exchange_part::incoming;
+    } else if (m.id == replaced.id) {
+      m.surplus = !replaced.voter;
+      if (replaced.voter) m.exchange = exchange_part::outgoing;
+    }
+  }
+  if (!has_live_quorum(changed)) return false;
+  change_members(std::move(changed),
+                 describe(member_action::exchanged, newcomer, "counts"));
+  effects_.emplace_back(
+      describe(member_action::replaced, replaced, "its successor counts"));
+  return true;
+}
+
+void replica::complete_exchange() {
+  if (!may_change_members()) return;
+  auto changed = members_;
+  for (auto& m : changed) {
+    bool is_outgoing = m.exchange == exchange_part::outgoing;
+    if (m.exchange == exchange_part::none) continue;
+    if (is_outgoing && m.id == settings_.id) {
+      begin_transfer();
+      return;
+    }
+    m.voter = !is_outgoing;
+    m.surplus = is_outgoing;
+    m.exchange = exchange_part::none;
+  }
+  propose_members(std::move(changed));
+}
+
+// Whether a surplus member of the same data centre and admission runs, so that
+// this one may be the replaced one.
+auto replica::may_be_replaced_one(const member& m) const -> bool {
+  return std::ranges::any_of(members_, [&](const member& other) {
+    return other.surplus && other.data_centre == m.data_centre &&
+           other.admitted_at == m.admitted_at;
+  });
+}
+
+// How many voters may be replaced ones, given that each surplus member may have
+// been taken for one of its data centre and admission.
+auto replica::doubtful_votes(std::span<const member> members) const
+    -> std::size_t {
+  struct counts {
+    std::size_t surplus = 0;
+    std::size_t voters = 0;
+  };
+  std::map<std::pair<std::string_view, log_index>, counts> places;
+  for (const auto& m : members) {
+    auto& place = places[{m.data_centre, m.admitted_at}];
+    if (m.surplus) ++place.surplus;
+    if (m.voter) ++place.voters;
+  }
+  std::size_t doubtful = 0;
+  for (const auto& [place, count] : places) {
+    doubtful += std::min(count.surplus, count.voters);
+  }
+  return doubtful;
+}
+
+// Whether the voters tolerate the loss of doubtful ones beside the usual
+// losses.
+auto replica::tolerates_doubt(std::span<const member> members) const -> bool {
+  auto voters = static_cast<std::size_t>(
+      std::ranges::count(members, true, &member::voter));
+  if (voters <= settings_.min_voters) return true;
+  auto tolerated =
+      settings_.min_voters == 0 ? 0 : (settings_.min_voters - 1) / 2;
+  return (voters - 1) / 2 >= tolerated + doubtful_votes(members);
+}
+
+// Takes the vote of a member that may be the replaced one, if the group needs
+// fewer voters than it has.
+auto replica::suspend_voter() -> bool {
+  if (tolerates_doubt(members_)) return false;
   for (const auto& m : members_) {
-    if (m.id == settings_.id) continue;
-    bool departing = is_departing(m.id);
-    auto& peer = progress_[m.id];
-    if (!departing && silence_of(m.id) <= unresponsive_timeout) {
-      peer.kept_despite_silence = false;
-      continue;
+    if (!m.voter || !may_be_replaced_one(m)) continue;
+    if (m.id == settings_.id) {
+      begin_transfer();
+      return true;
     }
-    if (!is_surplus(m) || !others_keep_quorum(m.id)) {
-      if (!departing && !peer.kept_despite_silence) {
-        peer.kept_despite_silence = true;
-        effects_.emplace_back(describe(member_action::kept, m,
-                                       is_surplus(m)
-                                           ? "silent, the others lack a quorum"
-                                           : "silent, not surplus"));
-      }
-      continue;
+    auto changed = members_;
+    for (auto& c : changed) {
+      if (c.id == m.id) c.voter = false;
     }
-    bool better = chosen == nullptr ||
-                  (departing && !is_departing(chosen->id)) ||
-                  (departing == is_departing(chosen->id) &&
-                   silence_of(m.id) > silence_of(chosen->id));
-    if (better) chosen = &m;
+    if (!has_live_quorum(changed)) continue;
+    change_members(std::move(changed), describe(member_action::suspended, m,
+                                                "may be the replaced one"));
+    return true;
   }
-  if (chosen == nullptr) return;
-  remove_member(chosen->id, is_departing(chosen->id) ? "departing" : "silent");
+  return false;
 }
 
-void replica::remove_member(replica_id id, std::string_view reason) {
-  auto removed = *find_member(id);
-  auto changed = members_;
-  std::erase_if(changed, [&](const member& m) { return m.id == id; });
-  // The group keeps its size: the removal of a member that replaces no other
-  // completes the replacement by one that does.
-  if (!removed.surplus) {
-    auto successor = std::ranges::find(changed, true, &member::surplus);
-    if (successor != changed.end()) successor->surplus = false;
+auto replica::promote_learner() -> bool {
+  for (const auto& m : members_) {
+    if (m.voter || m.surplus || !is_live(m) || !is_caught_up(m)) continue;
+    auto changed = members_;
+    for (auto& c : changed) {
+      if (c.id == m.id) c.voter = true;
+    }
+    if (may_be_replaced_one(m) && !tolerates_doubt(changed)) continue;
+    change_members(std::move(changed),
+                   describe(member_action::promoted, m, "caught up"));
+    return true;
   }
-  contacts_[id] = removed.address;  // to respond to its departure
+  return false;
+}
+
+// A surplus member has no vote, so its removal concerns no quorum. It is
+// admitted again when it returns.
+auto replica::remove_surplus_member() -> bool {
+  auto gone = std::ranges::find_if(members_, [&](const member& m) {
+    return m.surplus && m.id != settings_.id && is_leaving(m);
+  });
+  if (gone == members_.end()) return false;
+  auto removed = *gone;
+  auto changed = members_;
+  std::erase_if(changed, [&](const member& m) { return m.id == removed.id; });
+  contacts_[removed.id] = removed.address;  // to respond to its departure
   change_members(std::move(changed),
-                 describe(member_action::removed, removed, reason));
+                 describe(member_action::removed, removed,
+                          is_departing(removed.id) ? "departing" : "silent"));
+  return true;
+}
+
+void replica::log_silent_members() {
+  for (const auto& m : members_) {
+    auto it = progress_.find(m.id);
+    if (m.surplus || m.id == settings_.id || it == progress_.end()) continue;
+    bool is_silent = silence_of(m.id) > unresponsive_timeout;
+    bool is_new = is_silent && !it->second.kept_despite_silence;
+    it->second.kept_despite_silence = is_silent;
+    if (is_new && !is_departing(m.id)) {
+      effects_.emplace_back(
+          describe(member_action::kept, m, "silent, not surplus"));
+    }
+  }
 }
 
 auto replica::describe(member_action action, const member& about,
@@ -298,16 +487,22 @@
   if (leaving->incarnation != in.from_incarnation) return;
   bool first = !is_departing(in.from);
   progress_[in.from].departing_at = now_;
-  if (voter_count() > group_size()) {
-    remove_surplus_member();
-    return;
-  }
-  // A successor that is not a voter yet may become one before the sender ends.
-  bool awaits_successor = members_.size() > group_size();
-  if (awaits_successor) return;
+  decide_on_members();
+  leaving = find_member(in.from);
+  if (leaving == nullptr) return;  // until its removal is committed
+  auto departing = *leaving;
+  bool is_replaced =
+      departing.surplus || departing.exchange == exchange_part::outgoing;
+  bool awaits_successor =
+      std::ranges::any_of(members_, [&](const member& other) {
+        return other.surplus && is_live(other) &&
+               shares_place(other, departing) &&
+               other.admitted_at >= departing.admitted_at;
+      });
+  if (is_replaced || awaits_successor) return;
   if (first) {
     effects_.emplace_back(
-        describe(member_action::kept, *leaving, "departing, not surplus"));
+        describe(member_action::kept, departing, "departing, not surplus"));
   }
   reply(in, departure_reply{});
 }
@@ -332,24 +527,4 @@
                                               readmitted, "lost its disk"));
 }
 
-void replica::promote_learners() {
-  for (const auto& m : members_) {
-    if (m.voter) continue;
-    auto it = progress_.find(m.id);
-    if (it == progress_.end() || it->second.in_snapshot) continue;
-    bool alive = now_ - it->second.received_at < settings_.delays.election_min;
-    bool caught_up = it->second.match.value + max_promotion_lag >=
-                         last_position().index.value &&
-                     it->second.match >= members_index_;
-    if (!alive || !caught_up) continue;
-    auto changed = members_;
-    for (auto& c : changed) {
-      if (c.id == m.id) c.voter = true;
-    }
-    change_members(std::move(changed),
-                   describe(member_action::promoted, m, "caught up"));
-    return;
-  }
-}
-
 }  // namespace parsleyledge::agreement
--- a/src/core/agreement/replica_quorum.cpp
+++ b/src/core/agreement/replica_quorum.cpp
@@ -1,5 +1,6 @@
 // What a replica tells operators about the quorum of its group.
 
+#include "core/agreement/quorum.h"
 #include "core/agreement/replica.h"
 
 namespace parsleyledge::agreement {
@@ -32,26 +33,20 @@
   auto silence = now - last_leader_contact_;
   if (silence <= settings_.delays.election_max) return status;
   status.without_leader = std::chrono::duration_cast<milliseconds>(silence);
-  const auto& group = members_.empty() ? settings_.peers : members_;
-  std::size_t voters = 0;
-  std::size_t responding = 0;
-  for (const auto& m : group) {
-    if (!m.voter) continue;
-    ++voters;
-    if (m.id == settings_.id) {
-      if (members_.empty() || is_voter()) ++responding;
-      continue;
-    }
+  bool is_formed = !members_.empty();
+  const auto& group = is_formed ? members_ : settings_.peers;
+  auto responds = [&](const member& m) {
+    if (m.id == settings_.id) return !is_formed || is_voter();
     auto peer_silence = silence_of_peer(m.id, now);
-    if (peer_silence && *peer_silence <= response_timeout) {
-      ++responding;
-    } else {
-      status.missing.push_back({m.address, peer_silence});
-    }
+    return peer_silence && *peer_silence <= response_timeout;
+  };
+  for (const auto& m : group) {
+    if (has_vote(m) && !responds(m))
+      status.missing.push_back({m.address, silence_of_peer(m.id, now)});
   }
   // All peers have to respond before the group is formed.
-  auto needed = members_.empty() ? voters : voters / 2 + 1;
-  status.has_quorum = responding >= needed;
+  status.has_quorum =
+      is_formed ? is_quorum(members_, responds) : status.missing.empty();
   return status;
 }
 
--- a/src/core/agreement/types.h
+++ b/src/core/agreement/types.h
@@ -27,20 +27,26 @@
 
 struct log_entry;
 
+/// The part of a member in an exchange of one voter for another. Until it is
+/// complete, a decision takes a majority of the voters with the outgoing member
+/// and a majority of the voters with the incoming one.
+enum class exchange_part { none, outgoing, incoming };
+
 /// A replica of the group. Learners receive the log but do not vote.
 struct member {
   replica_id id;
   incarnation_number incarnation;
   std::string address;  // ip:port of the peer socket
-  bool voter = true;
-  // Admitted in place of another member, which is yet to be removed. Such
-  // members do not count towards the size of the group.
+  bool voter = true;    // before an exchange that is not complete
+  // A learner that the size of the group does not count: it either replaces
+  // another member or was replaced.
   bool surplus = false;
   std::string data_centre{};
   // The index of the entry that admitted it; 0 for a member since the first
   // start. Of two members in a data centre, the later one may replace the
   // earlier one.
   log_index admitted_at{};
+  exchange_part exchange = exchange_part::none;
 
   auto operator==(const member&) const -> bool = default;
 };
