Count an outage of a former leader from the end of its leadership

A leader that had just handed over logged group_without_leader, with the whole time that it had led as the outage, and group_has_leader at once.

agreement_test::a_replica_without_a_leader_names_the_voters_it_waits_for: red before with the new check, green after.

--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -248,6 +248,7 @@
     hard_ = {term, {}};
     persist_hard();
   }
+  if (role_ == role::leader) led_until_ = now_;
   leader_ = leader;
   transferring_ = false;
   in_pre_vote_ = false;
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -276,6 +276,7 @@
   time_point transfer_started_at_;
   time_point transfer_deadline_;
   time_point leading_since_;
+  time_point led_until_;
   time_point started_at_;
   bool started_empty_ = false;  // with an empty disk
   bool transferring_ = false;
--- a/src/core/agreement/replica_quorum.cpp
+++ b/src/core/agreement/replica_quorum.cpp
@@ -1,5 +1,7 @@
 // What a replica tells operators about the quorum of its group.
 
+#include <algorithm>
+
 #include "core/agreement/quorum.h"
 #include "core/agreement/replica.h"
 
@@ -30,7 +32,7 @@
 auto replica::quorum(time_point now) const -> quorum_status {
   quorum_status status;
   if (role_ == role::leader) return status;
-  auto silence = now - last_leader_contact_;
+  auto silence = now - std::max(last_leader_contact_, led_until_);
   if (silence <= settings_.delays.election_max) return status;
   status.without_leader = std::chrono::duration_cast<milliseconds>(silence);
   bool is_formed = !members_.empty();
--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -1204,6 +1204,14 @@
       CPPUNIT_ASSERT(g.at(id).quorum(g.now).without_leader == milliseconds{});
       CPPUNIT_ASSERT(g.at(id).quorum(g.now).has_quorum);
     }
+    // A former leader counts from the end of its leadership.
+    auto old_leader = id_of(*g.wait_for_leader());
+    g.run(milliseconds(20'000));
+    g.transfer();
+    while (g.at(old_leader.value).current_role() == role::leader)
+      g.run(milliseconds(5));
+    CPPUNIT_ASSERT(g.at(old_leader.value).quorum(g.now).without_leader ==
+                   milliseconds{});
     g.crash({2});
     g.crash({3});
     g.run(milliseconds(10'000));
