--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -965,6 +965,76 @@
   std::multimap<time_point, std::function<void()>> events_;
 };
 
+/// A group whose replicas are in data centres, one after the other, and where a
+/// newcomer counts after the catch-up time.
+class placed_group {
+ public:
+  static constexpr milliseconds catch_up_time{4000};
+  static constexpr milliseconds down_time{1600};
+  static constexpr milliseconds recovery_time{12'000};
+  static constexpr std::uint32_t max_id = 9;
+
+  placed_group(const site_shape& shape, std::uint64_t seed)
+      : shape_(shape),
+        net(std::min(shape.replicas, std::uint32_t{3}), seed, true,
+            2 * shape.tolerated + 1) {
+    net.catch_up_time = catch_up_time;
+    for (std::uint32_t id = 1; id <= shape.replicas; ++id) {
+      if (id <= 3) net.crash({id});
+      start(id, id);
+    }
+    CPPUNIT_ASSERT(net.commit("before"));
+    for (std::uint32_t id = 1; id <= shape.replicas; ++id) {
+      wait_for_voter(net, {id});
+    }
+  }
+
+  /// Starts a replica in the data centre of another one, known to all.
+  void start(std::uint32_t id, std::uint32_t place) {
+    net.data_centres[{id}] = "dc" + std::to_string(place % shape_.data_centres);
+    restart(id);
+  }
+
+  void restart(std::uint32_t id) {
+    net.start({id});
+    for (std::uint32_t other = 1; other <= max_id; ++other) {
+      net.at(id).add_contact({other}, "r" + std::to_string(other));
+      if (!net.alive(other)) continue;
+      net.at(other).add_contact({id}, "r" + std::to_string(id));
+    }
+  }
+
+  /// Loses a replica for good and the disks of others, which return, and checks
+  /// that a leader serves and that nothing is lost.
+  /// Those that are partitioned are in touch again after the losses.
+  void check_losses(std::uint32_t gone, const std::set<std::uint32_t>& disks,
+                    const std::set<std::uint32_t>& partitioned = {}) {
+    CPPUNIT_ASSERT(net.commit("last moment"));
+    net.lose_disk({gone});
+    for (auto id : disks) net.lose_disk({id});
+    for (auto id : partitioned) net.set_partitioned({id}, false);
+    net.run(down_time);
+    for (auto id : disks) restart(id);
+    CPPUNIT_ASSERT_MESSAGE("no leader",
+                           net.wait_for_leader(recovery_time) != nullptr);
+    CPPUNIT_ASSERT(net.commit("after"));
+    net.check_no_entry_lost();
+  }
+
+  auto votes(std::uint32_t id) -> bool {
+    auto* leader = net.wait_for_leader();
+    CPPUNIT_ASSERT(leader != nullptr);
+    const auto* m = leader->find_member({id});
+    return m != nullptr && m->voter;
+  }
+
+ private:
+  site_shape shape_;
+
+ public:
+  group net;
+};
+
 }  // namespace
 
 constexpr std::uint64_t drawn_losses_per_shape = 25;
@@ -997,6 +1067,15 @@
   CPPUNIT_TEST(the_next_leader_removes_a_replaced_leader);
   CPPUNIT_TEST(a_replacement_leaves_a_group_of_its_size);
   CPPUNIT_TEST(a_replica_that_does_not_count_is_not_needed);
+  CPPUNIT_TEST(the_only_voter_is_replaced);
+  CPPUNIT_TEST(a_replaced_successor_beside_an_earlier_member_is_not_needed);
+  CPPUNIT_TEST(a_replaced_replica_gets_no_vote_during_a_split);
+  CPPUNIT_TEST(a_doubtful_replica_gets_no_vote_during_a_split);
+  CPPUNIT_TEST(a_replaced_replica_that_lost_its_disk_gets_no_vote);
+  CPPUNIT_TEST(a_successor_that_was_cut_off_does_not_count_at_once);
+  CPPUNIT_TEST(a_successor_that_was_frozen_does_not_count_at_once);
+  CPPUNIT_TEST(a_disk_may_be_lost_at_any_step_of_an_exchange);
+  CPPUNIT_TEST(exchanges_survive_random_faults);
   CPPUNIT_TEST(a_retiring_replica_that_was_replaced_is_removed_at_once);
   CPPUNIT_TEST(a_retiring_replica_of_a_group_of_its_size_stays);
   CPPUNIT_TEST(a_surplus_voter_that_stops_late_is_removed);
@@ -1583,6 +1662,186 @@
     }
   }
 
+  // Guards against an outage for good: the only voter transferred its
+  // leadership to nobody, again and again, instead of admitting the vote of its
+  // successor.
+  void the_only_voter_is_replaced() {
+    placed_group site({1, 1, 0}, 1);
+    site.start(2, 1);
+    site.net.run(milliseconds(20'000));
+    CPPUNIT_ASSERT_MESSAGE("no service", site.net.commit("after"));
+    CPPUNIT_ASSERT(site.votes(2));
+    site.net.check_no_entry_lost();
+  }
+
+  // Guards against the loss of the state: a later member of a data centre with
+  // two was taken for the one that counts, though it is the replaced one.
+  void a_replaced_successor_beside_an_earlier_member_is_not_needed() {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      placed_group site({3, 6, 2}, seed);
+      site.start(7, 1);
+      site.net.run(milliseconds(6000));
+      site.net.retire({1});
+      site.net.run(milliseconds(500));
+      site.net.lose_disk({1});
+      site.net.run(milliseconds(6000));
+      site.start(8, 7);
+      site.net.run(milliseconds(10'000));
+      site.check_losses(7, {2, 3});
+    }
+  }
+
+  // Guards against the loss of the state: a replaced replica took its vote back
+  // from a successor that counts but was cut off for some seconds.
+  void a_replaced_replica_gets_no_vote_during_a_split() {
+    placed_group site({3, 3, 1}, 1);
+    site.start(4, 1);
+    site.net.run(milliseconds(6000));
+    CPPUNIT_ASSERT(site.votes(4) && !site.votes(1));
+    site.net.set_partitioned({4}, true);
+    site.net.run(milliseconds(4500));
+    CPPUNIT_ASSERT(site.net.commit("in the split"));
+    site.check_losses(1, {2}, {4});
+  }
+
+  // Guards against the loss of the state: a suspended replica that may be the
+  // replaced one voted again, as the other one was cut off for some seconds.
+  void a_doubtful_replica_gets_no_vote_during_a_split() {
+    placed_group site({3, 6, 2}, 1);
+    site.start(7, 1);
+    site.net.run(milliseconds(8000));
+    CPPUNIT_ASSERT(site.votes(7) && !site.votes(1) && !site.votes(4));
+    auto* leader = site.net.wait_for_leader();
+    bool first_is_surplus = leader->find_member({1})->surplus;
+    std::uint32_t counting = first_is_surplus ? 1 : 4;
+    std::uint32_t replaced = first_is_surplus ? 4 : 1;
+    std::set<std::uint32_t> half{counting, 2, 3};
+    for (auto id : half) site.net.set_partitioned({id}, true);
+    site.net.run(milliseconds(6000));
+    CPPUNIT_ASSERT(site.net.commit("in the split"));
+    site.check_losses(replaced, {5, 7}, half);
+  }
+
+  // Guards against the loss of the state: a replaced replica that returned with
+  // an empty disk after its removal was taken for a new successor.
+  void a_replaced_replica_that_lost_its_disk_gets_no_vote() {
+    placed_group site({3, 3, 1}, 1);
+    site.start(4, 1);
+    site.net.run(milliseconds(6000));
+    CPPUNIT_ASSERT(site.votes(4) && !site.votes(1));
+    site.net.lose_disk({1});
+    site.net.run(milliseconds(5000));
+    site.restart(1);
+    site.net.run(milliseconds(8000));
+    site.check_losses(1, {2});
+  }
+
+  // Guards against the loss of the state: the catch-up time of a successor that
+  // was cut off counted from its start, not from its return.
+  void a_successor_that_was_cut_off_does_not_count_at_once() {
+    placed_group site({3, 3, 1}, 1);
+    site.start(4, 1);
+    site.net.run(milliseconds(1000));
+    site.net.set_partitioned({4}, true);
+    site.net.run(milliseconds(4000));
+    site.net.set_partitioned({4}, false);
+    site.net.run(milliseconds(1500));
+    site.check_losses(4, {2});
+  }
+
+  // As above, for a successor that was frozen.
+  void a_successor_that_was_frozen_does_not_count_at_once() {
+    placed_group site({3, 3, 1}, 1);
+    site.start(4, 1);
+    site.net.run(milliseconds(1000));
+    site.net.set_frozen({4}, true);
+    site.net.run(milliseconds(4000));
+    site.net.set_frozen({4}, false);
+    site.net.run(milliseconds(3000));
+    site.check_losses(4, {2});
+  }
+
+  // Guards against an exchange that is stuck or loses entries, when a disk is
+  // lost and all others lose power at any step of it.
+  void a_disk_may_be_lost_at_any_step_of_an_exchange() {
+    for (std::uint32_t lost = 1; lost <= 4; ++lost) {
+      for (int offset = 0; offset < 1200; offset += 15) {
+        placed_group site({3, 3, 1}, lost);
+        site.start(4, id_of(*site.net.leader()).value);
+        site.net.run(milliseconds(3900 + offset));
+        site.net.propose("last moment");
+        site.net.run(milliseconds(10));
+        site.net.lose_disk({lost});
+        for (std::uint32_t id = 1; id <= 4; ++id) site.net.crash({id});
+        site.net.run(placed_group::down_time);
+        for (std::uint32_t id = 1; id <= 4; ++id) site.restart(id);
+        CPPUNIT_ASSERT_MESSAGE(
+            "no leader with disk " + std::to_string(lost) + " lost after " +
+                std::to_string(offset) + " ms",
+            site.net.wait_for_leader(placed_group::recovery_time) != nullptr);
+        CPPUNIT_ASSERT(site.net.commit("after"));
+        site.net.check_no_entry_lost();
+      }
+    }
+  }
+
+  // Guards against two leaders, a lost entry or a group that is stuck, when
+  // replicas are cut off, frozen or restarted in the middle of exchanges.
+  void exchanges_survive_random_faults() {
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+      std::mt19937_64 random(seed);
+      auto pick = [&](std::size_t limit) { return random() % limit; };
+      placed_group site(
+          seed % 2 == 0 ? site_shape{3, 3, 1} : site_shape{3, 6, 2}, seed);
+      std::uint32_t count = seed % 2 == 0 ? 3 : 6;
+      site.net.catch_up_time = milliseconds(600);
+      site.net.faults.drop_probability = 0.05;
+      site.net.faults.duplicate_probability = 0.05;
+      site.net.faults.max_delay = milliseconds(60);
+      for (int i = 0; i < 120; ++i) {
+        if (i % 20 == 0 && count < placed_group::max_id) {
+          auto replaced = static_cast<std::uint32_t>(pick(count) + 1);
+          site.start(++count, replaced);
+        }
+        auto* leader = site.net.leader();
+        bool of_leader = leader != nullptr && pick(2) == 0;
+        replica_id id =
+            of_leader ? id_of(*leader)
+                      : replica_id{static_cast<std::uint32_t>(pick(count) + 1)};
+        auto time = milliseconds(static_cast<int>(pick(700)));
+        site.net.propose("a" + std::to_string(i));
+        switch (pick(5)) {
+          case 0:
+            site.net.crash(id);
+            site.net.run(time);
+            site.restart(id.value);
+            break;
+          case 1:
+            site.net.set_partitioned(id, true);
+            site.net.run(time * 6);
+            site.net.set_partitioned(id, false);
+            break;
+          case 2:
+            site.net.set_frozen(id, true);
+            site.net.run(time * 2);
+            site.net.set_frozen(id, false);
+            break;
+          case 3:
+            site.net.compact(id);
+            break;
+          default:
+            site.net.transfer();
+        }
+        site.net.run(time);
+      }
+      site.net.faults = {};
+      site.net.run(milliseconds(5000));
+      CPPUNIT_ASSERT_MESSAGE("stuck, seed " + std::to_string(seed),
+                             site.net.commit("after"));
+      site.net.check_no_entry_lost();
+    }
+  }
+
   // Guards against a replaced replica that stays a voter until it has been
   // silent for a while, as its process ended in the middle of that.
   void a_retiring_replica_that_was_replaced_is_removed_at_once() {
