--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -1074,6 +1074,7 @@
   CPPUNIT_TEST(a_replaced_replica_that_lost_its_disk_gets_no_vote);
   CPPUNIT_TEST(a_successor_that_was_cut_off_does_not_count_at_once);
   CPPUNIT_TEST(a_successor_that_was_frozen_does_not_count_at_once);
+  CPPUNIT_TEST(spare_votes_are_kept_if_they_tolerate_the_doubt);
   CPPUNIT_TEST(a_disk_may_be_lost_at_any_step_of_an_exchange);
   CPPUNIT_TEST(exchanges_survive_random_faults);
   CPPUNIT_TEST(a_retiring_replica_that_was_replaced_is_removed_at_once);
@@ -1761,6 +1762,17 @@
     site.check_losses(4, {2});
   }
 
+  // Guards against the loss of the state: two of five voters were suspended and
+  // stayed so, where five tolerate the replaced one and a disk, and three do
+  // not.
+  void spare_votes_are_kept_if_they_tolerate_the_doubt() {
+    for (std::uint64_t seed : {1046, 1162}) {
+      drawn_losses losses({1, 5, 1}, seed);
+      losses.run();
+      losses.check();
+    }
+  }
+
   // Guards against an exchange that is stuck or loses entries, when a disk is
   // lost and all others lose power at any step of it.
   void a_disk_may_be_lost_at_any_step_of_an_exchange() {
