Let the only voter of a group exchange its vote

Callers got no service: the leader of a group of one that was to be replaced transferred its leadership first, and nobody else had a vote, so it was elected again and transferred again. Found by review. It now proposes the exchange and transfers to its successor, which has a vote from the first entry on.

agreement_test::the_only_voter_is_replaced, red before.

--- a/src/core/agreement/replica_membership.cpp
+++ b/src/core/agreement/replica_membership.cpp
@@ -314,8 +314,9 @@
 // decisions take a majority of the old voters and one of the new voters. Once
 // it is committed, the second one ends the vote of the replaced member.
 auto replica::exchange(member newcomer, member replaced) -> bool {
-  // Leadership goes first, as a leader without a vote does not serve.
-  if (replaced.voter && replaced.id == settings_.id) {
+  // Leadership goes first, as a leader without a vote does not serve. The only
+  // voter can transfer it to its successor alone, between the two entries.
+  if (replaced.voter && replaced.id == settings_.id && voter_count() > 1) {
     begin_transfer();
     return true;
   }
