Count the catch-up time of a successor from the end of its last outage

A successor that was cut off or frozen got its vote as soon as it was back, and was lost with a disk while it did not count yet. The catch-up time counted from the start of its process. A learner now reports how long it has run and heard from leaders without a pause that is longer than an election.

agreement_test::a_successor_that_was_cut_off_does_not_count_at_once and a_successor_that_was_frozen_does_not_count_at_once, red before.

--- a/src/adapters/agreement_codec.cpp
+++ b/src/adapters/agreement_codec.cpp
@@ -56,7 +56,8 @@
   appended.set_accepted(from.accepted);
   appended.set_match(from.match.value);
   appended.set_sent_at(to_ms(from.sent_at));
-  if (from.uptime) appended.set_uptime_ms(from.uptime->count());
+  if (from.in_contact_for)
+    appended.set_in_contact_ms(from.in_contact_for->count());
 }
 
 static void write_body(const ag::snapshot_chunk& from,
@@ -130,8 +131,8 @@
                             {appended.match()},
                             at_ms(appended.sent_at()),
                             {}};
-      if (appended.has_uptime_ms())
-        read.uptime = milliseconds(appended.uptime_ms());
+      if (appended.has_in_contact_ms())
+        read.in_contact_for = milliseconds(appended.in_contact_ms());
       return read;
     }
     case body::kChunk: {
--- a/src/core/agreement/message.h
+++ b/src/core/agreement/message.h
@@ -36,8 +36,8 @@
   // which index to continue.
   log_index match;
   time_point sent_at;
-  // How long the process of a learner has run.
-  std::optional<milliseconds> uptime{};
+  // How long a learner has run and heard from leaders without a long pause.
+  std::optional<milliseconds> in_contact_for{};
 };
 
 /// One chunk of a snapshot of the state up to `last`.
--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -17,6 +17,8 @@
 // How long a voter waits for a message of a leader before it asks to be
 // admitted, since a voter that was removed receives no message that tells it.
 constexpr milliseconds silence_before_hello{2000};
+// Longer than an election, which a replica does not tell from being cut off.
+constexpr milliseconds max_contact_pause{2000};
 
 }  // namespace
 
@@ -42,6 +44,7 @@
       hard_(disk.hard),
       now_(now),
       last_leader_contact_(now),
+      in_contact_since_(now),
       snapshot_last_(disk.snapshot_last),
       snapshot_(std::move(disk.snapshot)),
       snapshot_members_(disk.members),
@@ -497,7 +500,7 @@
   if (in.term > hard_.term || role_ == role::candidate || leader_ != in.from) {
     become_follower(in.term, in.from);
   }
-  last_leader_contact_ = now_;
+  record_leader_contact();
   election_due_ = now_ + random_timeout();
   auto previous_term = term_at(request.previous.index);
   if (request.previous.index > snapshot_last_.index &&
@@ -539,12 +542,17 @@
   acknowledge(in, match, request.sent_at);
 }
 
+void replica::record_leader_contact() {
+  if (now_ - last_leader_contact_ > max_contact_pause) in_contact_since_ = now_;
+  last_leader_contact_ = now_;
+}
+
 void replica::acknowledge(const message& in, log_index match,
                           time_point sent_at) {
   append_reply response{true, match, sent_at, {}};
   if (!is_voter()) {
-    response.uptime =
-        std::chrono::duration_cast<milliseconds>(now_ - started_at_);
+    response.in_contact_for =
+        std::chrono::duration_cast<milliseconds>(now_ - in_contact_since_);
   }
   reply(in, response);
 }
@@ -561,7 +569,8 @@
   auto& peer = it->second;
   peer.acked_at = std::max(peer.acked_at, response.sent_at);
   peer.received_at = now_;
-  if (response.uptime) peer.started_at = now_ - *response.uptime;
+  if (response.in_contact_for)
+    peer.in_contact_since = now_ - *response.in_contact_for;
   if (response.accepted) {
     peer.in_snapshot = false;
     peer.match = std::max(peer.match, response.match);
@@ -608,7 +617,7 @@
   if (in.term > hard_.term || leader_ != in.from) {
     become_follower(in.term, in.from);
   }
-  last_leader_contact_ = now_;
+  record_leader_contact();
   election_due_ = now_ + random_timeout();
   if (chunk.last.index <= commit_) {
     acknowledge(in, commit_, chunk.sent_at);
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -54,8 +54,8 @@
   bool admits_unknown_replicas = false;
   // The number of voters that the tolerated losses require.
   std::size_t min_voters = 0;
-  // How long the process of a replica that replaces another must have run
-  // before it counts, and takes the place of the other one.
+  // How long a replica that replaces another must have run and heard from
+  // leaders before it counts, and takes the place of the other one.
   milliseconds catch_up_time{};
   std::string data_centre;  // of this replica
   // Whether the whole site starts for the first time.
@@ -176,8 +176,8 @@
     time_point received_at;
     time_point resent_at;  // when missing entries were last sent again
     std::optional<time_point> departing_at;  // its last departure message
-    // When the process of a learner started, as far as is known.
-    std::optional<time_point> started_at;
+    // Since when a learner has run and heard from leaders, as far as is known.
+    std::optional<time_point> in_contact_since;
     bool kept_despite_silence = false;  // and logged
   };
 
@@ -260,6 +260,7 @@
   auto has_quorum(const std::map<replica_id, bool>& votes) const -> bool;
   auto term_at(log_index index) const -> std::optional<term_number>;
   auto entry_at(log_index index) const -> const log_entry&;
+  void record_leader_contact();
   auto is_voter() const -> bool;
   auto has_recent_leader_contact() const -> bool;
   auto random_timeout() -> milliseconds;
@@ -271,6 +272,7 @@
   replica_id leader_;
   time_point now_;
   time_point last_leader_contact_;
+  time_point in_contact_since_;  // with leaders, without a long pause
   time_point election_due_;
   time_point heartbeat_due_;
   time_point transfer_started_at_;
--- a/src/core/agreement/replica_membership.cpp
+++ b/src/core/agreement/replica_membership.cpp
@@ -233,9 +233,9 @@
 auto replica::counts(const member& m) const -> bool {
   auto it = progress_.find(m.id);
   return is_live(m) && !is_departing(m.id) && is_caught_up(m) &&
-         it->second.started_at &&
+         it->second.in_contact_since &&
          it->second.acked_at >=
-             *it->second.started_at + settings_.catch_up_time;
+             *it->second.in_contact_since + settings_.catch_up_time;
 }
 
 // Whether the members would have a quorum if only those that respond voted.
