Count a crash against a task only if its start is known to have been sent

Callers saw a job end as failed although none of its runs had failed: three workers to which its task was assigned had crashed, two of which were never sent its start.

The tables said that a run was assigned, not that its start was sent; only the leader that sent it knew. A later leader took every inherited run for a started one and counted the crash. Now a crash counts if the worker confirmed the start, or the start is in flight or got no response. The leader records that in the tables (record_starts) when a request to the worker gets no response, and for a task that is suspected already with each start. A crash without that evidence leaves the task suspected: it starts apart from other jobs and is tried again.

It works because evidence outlives the leader that had it. Tasks that really crash workers are still given up: the first crash may go uncounted if the leader ends within the half second after the start, but from then on each start is recorded as it is sent.

The round-trip samples of fleet_units_test now contain the new command and all three kinds of evidence.

--- a/src/adapters/fleet_codec.cpp
+++ b/src/adapters/fleet_codec.cpp
@@ -227,15 +227,21 @@
     auto& one = *to.add_suspects();
     write(suspect.task, *one.mutable_task());
     one.set_run(suspect.run);
-    one.set_started(suspect.started);
+    one.set_started(suspect.evidence == start_evidence::confirmed);
+    one.set_unsent(suspect.evidence == start_evidence::none);
   }
 }
 
+auto read_evidence(const wire::fleet_command::suspect& from) -> start_evidence {
+  if (from.started()) return start_evidence::confirmed;
+  return from.unsent() ? start_evidence::none : start_evidence::sent;
+}
+
 auto read_suspects(const wire::fleet_command& from)
     -> std::vector<suspected_run> {
   std::vector<suspected_run> to;
   for (const auto& one : from.suspects()) {
-    to.push_back({read(one.task()), one.run(), one.started()});
+    to.push_back({read(one.task()), one.run(), read_evidence(one)});
   }
   return to;
 }
@@ -303,6 +309,14 @@
                           for (const auto& one : c.speeds) {
                             write(one, *speeds.add_speeds());
                           }
+                        },
+                        [&](const record_starts& c) {
+                          auto& started = *to.mutable_started();
+                          for (const auto& start : c.starts) {
+                            auto& one = *started.add_starts();
+                            write(start.task, *one.mutable_task());
+                            one.set_run(start.run);
+                          }
                         }},
              from);
 }
@@ -362,6 +376,13 @@
       }
       return speeds;
     }
+    case fleet_command::kStarted: {
+      record_starts sent;
+      for (const auto& one : from.started().starts()) {
+        sent.starts.push_back({read(one.task()), one.run()});
+      }
+      return sent;
+    }
     case fleet_command::WHAT_NOT_SET:
       return {};
   }
@@ -373,9 +394,11 @@
     auto& one = *to.add_tasks();
     one.set_run(task.run);
     one.set_failures(task.failures);
+    one.set_suspected(task.suspected);
     one.set_crashes(task.crashes);
     one.set_crashed_alone(task.crashed_alone);
     one.set_started_crashes(task.started_crashes);
+    one.set_start_sent(task.start_sent);
     one.set_holding(task.assigned);
     one.set_done(task.done);
     write(task.worker, *one.mutable_worker());
@@ -391,10 +414,12 @@
 auto read(const wire::fleet_step& from) -> step_record {
   step_record to;
   for (const auto& task : from.tasks()) {
-    to.tasks.push_back({task.run(), task.failures(), task.crashes(),
+    // A snapshot of an earlier version has the count of the crashes only.
+    bool suspected = task.suspected() || task.crashes() > 0;
+    to.tasks.push_back({task.run(), task.failures(), suspected, task.crashes(),
                         task.crashed_alone(), task.started_crashes(),
-                        task.holding(), task.done(), read(task.worker()),
-                        task.snapshot()});
+                        task.start_sent(), task.holding(), task.done(),
+                        read(task.worker()), task.snapshot()});
   }
   to.done = from.done();
   to.failures = from.failures();
--- a/src/core/fleet/backlog.cpp
+++ b/src/core/fleet/backlog.cpp
@@ -58,7 +58,7 @@
     auto tasks = waiting_tasks(spec, step);
     if (tasks.empty()) continue;
     bool suspected = std::ranges::any_of(tasks, [&](std::uint32_t i) {
-      return step != nullptr && step->tasks[i].crashes > 0;
+      return step != nullptr && step->tasks[i].suspected;
     });
     backlog.push_back(
         {{job.spec.id, number, s},
--- a/src/core/fleet/command.cpp
+++ b/src/core/fleet/command.cpp
@@ -22,4 +22,16 @@
   return "unknown";
 }
 
+auto to_string(start_evidence evidence) -> std::string_view {
+  switch (evidence) {
+    case start_evidence::none:
+      return "unknown";
+    case start_evidence::sent:
+      return "sent";
+    case start_evidence::confirmed:
+      return "confirmed";
+  }
+  return "unknown";
+}
+
 }  // namespace parsleyledge::fleet
--- a/src/core/fleet/command.h
+++ b/src/core/fleet/command.h
@@ -75,11 +75,33 @@
   time_point at;
 };
 
+/// A run whose start was sent to its worker.
+struct sent_start {
+  task_ref task;
+  std::uint32_t run = 0;
+};
+
+/// Records that the starts of runs were confirmed, or were sent and got no
+/// response, so that a later leader knows it if their worker has crashed.
+struct record_starts {
+  std::vector<sent_start> starts;
+};
+
+/// What is known about the start of a run.
+enum class start_evidence {
+  none,      // placed only; the start may never have been sent
+  sent,      // sent, and not rejected
+  confirmed  // confirmed by the worker
+};
+
+/// The name in logs.
+auto to_string(start_evidence evidence) -> std::string_view;
+
 /// A run that may have crashed its worker.
 struct suspected_run {
   task_ref task;
   std::uint32_t run = 0;
-  bool started = false;  // its start was confirmed
+  start_evidence evidence = start_evidence::none;
 
   auto operator==(const suspected_run&) const -> bool = default;
 };
@@ -129,7 +151,7 @@
 using command =
     std::variant<read_barrier, put_site, add_job, cancel_job, fail_job,
                  place_tasks, end_runs, put_worker, remove_worker, add_wave,
-                 record_maintenance, record_speeds>;
+                 record_maintenance, record_speeds, record_starts>;
 
 /// The result of a command.
 enum class command_outcome {
--- a/src/core/fleet/dispatch_health.cpp
+++ b/src/core/fleet/dispatch_health.cpp
@@ -18,6 +18,12 @@
 // trips.
 constexpr milliseconds checkpoint_stop_time{600};
 
+auto evidence_of(const tracked_run& run) -> start_evidence {
+  if (run.started_at != time_point{}) return start_evidence::confirmed;
+  bool was_sent = run.start_sent || run.phase == run_phase::starting;
+  return was_sent ? start_evidence::sent : start_evidence::none;
+}
+
 }  // namespace
 
 void dispatcher::attribute_failure(worker_state& worker, const task_ref& task,
@@ -64,7 +70,8 @@
 
 // The runs that may have crashed a worker that ended without a notice: those
 // that it may have started, but for those that it ran for a while. None if the
-// worker was draining or under maintenance, which it does not survive.
+// worker was draining or under maintenance, which it does not survive. Whether
+// an earlier leader sent the start is known only if it recorded that.
 auto dispatcher::crash_suspects(const fleet_tables& tables,
                                 const worker_incarnation& ended)
     -> std::vector<suspected_run> {
@@ -78,16 +85,34 @@
   std::vector<suspected_run> suspects;
   for (const auto& [ref, run] : runs_) {
     if (run.worker != ended || run.outlived_start) continue;
-    bool was_sent = run.phase != run_phase::to_start || run.start_unconfirmed;
-    if (!was_sent) continue;
-    suspects.push_back({ref, run.run, run.started_at != time_point{}});
-    log_decision("crash_suspected", {{"task", fleet::to_string(ref)},
-                                     {"run", std::to_string(run.run)},
-                                     {"worker", ended.name}});
+    bool may_be_sent =
+        run.phase != run_phase::to_start || run.start_unconfirmed;
+    if (!may_be_sent) continue;
+    auto evidence = evidence_of(run);
+    suspects.push_back({ref, run.run, evidence});
+    log_decision("crash_suspected",
+                 {{"task", fleet::to_string(ref)},
+                  {"run", std::to_string(run.run)},
+                  {"worker", ended.name},
+                  {"start", std::string(to_string(evidence))}});
   }
   return suspects;
 }
 
+// Records which of the starts were sent, for a later leader may have to judge
+// whether they crashed their worker.
+void dispatcher::record_sent_starts(std::span<tracked_run* const> runs) {
+  record_starts sent;
+  for (auto* run : runs) {
+    bool is_of_use = !run->outlived_start && !run->start_recorded &&
+                     evidence_of(*run) != start_evidence::none;
+    if (!is_of_use) continue;
+    run->start_recorded = true;
+    sent.starts.push_back({run->task, run->run});
+  }
+  if (!sent.starts.empty()) propose_command(std::move(sent));
+}
+
 // Whether a started run has made no progress for longer than a healthy worker
 // needs for one per cent. A gang makes progress only once all members have
 // started, so it is stalled only if all of them are.
--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -100,7 +100,7 @@
   for (const auto* run : worker.runs) {
     if (run->outlived_start) continue;
     const auto* task = find_task(tables, run->task);
-    trial.add(run->task.job, task != nullptr && task->crashes > 0);
+    trial.add(run->task.job, task != nullptr && task->suspected);
   }
   return trial;
 }
@@ -138,7 +138,7 @@
                     reserved_by(job->second.spec.steps[p.task.step]));
       const auto* task = find_task(tables, p.task);
       pass.begin_trial(p.worker.name, p.task.job,
-                       task != nullptr && task->crashes > 0);
+                       task != nullptr && task->suspected);
     }
   };
   for (const auto& [token, placements] : proposed_placements_)
--- a/src/core/fleet/dispatch_responses.cpp
+++ b/src/core/fleet/dispatch_responses.cpp
@@ -86,12 +86,12 @@
   worker.responded_at = now.steady;
   auto* run = find_requested_run(pending.request);
   if (run == nullptr) return;
-  if (std::holds_alternative<start_request>(pending.request) &&
-      run->phase == run_phase::starting) {
+  const auto* start = std::get_if<start_request>(&pending.request);
+  if (start != nullptr) run->start_sent = true;
+  if (start != nullptr && run->phase == run_phase::starting) {
     run->phase = run_phase::started;
     run->responded_at = run->progressed_at = run->started_at = now.steady;
-    const auto& start = std::get<start_request>(pending.request);
-    if (start.snapshot.empty()) run->baseline_at = now.steady;
+    if (start->snapshot.empty()) run->baseline_at = now.steady;
   }
   if (std::holds_alternative<stop_request>(pending.request) &&
       run->phase == run_phase::stopping) {
@@ -152,6 +152,7 @@
         run.progressed_at = now.steady;
       }
       if (is_new) run.started_at = now.steady;
+      run.start_sent = true;
       run.outlived_start = run.outlived_start ||
                            now.steady - run.started_at >= limits_.start_trial;
       run.percent = it->second->percent;
@@ -402,12 +403,15 @@
   worker.next_poll = now.steady + (worker.runs.empty() ? idle_probe_delay
                                                        : unhealthy_retry_delay);
   auto* run = find_requested_run(pending.request);
+  const auto* start = std::get_if<start_request>(&pending.request);
+  if (run != nullptr && start != nullptr && response.sent)
+    run->start_sent = true;
+  record_sent_starts(worker.runs);
   if (run == nullptr) return;
   run->throttle_pending = false;
   if (run->phase == run_phase::stopping) run->phase = run_phase::to_stop;
   run->next_attempt_at =
       now.steady + (response.sent ? retry_delay : unhealthy_retry_delay);
-  const auto* start = std::get_if<start_request>(&pending.request);
   if (start == nullptr || run->phase != run_phase::starting) return;
   run->phase = run_phase::to_start;
   run->start_unconfirmed = run->start_unconfirmed || response.sent;
--- a/src/core/fleet/dispatch_tracking.cpp
+++ b/src/core/fleet/dispatch_tracking.cpp
@@ -145,6 +145,7 @@
     run.run = task.run;
     run.worker = task.worker;
     run.placed_at = run.responded_at = run.progressed_at = now.steady;
+    run.start_sent = run.start_recorded = task.start_sent;
     lost_runs_.erase(name);
   }
   auto worker = workers_.find(task.worker.name);
--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "core/fleet/dispatcher.h"
 
 #include <algorithm>
+#include <array>
 
 #include "core/fleet/task_name.h"
 #include "core/overloaded.h"
@@ -288,6 +289,9 @@
        start_request{ref, run.run, job.spec.payload, lease, snapshot,
                      std::string(ticket)},
        limits_.request_timeout, now.steady);
+  // Of other starts that is recorded if their worker does not respond, but this
+  // one may crash it just before the leader changes.
+  if (step.tasks[ref.index].suspected) record_sent_starts(std::array{&run});
 }
 
 // Whether the capacity has shrunk so far since the placement that the run does
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -271,6 +271,7 @@
   auto crash_suspects(const fleet_tables& tables,
                       const worker_incarnation& ended)
       -> std::vector<suspected_run>;
+  void record_sent_starts(std::span<tracked_run* const> runs);
   auto is_stalled(const fleet_tables& tables, const tracked_run& run,
                   clock_reading now) const -> bool;
   auto has_other_progress(const worker_incarnation& incarnation,
--- a/src/core/fleet/fleet_state.cpp
+++ b/src/core/fleet/fleet_state.cpp
@@ -128,6 +128,7 @@
   task->assigned = true;
   task->run = assignment.run;
   task->worker = assignment.worker;
+  task->start_sent = false;
   auto& step =
       job.open.at(assignment.task.occurrence).steps[assignment.task.step];
   step.last_run = std::max(step.last_run, assignment.run);
@@ -211,7 +212,8 @@
   }
 }
 
-// Counts a crash for the tasks that may be its cause.
+// Counts a crash for the tasks that may be its cause. A task whose start may
+// never have been sent is suspected, but the crash does not count against it.
 void fleet_state::count_crash(std::span<const suspected_run> suspects) {
   bool alone = std::ranges::all_of(suspects, [&](const suspected_run& one) {
     return one.task.job == suspects.front().task.job;
@@ -223,9 +225,11 @@
     if (task == nullptr || !task->assigned || task->run != suspect.run) {
       continue;
     }
-    ++task->crashes;
-    if (suspect.started) ++task->started_crashes;
-    task->crashed_alone = alone && suspect.started;
+    bool is_started = suspect.evidence == start_evidence::confirmed;
+    task->suspected = true;
+    if (suspect.evidence != start_evidence::none) ++task->crashes;
+    if (is_started) ++task->started_crashes;
+    task->crashed_alone = alone && is_started;
     update_revision(it->second);
   }
 }
@@ -326,4 +330,15 @@
   return command_outcome::done;
 }
 
+auto fleet_state::apply_one(const record_starts& command) -> command_outcome {
+  for (const auto& start : command.starts) {
+    auto it = tables_.jobs.find(start.task.job);
+    if (it == tables_.jobs.end()) continue;
+    auto* task = find_task(it->second, start.task);
+    if (task == nullptr || !task->assigned || task->run != start.run) continue;
+    task->start_sent = true;
+  }
+  return command_outcome::done;
+}
+
 }  // namespace parsleyledge::fleet
--- a/src/core/fleet/records.h
+++ b/src/core/fleet/records.h
@@ -16,9 +16,11 @@
 struct task_record {
   std::uint32_t run = 0;  // number of its last run
   std::uint32_t failures = 0;
-  std::uint32_t crashes = 0;   // of workers to which it was assigned
-  bool crashed_alone = false;  // the last of these ran tasks of its job only
+  bool suspected = false;      // a worker to which it was assigned crashed
+  std::uint32_t crashes = 0;   // of workers to which its start was sent
+  bool crashed_alone = false;  // the last crash was of tasks of its job only
   std::uint32_t started_crashes = 0;  // those after a confirmed start
+  bool start_sent = false;  // of the last run, as far as a leader recorded it
   bool assigned = false;
   bool done = false;
   worker_incarnation worker;
--- a/src/core/fleet/tracked_run.h
+++ b/src/core/fleet/tracked_run.h
@@ -38,7 +38,9 @@
   time_point started_at;        // when its start was confirmed or first listed
   bool outlived_start = false;  // its worker did not crash as it started
   bool start_unconfirmed =
-      false;  // a start without a response may still take effect
+      false;                // a start without a response may still take effect
+  bool start_sent = false;  // confirmed, or sent without a response
+  bool start_recorded = false;           // that is recorded for later leaders
   std::optional<loss_cause> stop_cause;  // if it is or was to be stopped
   bool end_recorded = false;             // as done or as discarded work
   std::uint32_t throttle = 100;          // per cent, last confirmed
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -127,6 +127,7 @@
   CPPUNIT_TEST(a_long_running_task_that_crashes_its_workers_is_given_up);
   CPPUNIT_TEST(crashes_count_across_leaders_and_snapshots);
   CPPUNIT_TEST(a_crash_before_a_confirmed_start_proves_nothing);
+  CPPUNIT_TEST(crashes_of_workers_that_were_sent_no_start_do_not_count);
   CPPUNIT_TEST(unhealthy_workers_get_no_placement_for_a_while);
   CPPUNIT_TEST(a_report_from_before_maintenance_does_not_end_it);
   CPPUNIT_TEST(a_new_leader_keeps_work_off_a_machine_under_maintenance);
@@ -986,6 +987,24 @@
     assert_clean(site);
   }
 
+  // Guards against a job that fails because workers to which its task was
+  // assigned crashed, although no leader sent them its start.
+  void crashes_of_workers_that_were_sent_no_start_do_not_count() {
+    fleet_site site(1);
+    site.workers[0].late_by = seconds(5);
+    auto id = site.submit("q1", make_step(1, 8));
+    for (int i = 0; i < 4; ++i) {
+      site.run_for(milliseconds(100));
+      site.replace_leader();
+      site.restart_worker(0);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, site.workers[0].starts);
+    site.workers[0].late_by = {};
+    site.run_for(seconds(10));
+    assert_state(job_state::complete, site, id);
+    assert_clean(site);
+  }
+
   // Guards against placements that follow each other at the rate of the
   // network while every worker rejects the start as unhealthy.
   void unhealthy_workers_get_no_placement_for_a_while() {
--- a/test/fleet_units_test.cpp
+++ b/test/fleet_units_test.cpp
@@ -398,8 +398,11 @@
         record_maintenance{4, "m1", true},
         cancel_job{{0xfeed}, at_ms(9)},
         fail_job{{0xfeed}, "why", at_ms(9)},
-        put_worker{w, {{{{0xfeed}, 0, 0, 1}, 1, true}}},
-        remove_worker{w.incarnation, {{{{0xfeed}, 0, 0, 1}, 1, true}}}};
+        record_starts{{{{{0xfeed}, 0, 0, 1}, 1}}},
+        put_worker{w, {{{{0xfeed}, 0, 0, 1}, 1, start_evidence::confirmed}}},
+        remove_worker{w.incarnation,
+                      {{{{0xfeed}, 0, 0, 0}, 1, start_evidence::none},
+                       {{{0xfeed}, 0, 0, 1}, 1, start_evidence::sent}}}};
   }
 
   static auto sample_state() -> fleet_state {
