Let tests name the seeds, bound calls and keep the logs of processes

A soak needs more of process_site: the seeds that a process is told at its next start, as replaced machines leave the operator's list; a time limit per call, as a paused machine holds a client for 15 s; whether a process runs; and a copy of all logs. Callers without these arguments behave as before.

--- a/test/fakes/process_site.cpp
+++ b/test/fakes/process_site.cpp
@@ -5,6 +5,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 #include <csignal>
@@ -17,6 +18,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds poll_interval{30};
+constexpr std::size_t max_fleet_seeds = 3;
 
 auto program_path(std::string_view program) -> std::string {
   const char* folder = std::getenv("PARSLEYLEDGE_BIN");
@@ -156,14 +158,17 @@
   auto settings_path = folder_ + "/" + name + ".conf";
   auto peer_port = first_port_ + 1;
   auto data_centre = fleet_data_centres_.try_emplace(number, number);
+  std::string seeds;
+  for (auto seed : fleet_seeds_) {
+    if (!seeds.empty()) seeds += ',';
+    seeds += fleet_control_address(seed);
+  }
   std::ofstream(settings_path)
       << "node=" << name << "\nip=" << fleet_ip(number) << "\nzone=dc"
       << data_centre.first->second
       << "\nlisten.control=" << fleet_control_address(number)
       << "\ndataDir=" << folder_ << "/" << name << ".data"
-      << "\nportRange=" << peer_port << "," << peer_port
-      << "\nseeds=" << fleet_control_address(1) << ","
-      << fleet_control_address(2) << "," << fleet_control_address(3)
+      << "\nportRange=" << peer_port << "," << peer_port << "\nseeds=" << seeds
       << "\nbootstrap=" << (first_start ? "true" : "false")
       << "\ntolerate.machines=" << tolerated_machines_
       << "\nbounds.catchupS=4\n";
@@ -185,9 +190,16 @@
   tolerated_machines_ = count;
 }
 
-auto process_site::call_fleet_control(int number, http_request request)
+void process_site::set_fleet_seeds(std::span<const int> machines) {
+  auto count = std::min(machines.size(), max_fleet_seeds);
+  fleet_seeds_.assign(machines.begin(),
+                      machines.begin() + static_cast<std::ptrdiff_t>(count));
+}
+
+auto process_site::call_fleet_control(int number, http_request request,
+                                      std::chrono::milliseconds timeout)
     -> http_response {
-  return exchange(fleet_control_address(number), std::move(request));
+  return exchange(fleet_control_address(number), std::move(request), timeout);
 }
 
 auto process_site::fleet_metric(int number, std::string_view name) -> long {
@@ -291,6 +303,22 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+auto process_site::is_running(std::string_view name) -> bool {
+  auto it = pids_.find(name);
+  if (it == pids_.end()) return false;
+  if (::waitpid(it->second, nullptr, WNOHANG) == 0) return true;
+  pids_.erase(it);
+  return false;
+}
+
+void process_site::copy_logs(std::string_view folder) const {
+  for (const auto& file : std::filesystem::directory_iterator(folder_)) {
+    if (file.path().extension() != ".log") continue;
+    std::filesystem::copy(file.path(), folder,
+                          std::filesystem::copy_options::overwrite_existing);
+  }
+}
+
 void process_site::erase_data_folder(int number) {
   std::filesystem::remove_all(folder_ + "/data-" + std::to_string(number));
 }
@@ -299,10 +327,11 @@
   return exchange(address(entry_port(entry)), std::move(request));
 }
 
-auto process_site::exchange(std::string_view address, http_request request)
+auto process_site::exchange(std::string_view address, http_request request,
+                            std::chrono::milliseconds timeout)
     -> http_response {
   exchange_limits limits;
-  limits.timeout = std::chrono::seconds(15);
+  limits.timeout = timeout;
   limits.idle_connections = 0;
   auto result =
       boost::asio::co_spawn(pool_, client_.exchange(address, request, limits),
--- a/test/fakes/process_site.h
+++ b/test/fakes/process_site.h
@@ -4,8 +4,10 @@
 
 #include <boost/asio/thread_pool.hpp>
 #include <boost/json/value.hpp>
+#include <chrono>
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,9 +48,15 @@
   /// How many machines of the fleet may be lost at the same time; 1 by default.
   void set_tolerated_machines(int count);
 
+  /// The machines that a control process of the fleet is told at its next
+  /// start; 1 to 3 by default. The platform names no more than three.
+  void set_fleet_seeds(std::span<const int> machines);
+
   /// Sends a request to the address of a fleet's control process for workers
-  /// and operators.
-  auto call_fleet_control(int number, http_request request) -> http_response;
+  /// and operators. The status is 0 if no complete response arrives in time.
+  auto call_fleet_control(int number, http_request request,
+                          std::chrono::milliseconds timeout =
+                              std::chrono::seconds(15)) -> http_response;
 
   /// The value of a metric of a fleet's control process; -1 if unavailable.
   auto fleet_metric(int number, std::string_view name) -> long;
@@ -84,6 +92,12 @@
   /// ended it.
   auto wait(std::string_view name) -> int;
 
+  /// Whether a process has been started and has not ended.
+  auto is_running(std::string_view name) -> bool;
+
+  /// Copies what all processes have printed and logged to a folder.
+  void copy_logs(std::string_view folder) const;
+
   /// Removes the data folder of a control process.
   void erase_data_folder(int number);
 
@@ -133,7 +147,8 @@
   auto fleet_ip(int number) const -> std::string;
   auto fleet_control_address(int number) const -> std::string;
   auto fleet_metrics_address(int number) const -> std::string;
-  auto exchange(std::string_view address, http_request request)
+  auto exchange(std::string_view address, http_request request,
+                std::chrono::milliseconds timeout = std::chrono::seconds(15))
       -> http_response;
   auto entries() const -> std::string;
 
@@ -141,6 +156,7 @@
   std::string folder_;
   std::map<std::string, pid_t, std::less<>> pids_;
   std::map<int, int> fleet_data_centres_;
+  std::vector<int> fleet_seeds_{1, 2, 3};
   int tolerated_machines_ = 1;
   boost::asio::thread_pool pool_;
   http_client client_;
