Read before the next write after an outage in the soak

A client that wrote again at once after an outage hid the loss of the newest confirmed configuration: the next version took its place before any read. After a write without confirmation the client now waits for 2 s and for a read.

--- a/test/soak/clients.cpp
+++ b/test/soak/clients.cpp
@@ -12,7 +12,11 @@
 namespace {
 
 constexpr int reader_count = 2;
-constexpr std::chrono::milliseconds call_interval{40};
+constexpr std::chrono::milliseconds read_interval{40};
+// Short, so that a write has often just been confirmed when machines are lost.
+constexpr std::chrono::milliseconds write_interval{5};
+// The platform's bound for a confirmed configuration to be in force everywhere.
+constexpr std::chrono::milliseconds config_bound{2000};
 // Of one call, so that a client soon turns to another machine when one is
 // paused.
 constexpr std::chrono::milliseconds call_timeout{2500};
@@ -60,7 +64,7 @@
 void clients::write_all(const std::stop_token& stop, std::uint64_t seed) {
   std::mt19937_64 random(seed);
   for (std::uint64_t version = 1; !stop.stop_requested(); ++version) {
-    fakes::pause_for(call_interval);
+    fakes::pause_for(write_interval);
     auto machine = any_machine(random);
     if (machine == 0) continue;
     client_call call{
@@ -74,13 +78,24 @@
             .status;
     call.answered = std::chrono::steady_clock::now();
     seen_.add(call);
+    if (call.status != 200 && seen_.newest_confirmed() > 0)
+      await_read(stop, random);
+  }
+}
+
+void clients::await_read(const std::stop_token& stop, std::mt19937_64& random) {
+  fakes::pause_for(config_bound);
+  while (!stop.stop_requested()) {
+    auto machine = any_machine(random);
+    if (machine != 0 && read(machine).status == 200) return;
+    fakes::pause_for(read_interval);
   }
 }
 
 void clients::read_all(const std::stop_token& stop, std::uint64_t seed) {
   std::mt19937_64 random(seed);
   while (!stop.stop_requested()) {
-    fakes::pause_for(call_interval);
+    fakes::pause_for(read_interval);
     auto machine = any_machine(random);
     if (machine != 0) read(machine);
   }
--- a/test/soak/clients.h
+++ b/test/soak/clients.h
@@ -32,6 +32,10 @@
  private:
   void write_all(const std::stop_token& stop, std::uint64_t seed);
   void read_all(const std::stop_token& stop, std::uint64_t seed);
+
+  /// Waits until a configuration is read late enough for the check of its age.
+  /// A write before that would hide the loss of the newest confirmed one.
+  void await_read(const std::stop_token& stop, std::mt19937_64& random);
   auto any_machine(std::mt19937_64& random) const -> int;
   auto read(int machine) -> client_call;
 
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
