Show that doubt in two data centres at once is not always tolerated

Drawn by hand on the final code: groups of six in three data centres, one member replaced in each of two, and both replaced machines still run. Keeping the set of votes with the least shortage, in place of all, would lose fewer of them; not tried.

--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -1079,6 +1079,7 @@
   CPPUNIT_TEST(spare_votes_are_kept_if_they_tolerate_the_doubt);
   CPPUNIT_TEST(a_disk_may_be_lost_at_any_step_of_an_exchange);
   CPPUNIT_TEST(exchanges_survive_random_faults);
+  CPPUNIT_TEST(doubt_in_two_data_centres_is_tolerated);
   CPPUNIT_TEST(a_retiring_replica_that_was_replaced_is_removed_at_once);
   CPPUNIT_TEST(a_retiring_replica_of_a_group_of_its_size_stays);
   CPPUNIT_TEST(a_surplus_voter_that_stops_late_is_removed);
@@ -1857,6 +1858,16 @@
     }
   }
 
+  // Guards against the loss of the state while one replica is replaced in each
+  // of two data centres with two: four of six are known to count, and the
+  // tolerated losses take five.
+  void doubt_in_two_data_centres_is_tolerated() {
+    constexpr std::uint64_t seed = 1157;
+    drawn_losses losses({3, 6, 2}, seed);
+    losses.run();
+    losses.check();
+  }
+
   // Guards against a replaced replica that stays a voter until it has been
   // silent for a while, as its process ended in the middle of that.
   void a_retiring_replica_that_was_replaced_is_removed_at_once() {
