--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -809,7 +809,7 @@
     replica_id replaced;
     replica_id successor;
     time_point starts_at;
-    // Whether the one that does not count is lost for good.
+    // Whether the one that does not count is lost permanently.
     bool loses_one = false;
   };
 
@@ -1005,9 +1005,9 @@
     }
   }
 
-  /// Loses a replica for good and the disks of others, which return, and checks
-  /// that a leader serves and that nothing is lost.
-  /// Those that are partitioned are in touch again after the losses.
+  /// Loses a replica permanently and the disks of others, which return, and
+  /// checks that a leader serves and that nothing is lost. The partitions given
+  /// end with the losses.
   void check_losses(std::uint32_t gone, const std::set<std::uint32_t>& disks,
                     const std::set<std::uint32_t>& partitioned = {}) {
     CPPUNIT_ASSERT(net.commit("last moment"));
@@ -1667,7 +1667,7 @@
     }
   }
 
-  // Guards against an outage for good: the only voter transferred its
+  // Guards against a permanent outage: the only voter transferred its
   // leadership to nobody, again and again, instead of admitting the vote of its
   // successor.
   void the_only_voter_is_replaced() {
--- a/test/replacement_test.cpp
+++ b/test/replacement_test.cpp
@@ -81,7 +81,7 @@
 
 /// Machines that are lost at the same moment. All but one return.
 struct losses {
-  int gone = 0;  // for good
+  int gone = 0;  // permanently
   int lost_disk = 0;
   bool others_lose_power = false;
 };
--- a/test/soak/fault.h
+++ b/test/soak/fault.h
@@ -21,7 +21,7 @@
   std::vector<int> power;
 };
 
-/// A process gets SIGTERM or SIGSTOP. A replaced machine ends for good.
+/// A process gets SIGTERM or SIGSTOP. A replaced machine ends permanently.
 struct machine_signalled {
   int machine = 0;
   int signal = 0;
--- a/test/soak/plan.cpp
+++ b/test/soak/plan.cpp
@@ -110,7 +110,7 @@
     return result;
   }
 
-  /// Loses machines for good and disks of machines of `counting`. All others
+  /// Loses machines permanently and disks of machines of `counting`. All others
   /// that run lose power at the same moment, or none, and sometimes all do once
   /// more. Returns when they are back.
   auto lose_disks(milliseconds at, machine_list gone,
