--- a/test/soak/plan.cpp
+++ b/test/soak/plan.cpp
@@ -132,7 +132,7 @@
     return at + down_time;
   }
 
-  /// Successors are lost for good before they count, together with disks.
+  /// Successors are lost permanently before they count, together with disks.
   void lose_with_successors() {
     auto counting = counting_;
     auto replacements = replace();
@@ -153,8 +153,8 @@
     for (auto m : replaced) end_replaced(back + between_disks, m);
   }
 
-  /// Replaced machines are lost for good after their successors count, together
-  /// with disks. Some get a SIGTERM just before.
+  /// Replaced machines are lost permanently after their successors count,
+  /// together with disks. Some get a SIGTERM just before.
   void lose_with_replaced_machines() {
     auto replacements = replace();
     auto at = last_start_ + after_exchange + draw(200, 5000);
