--- a/review/standins-2/runner.cpp
+++ b/review/standins-2/runner.cpp
@@ -209,7 +209,11 @@
   fence_ = integer(body, "fence");
   extend_lease(integer(body, "deadlineMs"));
   auto acked = integer(body, "ackedSeq");
-  while (!ends_.empty() && ends_.front().sequence <= acked) ends_.pop_front();
+  while (!ends_.empty() && ends_.front().sequence <= acked) {
+    record_.add(settings_.id + " forgets the end of " + ends_.front().task +
+                " run " + std::to_string(ends_.front().run));
+    ends_.pop_front();
+  }
   auto until = clock::now() +
                milliseconds(std::min(integer(body, "waitMs"), max_wait_ms));
   auto lifetime = lifetime_;
