--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -17,8 +17,8 @@
 
 namespace json = boost::json;
 
-constexpr int control_machines = 3;
-constexpr int entry_host = 14;
+constexpr int seed_count = 3;
+constexpr int entry_host = 40;
 constexpr int first_runner_host = 101;
 constexpr milliseconds start_limit{30'000};
 constexpr milliseconds operator_timeout{1000};
@@ -39,8 +39,9 @@
   return condition();
 }
 
-deployment::deployment(std::string programs, event_record& record)
-    : programs_(std::move(programs)), record_(record) {
+deployment::deployment(std::string programs, event_record& record, layout where)
+    : programs_(std::move(programs)), record_(record), layout_(where) {
+  for (int i = 1; i <= layout_.machines; ++i) control_list_.push_back(i);
   auto pattern =
       (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
   folder_ = ::mkdtemp(pattern.data());
@@ -74,9 +75,10 @@
   bool is_control = program.ends_with("control");
   auto ip = address(host, 0);
   ip.resize(ip.find(':'));
-  auto zone = "zone-" + std::to_string(is_control ? host - 10 : 1);
+  auto zone = "zone-" +
+              std::to_string(is_control ? (host - 11) % layout_.zones + 1 : 1);
   std::string seeds;
-  for (int i = 1; i <= control_machines; ++i)
+  for (int i = 1; i <= seed_count; ++i)
     seeds += (i > 1 ? "," : "") + address(control_host(i), 8526);
   auto file = folder_ + "/" + name + ".conf";
   std::ofstream(file)
@@ -93,9 +95,11 @@
       << "discovery=registry\nentry=vip\nheartbeatMs=1500"
       << "\ncontracts=base,drain,config,cost,recover,sched,tenants,advice,"
          "upkeep,sharing"
-      << "\ntolerate.machines=1\ntolerate.zones=0\ntolerate.regions=0"
+      << "\ntolerate.machines=" << layout_.tolerated
+      << "\ntolerate.zones=0\ntolerate.regions=0"
       << "\nbounds.seedLagS=3\nbounds.reuseAfterS=2\nbounds.contactMs=3000"
-      << "\nbounds.ackMs=4000\nbounds.catchupS=4\nbounds.drainMs=2000"
+      << "\nbounds.ackMs=4000\nbounds.catchupS=" << layout_.catch_up_s
+      << "\nbounds.drainMs=2000"
       << "\nbounds.graceS=6\nbounds.lostSlackMs=200\nbounds.configMs=2000"
       << "\nbounds.holdMaxMs=10000\nbounds.stopMs=200\nbounds.gangMs=3000"
       << "\nbounds.cancel_ms=3000\nbounds.visible_ms=3000"
@@ -128,7 +132,7 @@
 }
 
 void deployment::start() {
-  for (int i = 1; i <= control_machines; ++i) start_control(i, true);
+  for (int i : control_list_) start_control(i, true);
   launch("entry-1", "parsleyledge-fleet-entry", entry_host, true);
   auto ready = [&] {
     http_message get;
@@ -175,8 +179,7 @@
     int count, const std::string& kind,
     std::function<std::optional<milliseconds>(const std::string&)> length) {
   std::vector<std::string> control;
-  for (int i = 1; i <= control_machines; ++i)
-    control.push_back(address(control_host(i), 8526));
+  for (int i : control_list_) control.push_back(address(control_host(i), 8526));
   for (int i = 0; i < count; ++i) {
     auto number = std::to_string(runners_.size() + 1);
     auto host = first_runner_host + static_cast<int>(runners_.size());
@@ -187,20 +190,35 @@
   }
 }
 
+auto deployment::state_of(int number) -> std::string {
+  http_message get;
+  get.method = "GET";
+  get.target = "/state";
+  return call(address(control_host(number), 9464), get, milliseconds(300)).body;
+}
+
 auto deployment::leader() -> int {
-  for (int i = 1; i <= control_machines; ++i) {
-    http_message get;
-    get.method = "GET";
-    get.target = "/state";
-    auto response =
-        call(address(control_host(i), 9464), get, milliseconds(300));
-    if (response.status == 200 &&
-        response.body.find("\"role\":\"leader\"") != std::string::npos)
-      return i;
+  for (int i : control_list_) {
+    auto state = state_of(i);
+    if (state.find("\"role\":\"leader\"") != std::string::npos) return i;
   }
   return 0;
 }
 
+auto deployment::peer_address(int number) const -> std::string {
+  return address(control_host(number), 7000);
+}
+
+void deployment::erase_disk(int number) {
+  auto name = "control-" + std::to_string(number);
+  record_.add(name + " loses its disk");
+  std::filesystem::remove_all(folder_ + "/" + name + "-data");
+}
+
+void deployment::set_control_list(std::vector<int> numbers) {
+  control_list_ = std::move(numbers);
+}
+
 void deployment::kill_control(int number, int signal_number) {
   auto name = "control-" + std::to_string(number);
   record_.add(name + " gets signal " + std::to_string(signal_number));
@@ -243,15 +261,17 @@
                                const std::string& target,
                                const std::string& body) -> http_message {
   http_message response;
-  int next = 0;
+  std::size_t next = 0;
   auto is_accepted = [&] {
     http_message request;
     request.method = method;
     request.target = target;
     request.headers["content-type"] = "application/json";
     request.body = body;
-    response = call(address(control_host(next++ % control_machines + 1), 8526),
-                    request, operator_timeout);
+    response =
+        call(address(control_host(control_list_[next++ % control_list_.size()]),
+                     8526),
+             request, operator_timeout);
     record_.add("operator: " + method + " " + target + " -> " +
                 std::to_string(response.status) + " " +
                 (method == "GET" ? response.body : ""));
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -11,13 +11,20 @@
 
 namespace review {
 
-/// A small deployment: three machines that serve control, with a disk each,
-/// and one that serves callers, as processes on loopback addresses. Runners are
-/// stand-ins of this process.
+/// The machines that serve control, with a disk each, and their bounds.
+struct layout {
+  int zones = 3;
+  int machines = 3;  // number N is in zone (N - 1) % zones + 1
+  int tolerated = 1;
+  int catch_up_s = 4;
+};
+
+/// A small deployment: machines that serve control and one that serves callers,
+/// as processes on loopback addresses. Runners are stand-ins of this process.
 class deployment {
  public:
   /// `programs` is the folder of the built programs.
-  deployment(std::string programs, event_record& record);
+  deployment(std::string programs, event_record& record, layout where = {});
   ~deployment();
   deployment(const deployment&) = delete;
   auto operator=(const deployment&) -> deployment& = delete;
@@ -40,6 +47,18 @@
   void kill_control(int number, int signal_number);
   void start_control(int number, bool first_start);
 
+  /// What a control process says of its state; empty if it doesn't answer.
+  auto state_of(int number) -> std::string;
+
+  /// The address at which the control processes know each other.
+  auto peer_address(int number) const -> std::string;
+
+  /// Removes the data folder of a machine.
+  void erase_disk(int number);
+
+  /// The machines that the operator and the runners call.
+  void set_control_list(std::vector<int> numbers);
+
   /// Waits until a control process has ended by itself.
   void wait_for_exit(int number);
 
@@ -65,6 +84,8 @@
 
   std::string programs_;
   event_record& record_;
+  layout layout_;
+  std::vector<int> control_list_;
   std::string folder_;
   int subnet_ = 0;
   std::map<std::string, pid_t> processes_;
