Log what a new leader has to stop, and stops that get no response

It could not tell whether the request was sent and lost on its way, or never sent.

Change: `leading` has the number of runs to stop, and `stop_unconfirmed` is logged for the first stop of a run that gets no response.

--- a/src/core/fleet/dispatch_responses.cpp
+++ b/src/core/fleet/dispatch_responses.cpp
@@ -409,7 +409,10 @@
   record_sent_starts(worker.runs);
   if (run == nullptr) return;
   run->throttle_pending = false;
-  if (run->phase == run_phase::stopping) run->phase = run_phase::to_stop;
+  if (run->phase == run_phase::stopping) {
+    run->phase = run_phase::to_stop;
+    log_unconfirmed_stop(*run);
+  }
   run->next_attempt_at =
       now.steady + (response.sent ? retry_delay : unhealthy_retry_delay);
   if (start == nullptr || run->phase != run_phase::starting) return;
@@ -422,6 +425,14 @@
   if (too_late && gang) stop_run(*run, gang_incomplete{});
 }
 
+// Logs the first of the stop requests for a run that get no response.
+void dispatcher::log_unconfirmed_stop(tracked_run& run) {
+  if (std::exchange(run.stop_unconfirmed, true)) return;
+  log_decision("stop_unconfirmed", {{"task", fleet::to_string(run.task)},
+                                    {"run", std::to_string(run.run)},
+                                    {"worker", run.worker.name}});
+}
+
 // Ends a run that could not be started. If an earlier start request got no
 // response it may still be carried out, so the run is stopped first: a worker
 // rejects the start of a run that it was requested to stop.
--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -66,8 +66,12 @@
     run.phase = run_phase::inherited;
     run.start_unconfirmed = may_start_late;
   }
+  auto to_stop = std::ranges::count_if(runs_, [](const auto& item) {
+    return item.second.phase == run_phase::to_stop;
+  });
   log_decision("leading", {{"fence", std::to_string(fence)},
                            {"runs", std::to_string(runs_.size())},
+                           {"to_stop", std::to_string(to_stop)},
                            {"workers", std::to_string(workers_.size())}});
 }
 
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -251,6 +251,7 @@
   void mark_runs_lost(const fleet_tables& tables,
                       const worker_incarnation& incarnation,
                       const loss_cause& cause, clock_reading now);
+  void log_unconfirmed_stop(tracked_run& run);
   void abandon_start(const fleet_tables& tables, tracked_run& run,
                      std::string_view reason, clock_reading now);
   void mark_lost(const fleet_tables& tables, tracked_run& run, loss_cause cause,
--- a/src/core/fleet/tracked_run.h
+++ b/src/core/fleet/tracked_run.h
@@ -42,6 +42,7 @@
   bool start_sent = false;  // confirmed, or sent without a response
   bool start_recorded = false;           // that is recorded for later leaders
   std::optional<loss_cause> stop_cause;  // if it is or was to be stopped
+  bool stop_unconfirmed = false;         // a stop request got no response
   bool end_recorded = false;             // as done or as discarded work
   std::uint32_t throttle = 100;          // per cent, last confirmed
   bool throttle_pending = false;         // a throttle request is in flight
