Stop the runs of ended jobs after a leader change

Callers saw: a job is cancelled and confirmed as such while one of its workers is cut off, and the leader changes. The task runs on to its end once the worker is back, or is started if it was placed only.

Cause: begin_leadership() synchronized with the tables, which marks the runs of ended jobs and broken gangs as to be stopped, and then set the phase of every run to `inherited`. The mark was gone, and as it is set only when a job's record changes, nothing set it again. A listed run then counted as started, an unlisted one was started. The same held for failed jobs, for the rest of a broken gang, and for a leadership that begins again since a proposal was not committed.

Change: runs of earlier leaders are tracked as inherited first, and then synchronized with the tables like any others, so that a run to be stopped stays so and the stop goes out at once.

Ruled out: that the stop was sent and lost on its way. It would be repeated, and `stop_unconfirmed` logged.

The fake site checks the stops of ended jobs in the other random tests, too.

--- a/src/core/fleet/dispatch_tracking.cpp
+++ b/src/core/fleet/dispatch_tracking.cpp
@@ -9,8 +9,41 @@
 
 constexpr milliseconds cleanup_interval{1000};
 
+/// The run of an assigned task, as far as the tables tell.
+auto make_run(const task_record& task, const task_ref& name, time_point now)
+    -> tracked_run {
+  tracked_run run;
+  run.task = name;
+  run.run = task.run;
+  run.worker = task.worker;
+  run.placed_at = run.responded_at = run.progressed_at = now;
+  run.start_sent = run.start_recorded = task.start_sent;
+  return run;
+}
+
 }  // namespace
 
+// Tracks the runs that earlier leaders placed. synchronize_runs() then decides
+// which of them to stop, as for runs that this leader places.
+void dispatcher::inherit_runs(const fleet_tables& tables, bool may_start_late,
+                              clock_reading now) {
+  for (const auto& [id, job] : tables.jobs) {
+    for (const auto& [number, occurrence] : job.open) {
+      for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+        const auto& tasks = occurrence.steps[s].tasks;
+        for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+          if (!tasks[i].assigned) continue;
+          task_ref name{id, number, s, i};
+          auto run = make_run(tasks[i], name, now.steady);
+          run.phase = run_phase::inherited;
+          run.start_unconfirmed = may_start_late;
+          runs_.emplace(name, std::move(run));
+        }
+      }
+    }
+  }
+}
+
 // Synchronizes the tracked runs and the used capacity of workers with the
 // tables. Only jobs whose revision has changed are visited in full.
 void dispatcher::synchronize_runs(const fleet_tables& tables,
@@ -140,12 +173,7 @@
   auto& run = runs_[name];
   if (run.run != task.run || run.worker != task.worker) {
     if (run.run != 0) record_unlisted_end(tables, job, run, now);
-    run = {};
-    run.task = name;
-    run.run = task.run;
-    run.worker = task.worker;
-    run.placed_at = run.responded_at = run.progressed_at = now.steady;
-    run.start_sent = run.start_recorded = task.start_sent;
+    run = make_run(task, name, now.steady);
     lost_runs_.erase(name);
   }
   auto worker = workers_.find(task.worker.name);
--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -61,11 +61,8 @@
   for (const auto& [machine, speed] : tables.speeds) {
     speeds_.restore(machine, speed);
   }
+  inherit_runs(tables, may_start_late, now);
   synchronize_runs(tables, now);
-  for (auto& [ref, run] : runs_) {
-    run.phase = run_phase::inherited;
-    run.start_unconfirmed = may_start_late;
-  }
   auto to_stop = std::ranges::count_if(runs_, [](const auto& item) {
     return item.second.phase == run_phase::to_stop;
   });
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -40,6 +40,8 @@
 
   /// Begins the leadership; `fence` goes with all requests. All runs in the
   /// tables are inherited: their state is unknown until a poll lists them.
+  /// Those of ended jobs and broken gangs are stopped without waiting for a
+  /// poll.
   void begin_leadership(std::uint64_t fence, const fleet_tables& tables,
                         clock_reading now);
 
@@ -181,6 +183,8 @@
   };
 
   // Synchronization with the tables, in dispatch_tracking.cpp.
+  void inherit_runs(const fleet_tables& tables, bool may_start_late,
+                    clock_reading now);
   void synchronize_runs(const fleet_tables& tables, clock_reading now);
   void erase_obsolete_state(const fleet_tables& tables, clock_reading now);
   void track_job(const fleet_tables& tables, const job_record& job,
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr milliseconds max_reclaim_time{2700};
+// A run of a cancelled job is gone after this time without a disturbance.
+constexpr milliseconds max_stop_time = seconds(3) + milliseconds(200);
 // Of check_random_events(); the later ones are drawn by one test only.
 constexpr int event_kinds = 22;
 constexpr int all_event_kinds = event_kinds + 3;
@@ -93,6 +95,12 @@
   CPPUNIT_TEST(capacity_of_urgent_work_is_retained_for_the_next);
   CPPUNIT_TEST(a_gang_gets_capacity_beside_a_stream_of_small_tasks);
   CPPUNIT_TEST(a_cancelled_job_is_stopped);
+  CPPUNIT_TEST(a_new_leader_stops_the_runs_of_a_cancelled_job);
+  CPPUNIT_TEST(a_new_leader_starts_no_task_of_a_cancelled_job);
+  CPPUNIT_TEST(a_new_leader_stops_the_runs_of_a_failed_job);
+  CPPUNIT_TEST(a_new_leader_stops_the_rest_of_a_broken_gang);
+  CPPUNIT_TEST(a_restarted_leadership_stops_the_runs_of_a_cancelled_job);
+  CPPUNIT_TEST(a_new_leader_stops_what_an_earlier_one_could_not);
   CPPUNIT_TEST(a_lost_run_is_not_started);
   CPPUNIT_TEST(a_draining_worker_gets_no_work);
   CPPUNIT_TEST(a_start_is_not_repeated_on_a_draining_worker);
@@ -137,6 +145,7 @@
   CPPUNIT_TEST(waiting_has_its_cause);
   CPPUNIT_TEST(a_recorded_odd_worker_does_not_stop_the_work);
   CPPUNIT_TEST(a_huge_priority_does_not_delay_decisions);
+  CPPUNIT_TEST(ended_jobs_are_stopped_after_random_events);
   CPPUNIT_TEST(invariants_hold_under_random_events);
   CPPUNIT_TEST(work_goes_on_after_random_events);
   CPPUNIT_TEST(work_goes_on_after_more_random_events);
@@ -570,6 +579,130 @@
     assert_clean(site);
   }
 
+  // Guards against a run that goes on although its job was cancelled: its
+  // worker was unreachable, and the next leader forgot to stop it.
+  void a_new_leader_stops_the_runs_of_a_cancelled_job() {
+    check_stopped_after([](fleet_site& site) { site.replace_leader(); });
+  }
+
+  // Guards against the same as a_new_leader_stops_the_runs_of_a_cancelled_job()
+  // where a proposal was not committed and the leadership begins again.
+  void a_restarted_leadership_stops_the_runs_of_a_cancelled_job() {
+    check_stopped_after([](fleet_site& site) { site.restart_leadership(); });
+  }
+
+  static void check_stopped_after(
+      const std::function<void(fleet_site&)>& change_leader) {
+    fleet_site site(2, 1);
+    site.task_duration = seconds(30);
+    auto id = site.submit("q1", make_step(2, 8));
+    site.run_for(seconds(1));
+    site.workers[0].unreachable = true;
+    site.cancel(id);
+    site.run_for(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(1, site.running(id));
+    change_leader(site);
+    site.run_for(milliseconds(500));
+    site.workers[0].unreachable = false;
+    site.run_for(max_stop_time);
+    CPPUNIT_ASSERT_EQUAL(0, site.running(id));
+    assert_clean(site);
+  }
+
+  // Guards against the start of a task after its job was cancelled: an earlier
+  // leader had placed it on a worker that was unreachable.
+  void a_new_leader_starts_no_task_of_a_cancelled_job() {
+    fleet_site site(1);
+    site.workers[0].unreachable = true;
+    auto id = site.submit("q1", make_step(4, 1));
+    site.run_for(milliseconds(300));
+    CPPUNIT_ASSERT(has_assigned_tasks(site.job(id)));
+    site.cancel(id);
+    site.replace_leader();
+    site.run_for(milliseconds(300));
+    site.workers[0].unreachable = false;
+    site.run_for(seconds(3));
+    CPPUNIT_ASSERT_EQUAL(0, site.workers[0].starts);
+    CPPUNIT_ASSERT(!has_assigned_tasks(site.job(id)));
+    assert_clean(site);
+  }
+
+  // Guards against a run that goes on after a leader change although its job
+  // has failed.
+  void a_new_leader_stops_the_runs_of_a_failed_job() {
+    fleet_site site(2, 1);
+    site.configure(0, 0, 1);
+    site.task_duration = seconds(30);
+    auto on_first = make_step(1, 1);
+    on_first.label = "r0";
+    auto on_second = make_step(1, 1);
+    on_second.label = "r1";
+    auto id = site.submit("q1", {on_first, on_second});
+    site.run_for(seconds(1));
+    site.workers[0].unreachable = true;
+    site.workers[1].running.begin()->second.fails = true;
+    site.run_for(seconds(1));
+    assert_state(job_state::failed, site, id);
+    CPPUNIT_ASSERT_EQUAL(1, site.running(id));
+    site.replace_leader();
+    site.run_for(milliseconds(300));
+    site.workers[0].unreachable = false;
+    site.run_for(max_stop_time);
+    CPPUNIT_ASSERT_EQUAL(0, site.running(id));
+    assert_clean(site);
+  }
+
+  // Guards against members of a gang that run on after a leader change although
+  // another member has ended.
+  void a_new_leader_stops_the_rest_of_a_broken_gang() {
+    fleet_site site(2, 1);
+    site.task_duration = seconds(30);
+    auto id = site.submit("q1", make_gang(2, 8));
+    site.run_for(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(2, site.running(id));
+    site.workers[0].unreachable = true;
+    site.restart_worker(1);  // ends one member, and the other stays
+    site.run_for(milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(1, site.running(id));
+    site.replace_leader();
+    site.run_for(milliseconds(300));
+    site.workers[0].unreachable = false;
+    site.run_for(milliseconds(500));
+    CPPUNIT_ASSERT(std::ranges::any_of(site.history, [](std::string_view line) {
+      return line.find("w0 ends") != std::string_view::npos;
+    }));
+    assert_clean(site);
+  }
+
+  // Guards against a stop that is owed and lost with its leader: the next one
+  // says how many runs it has to stop.
+  void a_new_leader_stops_what_an_earlier_one_could_not() {
+    fleet_site site(1);
+    site.task_duration = seconds(30);
+    auto id = site.submit("q1", make_step(3, 1));
+    auto other = site.submit("q1", make_step(1, 1));
+    site.run_for(seconds(1));
+    site.workers[0].unreachable = true;
+    site.cancel(id);
+    site.run_for(seconds(1));
+    auto unconfirmed =
+        std::ranges::count_if(site.history, [](std::string_view line) {
+          return line.find("stop_unconfirmed") != std::string_view::npos;
+        });
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{3}, unconfirmed);
+    site.replace_leader();
+    site.run_for(milliseconds(100));
+    CPPUNIT_ASSERT(std::ranges::any_of(site.history, [](std::string_view line) {
+      return line.find("leading fence=2 runs=4 to_stop=3") !=
+             std::string_view::npos;
+    }));
+    site.workers[0].unreachable = false;
+    site.run_for(max_stop_time);
+    CPPUNIT_ASSERT_EQUAL(0, site.running(id));
+    CPPUNIT_ASSERT_EQUAL(1, site.running(other));
+    assert_clean(site);
+  }
+
   // Guards against two runs of one task: a new leader has no ticket for a
   // placement of the former one and marks the run as lost. The ticket for the
   // next run arrives before the leader is notified of the end.
@@ -1231,6 +1364,65 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string(seconds) + " s", seconds < 0.5);
   }
 
+  // Guards against runs of cancelled and failed jobs that go on, or start,
+  // after any sequence of leader changes, cuts and lost responses.
+  void ended_jobs_are_stopped_after_random_events() {
+    bool passed = rc::check([] {
+      fleet_site site(4, 2);
+      site.configure(0, 0, 1);
+      site.task_duration = seconds(120);
+      std::vector<fleet::job_id> ids;
+      for (int round = 0; round < 16; ++round) {
+        auto index = *rc::gen::inRange<std::size_t>(0, 4);
+        auto& w = site.workers[index];
+        switch (*rc::gen::inRange(0, 9)) {
+          case 0:
+          case 1:
+            if (is_up(w)) w.unreachable = !w.unreachable;
+            break;
+          case 2:
+            w.drops_responses = !w.drops_responses;
+            break;
+          case 3:
+            w.late_by = milliseconds(*rc::gen::inRange(0, 2) * 1500);
+            break;
+          case 4:
+            if (!ids.empty())
+              site.cancel(ids[*rc::gen::inRange<std::size_t>(0, ids.size())]);
+            break;
+          case 5:
+            if (!w.running.empty()) w.running.begin()->second.fails = true;
+            break;
+          case 6:
+            site.replace_leader();
+            break;
+          case 7:
+            site.restart_leadership();
+            break;
+          default: {
+            auto tasks = *rc::gen::inRange<std::uint32_t>(1, 5);
+            auto step = *rc::gen::arbitrary<bool>() ? make_gang(tasks, 2)
+                                                    : make_step(tasks, 2);
+            step.long_running = !step.gang && *rc::gen::arbitrary<bool>();
+            ids.push_back(site.submit("q1", step));
+          }
+        }
+        site.run_for(milliseconds(*rc::gen::inRange(10, 1500)));
+      }
+      for (auto& w : site.workers) {
+        w.unreachable = w.drops_responses = false;
+        w.late_by = {};
+      }
+      site.run_for(seconds(10));
+      if (!site.violations.empty()) {
+        for (const auto& line : site.history) RC_LOG() << line << "\n";
+        RC_LOG() << site.violation_text() << site.describe();
+      }
+      RC_ASSERT(site.violations.empty());
+    });
+    CPPUNIT_ASSERT(passed);
+  }
+
   void invariants_hold_under_random_events() {
     bool passed = rc::check([] {
       fleet_site site(6, 3);
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -26,9 +26,13 @@
 constexpr int max_crashes = 5;
 // A long-running task is at work again within this time.
 constexpr milliseconds max_restart_time{6000};
+// A run of a cancelled or failed job is gone after this time without a
+// disturbance, on a worker that has been reachable for the contact time.
+constexpr milliseconds max_stop_time = milliseconds(3000) + milliseconds(200);
+constexpr milliseconds contact_time{3000};
 // A start may use the former capacity of a worker for this time after the
 // report of a smaller one: the contact time of the site and one report more.
-constexpr milliseconds shrink_grace_time = milliseconds(3000) + report_time;
+constexpr milliseconds shrink_grace_time = contact_time + report_time;
 
 auto is_within(const fleet::resources& used, const fleet::resources& capacity)
     -> bool {
@@ -206,6 +210,7 @@
 }
 
 void fleet_site::restart_leadership() {
+  led_since_ = now_;
   polls_.clear();
   late_responses_.clear();
   timeouts_.clear();
@@ -864,12 +869,32 @@
 
 // Runs go on when the capacity shrinks below what they use.
 void fleet_site::check_invariants() {
-  for (const auto& w : workers) {
+  for (auto& w : workers) {
+    check_ended_jobs(w);
     if (!is_within(used_by(w), w.largest_capacity))
       violations.insert("worker capacity exceeded");
   }
 }
 
+// Checks that the runs of cancelled and failed jobs are stopped, whatever has
+// become of the leader at which they ended.
+void fleet_site::check_ended_jobs(fake_worker& worker) {
+  bool is_calm = !worker.unreachable && !worker.drops_responses &&
+                 !worker.is_unavailable && worker.late_by.count() == 0 &&
+                 worker.poll_delay.count() == 0 && commits_enabled;
+  if (!is_calm) worker.disturbed_at = now_;
+  auto calm_since = std::max(worker.disturbed_at, led_since_) + contact_time;
+  for (const auto& [task, run] : worker.running) {
+    const auto& ended = job(task.job);
+    if (!is_ended(ended) || ended.state == fleet::job_state::complete) continue;
+    auto since =
+        std::max({calm_since, ended.ended_at, run.started_at + contact_time});
+    if (now_ - since <= max_stop_time) continue;
+    record_event("still runs", task, run.run, worker);
+    violations.insert("a run of an ended job goes on");
+  }
+}
+
 // Checks a start that was sent at this time and is carried out now.
 void fleet_site::check_start(const fake_worker& worker, time_point sent_at) {
   auto capacity = worker.record.capacity;
--- a/test/fakes/fleet_site.h
+++ b/test/fakes/fleet_site.h
@@ -51,6 +51,7 @@
   milliseconds poll_delay{0};    // responses to polls are held up
   time_point restarts_at;        // end of a crash; unset: it has not crashed
   time_point silent_until;       // it sends no reports until then
+  time_point disturbed_at;       // by one of the faults above, at the latest
   time_point drain_known_at;     // when its drain was recorded
   time_point drains_until;
 
@@ -219,6 +220,7 @@
       -> bool;
   void check_done(const fake_worker& worker, const fleet::listed_end& end);
   void check_invariants();
+  void check_ended_jobs(fake_worker& worker);
   auto used_by(const fake_worker& worker) const -> fleet::resources;
   void check_start(const fake_worker& worker, time_point sent_at);
   void check_waiting();
@@ -263,6 +265,7 @@
   fleet::dispatcher dispatcher_;
   std::shared_ptr<const fleet::site> site_;
   std::uint64_t fence_ = 1;
+  time_point led_since_;
   std::uint64_t next_job_ = 1;
   std::vector<pending_poll> polls_;
   std::set<std::string> allowed_;
