Let a new leader set the throttle of inherited backfill tasks

Callers would see: a backfill task that an earlier leader had throttled to nothing beside serving work stands still forever once the leader has changed, as its stall isn't looked for.

The throttle that was last requested is known only to the leader that requested it; the next one took it for 100 % and, with 100 % wanted, had nothing to request.

Change: the throttle of an inherited task is unknown, so the first poll of its worker sets it. Beside serving work the new leader starts from 10 % and lets it rise, in place of trying 100 % first.

Tests: contracts_test::a_new_leader_lifts_a_throttle_that_is_not_needed, red before (0 % in place of 100 %) and green now; a_new_leader_spares_serving_work held before and guards against the plain way to mend it (100 % at each leader change).

--- a/src/core/fleet/backfill_throttle.cpp
+++ b/src/core/fleet/backfill_throttle.cpp
@@ -11,7 +11,6 @@
 constexpr double decrease_above_ratio = 0.95;
 constexpr double increase_below_ratio = 0.7;
 constexpr std::uint32_t decrease_divisor = 3;
-constexpr std::uint32_t min_percent = 10;  // below it backfill stops
 constexpr std::uint32_t increase_percent = 10;
 // A reported response time covers the last 500 ms, and a throttle takes effect
 // 100 ms after its request, so a report that comes sooner still shows the
--- a/src/core/fleet/backfill_throttle.h
+++ b/src/core/fleet/backfill_throttle.h
@@ -14,6 +14,9 @@
   /// Records the worst ratio of a serving task's response time to its target.
   void observe(double worst_ratio, time_point now);
 
+  /// Starts from a low share, for tasks that have run beside serving tasks.
+  void restrict() { percent_ = min_percent; }
+
   /// Lifts the throttle, once no serving task is left on the worker.
   void release() { percent_ = max_percent; }
 
@@ -23,6 +26,7 @@
 
  private:
   static constexpr std::uint32_t max_percent = 100;
+  static constexpr std::uint32_t min_percent = 10;  // below it backfill stops
 
   std::uint32_t percent_ = max_percent;
   time_point changed_at_;
--- a/src/core/fleet/dispatch_health.cpp
+++ b/src/core/fleet/dispatch_health.cpp
@@ -124,7 +124,7 @@
   }
   const auto& job = tables.jobs.at(ref.job);
   const auto& spec = job.spec.steps[ref.step];
-  if (spec.long_running || is_ended(job) || run.throttle < complete_percent)
+  if (spec.long_running || is_ended(job) || run.throttle != complete_percent)
     return false;
   auto allowed =
       std::max(limits_.stall_timeout, spec.estimate / stall_estimate_divisor);
--- a/src/core/fleet/dispatch_tracking.cpp
+++ b/src/core/fleet/dispatch_tracking.cpp
@@ -37,6 +37,7 @@
           auto run = make_run(tasks[i], name, now.steady);
           run.phase = run_phase::inherited;
           run.start_unconfirmed = may_start_late;
+          if (job.spec.steps[s].backfill) inherit_throttle(run);
           runs_.emplace(name, std::move(run));
         }
       }
@@ -44,6 +45,14 @@
   }
 }
 
+// The throttle that an earlier leader had learned for the worker is unknown. It
+// starts low, as a high one could slow down serving work for seconds.
+void dispatcher::inherit_throttle(tracked_run& run) {
+  run.throttle.reset();
+  auto worker = workers_.find(run.worker.name);
+  if (worker != workers_.end()) worker->second.throttle.restrict();
+}
+
 // Synchronizes the tracked runs and the used capacity of workers with the
 // tables. Only jobs whose revision has changed are visited in full.
 void dispatcher::synchronize_runs(const fleet_tables& tables,
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -185,6 +185,7 @@
   // Synchronization with the tables, in dispatch_tracking.cpp.
   void inherit_runs(const fleet_tables& tables, bool may_start_late,
                     clock_reading now);
+  void inherit_throttle(tracked_run& run);
   void synchronize_runs(const fleet_tables& tables, clock_reading now);
   void erase_obsolete_state(const fleet_tables& tables, clock_reading now);
   void track_job(const fleet_tables& tables, const job_record& job,
--- a/test/contracts_test.cpp
+++ b/test/contracts_test.cpp
@@ -39,6 +39,50 @@
   return max_count;
 }
 
+/// A site with one worker, on which a backfill task runs beside a serving task.
+struct throttled_site {
+  fleet_site site{1};
+  fleet::job_id serving;
+  fleet::job_id backfill;
+
+  /// The throttle of the backfill task, in per cent.
+  auto percent() const -> std::uint32_t {
+    for (const auto& [task, run] : site.workers[0].running) {
+      if (task.job == backfill) return run.throttle;
+    }
+    CPPUNIT_FAIL("the backfill task does not run");
+    return 0;
+  }
+};
+
+auto start_beside_serving_work() -> throttled_site {
+  throttled_site throttled;
+  auto& site = throttled.site;
+  site.task_duration = seconds(100);
+  auto serving = long_running(1, 0);
+  serving.target = milliseconds(60);
+  throttled.serving = site.submit("q1", serving);
+  site.run_for(seconds(1));
+  auto backfill = make_step(1, 1);
+  backfill.backfill = true;
+  throttled.backfill = site.submit("q2", backfill);
+  site.run_for(seconds(1));
+  CPPUNIT_ASSERT_EQUAL(std::uint32_t{100}, throttled.percent());
+  return throttled;
+}
+
+/// As above, where the serving task is slow and the backfill task is stopped by
+/// its throttle.
+auto stop_backfill() -> throttled_site {
+  auto throttled = start_beside_serving_work();
+  throttled.site.response_time_ms = [](std::uint32_t) {
+    return std::int64_t{1000};
+  };
+  throttled.site.run_for(seconds(6));
+  CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, throttled.percent());
+  return throttled;
+}
+
 }  // namespace
 
 /// Tests advice, waves of maintenance and the throttle of backfill tasks.
@@ -55,6 +99,8 @@
   CPPUNIT_TEST(a_wave_skips_machines_that_do_not_exist);
   CPPUNIT_TEST(a_worker_is_used_after_its_maintenance_was_rejected);
   CPPUNIT_TEST(backfill_is_throttled_beside_serving_work);
+  CPPUNIT_TEST(a_new_leader_lifts_a_throttle_that_is_not_needed);
+  CPPUNIT_TEST(a_new_leader_spares_serving_work);
   CPPUNIT_TEST(the_throttle_rises_while_response_times_are_low);
   CPPUNIT_TEST_SUITE_END();
 
@@ -207,6 +253,41 @@
     }
   }
 
+  // Guards against backfill that stands still forever: an earlier leader had
+  // throttled it to nothing beside serving work that has ended since.
+  void a_new_leader_lifts_a_throttle_that_is_not_needed() {
+    auto throttled = stop_backfill();
+    auto& site = throttled.site;
+    site.workers[0].unreachable = true;
+    site.cancel(throttled.serving);
+    site.replace_leader();
+    site.run_for(milliseconds(500));
+    site.workers[0].unreachable = false;
+    site.run_for(seconds(4));
+    CPPUNIT_ASSERT_EQUAL(0, site.running(throttled.serving));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{100}, throttled.percent());
+  }
+
+  // Guards against backfill that slows down serving work after each leader
+  // change: the new leader does not know the throttle that is needed.
+  void a_new_leader_spares_serving_work() {
+    auto throttled = start_beside_serving_work();
+    auto& site = throttled.site;
+    site.response_time_ms = [](std::uint32_t backfill_percent) {
+      return std::int64_t{20} + backfill_percent;
+    };
+    site.run_for(seconds(10));
+    auto before = throttled.percent();
+    CPPUNIT_ASSERT(before > 0 && before <= 40);
+    site.replace_leader();
+    for (int i = 0; i < 40; ++i) {
+      site.run_for(milliseconds(100));
+      CPPUNIT_ASSERT(throttled.percent() <= 40);
+    }
+    site.run_for(seconds(10));
+    CPPUNIT_ASSERT(throttled.percent() > 0);
+  }
+
   void the_throttle_rises_while_response_times_are_low() {
     fleet::backfill_throttle throttle;
     auto now = at_ms(10'000);
