Take a throttle without a response as unknown

Callers would see: a backfill task stands still forever, without a leader change. A request that throttled it to nothing was carried out, its response was lost, and by the next poll 100 % was wanted again.

Cause: the throttle counted as unchanged until a response confirmed another one, so the leader saw no difference to the wanted one and requested nothing.

Change: a throttle request that was sent and got no response leaves the throttle unknown; the next poll requests the wanted one.

Test: contracts_test::a_throttle_without_a_response_is_not_taken_as_unchanged, red before (0 % in place of 100 %) and green now.

Not covered: a request that is carried out after a later one was confirmed.

--- a/src/core/fleet/dispatch_responses.cpp
+++ b/src/core/fleet/dispatch_responses.cpp
@@ -409,6 +409,8 @@
   record_sent_starts(worker.runs);
   if (run == nullptr) return;
   run->throttle_pending = false;
+  bool is_throttle = std::holds_alternative<throttle_request>(pending.request);
+  if (is_throttle && response.sent) run->throttle.reset();
   if (run->phase == run_phase::stopping) {
     run->phase = run_phase::to_stop;
     log_unconfirmed_stop(*run);
--- a/src/core/fleet/tracked_run.h
+++ b/src/core/fleet/tracked_run.h
@@ -44,8 +44,8 @@
   std::optional<loss_cause> stop_cause;  // if it is or was to be stopped
   bool stop_unconfirmed = false;         // a stop request got no response
   bool end_recorded = false;             // as done or as discarded work
-  // In per cent, last confirmed; nullopt if an earlier leader may have changed
-  // it.
+  // In per cent, last confirmed; nullopt if a request of an earlier leader, or
+  // one without a response, may have changed it.
   std::optional<std::uint32_t> throttle = 100;
   bool throttle_pending = false;  // a throttle request is in flight
 };
--- a/test/contracts_test.cpp
+++ b/test/contracts_test.cpp
@@ -100,6 +100,7 @@
   CPPUNIT_TEST(a_worker_is_used_after_its_maintenance_was_rejected);
   CPPUNIT_TEST(backfill_is_throttled_beside_serving_work);
   CPPUNIT_TEST(a_new_leader_lifts_a_throttle_that_is_not_needed);
+  CPPUNIT_TEST(a_throttle_without_a_response_is_not_taken_as_unchanged);
   CPPUNIT_TEST(a_new_leader_spares_serving_work);
   CPPUNIT_TEST(the_throttle_rises_while_response_times_are_low);
   CPPUNIT_TEST_SUITE_END();
@@ -268,6 +269,22 @@
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{100}, throttled.percent());
   }
 
+  // Guards against backfill that stands still forever: the request that
+  // throttled it to nothing was carried out, but its response was lost.
+  void a_throttle_without_a_response_is_not_taken_as_unchanged() {
+    auto throttled = start_beside_serving_work();
+    auto& site = throttled.site;
+    auto slow = [](std::uint32_t) { return std::int64_t{1000}; };
+    site.response_time_ms = slow;
+    site.workers[0].drops_throttle_responses = true;
+    while (throttled.percent() > 0) site.run_for(milliseconds(10));
+    site.cancel(throttled.serving);
+    site.run_for(seconds(1));
+    site.workers[0].drops_throttle_responses = false;
+    site.run_for(seconds(3));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{100}, throttled.percent());
+  }
+
   // Guards against backfill that slows down serving work after each leader
   // change: the new leader does not know the throttle that is needed.
   void a_new_leader_spares_serving_work() {
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -631,7 +631,10 @@
     return;
   }
   auto response = respond(w, request, now_);
-  if (w.drops_responses || w.unreachable) {
+  bool is_lost =
+      w.drops_throttle_responses &&
+      std::holds_alternative<fleet::throttle_request>(request.request);
+  if (w.drops_responses || w.unreachable || is_lost) {
     timeouts_.emplace_back(request.id, now_ + request.timeout);
     return;
   }
--- a/test/fakes/fleet_site.h
+++ b/test/fakes/fleet_site.h
@@ -42,17 +42,18 @@
   // Injected faults.
   bool unreachable = false;      // requests and responses are lost
   bool drops_responses = false;  // carries out requests; responses are lost
-  bool is_unavailable = false;   // responds that it is unhealthy
-  bool fails_runs = false;       // every run fails soon after its start
-  time_point machine_up_at;      // end of its machine's maintenance
-  int slowdown = 1;              // factor on the duration of tasks
-  bool stalls_runs = false;      // its runs make no progress
-  milliseconds late_by{0};       // requests are carried out late; 0: never
-  milliseconds poll_delay{0};    // responses to polls are held up
-  time_point restarts_at;        // end of a crash; unset: it has not crashed
-  time_point silent_until;       // it sends no reports until then
-  time_point disturbed_at;       // by one of the faults above, at the latest
-  time_point drain_known_at;     // when its drain was recorded
+  bool drops_throttle_responses = false;  // the same, of throttle requests only
+  bool is_unavailable = false;            // responds that it is unhealthy
+  bool fails_runs = false;     // every run fails soon after its start
+  time_point machine_up_at;    // end of its machine's maintenance
+  int slowdown = 1;            // factor on the duration of tasks
+  bool stalls_runs = false;    // its runs make no progress
+  milliseconds late_by{0};     // requests are carried out late; 0: never
+  milliseconds poll_delay{0};  // responses to polls are held up
+  time_point restarts_at;      // end of a crash; unset: it has not crashed
+  time_point silent_until;     // it sends no reports until then
+  time_point disturbed_at;     // by one of the faults above, at the latest
+  time_point drain_known_at;   // when its drain was recorded
   time_point drains_until;
 
   // A start may use a former capacity until the time given.
