Commit the intention before a maintenance request is sent

That the request was sent was known only to the leader that sent it; it recorded the maintenance once the platform had responded. The next leader chose a machine anew, and another one might have become the emptier one meanwhile.

Change: the leader commits record_maintenance_request before it sends the request. A new leader counts the machines so recorded and requests their maintenance again, with its own fence: the platform confirms what has begun, carries out what has not, and rejects a late request of the earlier leader.

Ruled out: reading the platform's list of machines at the start of a leadership. It does not show a request that is carried out after the reading.

The fake platform keeps a fence for each machine, confirms maintenance that was done, and can be slow.

By reading, not run: a replica without this change cannot decode the new command, so replicas have to be updated together while a wave is open.

--- a/src/adapters/fleet_codec.cpp
+++ b/src/adapters/fleet_codec.cpp
@@ -190,6 +190,7 @@
   to.set_duration_ms(from.duration.count());
   to.set_at_once(from.max_concurrent);
   to.set_asked_at(to_ms(from.requested_at));
+  for (const auto& m : from.requested) to.add_requested(m);
   for (const auto& m : from.started) {
     auto& one = *to.add_begun();
     one.set_machine(m.machine);
@@ -203,6 +204,7 @@
                  milliseconds(from.duration_ms()),
                  from.at_once(),
                  at_ms(from.asked_at()),
+                 {from.requested().begin(), from.requested().end()},
                  {},
                  {from.ended().begin(), from.ended().end()}};
   for (const auto& m : from.begun()) {
@@ -298,6 +300,10 @@
                         [&](const add_wave& c) {
                           write(c.number, c.wave, *to.mutable_wave());
                         },
+                        [&](const record_maintenance_request& c) {
+                          to.mutable_upkeep_requested()->set_wave(c.wave);
+                          to.mutable_upkeep_requested()->set_machine(c.machine);
+                        },
                         [&](const record_maintenance& c) {
                           to.mutable_kept_up()->set_wave(c.wave);
                           to.mutable_kept_up()->set_machine(c.machine);
@@ -365,6 +371,9 @@
       return remove_worker{read(from.dropped()), read_suspects(from)};
     case fleet_command::kWave:
       return add_wave{from.wave().number(), read(from.wave())};
+    case fleet_command::kUpkeepRequested:
+      return record_maintenance_request{from.upkeep_requested().wave(),
+                                        from.upkeep_requested().machine()};
     case fleet_command::kKeptUp:
       return record_maintenance{from.kept_up().wave(), from.kept_up().machine(),
                                 from.kept_up().ended(),
--- a/src/core/fleet/command.h
+++ b/src/core/fleet/command.h
@@ -126,6 +126,13 @@
   wave_record wave;
 };
 
+/// Records that the maintenance of a machine is to be requested, so that later
+/// leaders count the machine among those under maintenance.
+struct record_maintenance_request {
+  std::uint64_t wave = 0;
+  std::string machine;
+};
+
 /// Records that a machine's maintenance has begun or ended.
 struct record_maintenance {
   std::uint64_t wave = 0;
@@ -151,7 +158,8 @@
 using command =
     std::variant<read_barrier, put_site, add_job, cancel_job, fail_job,
                  place_tasks, end_runs, put_worker, remove_worker, add_wave,
-                 record_maintenance, record_speeds, record_starts>;
+                 record_maintenance, record_speeds, record_starts,
+                 record_maintenance_request>;
 
 /// The result of a command.
 enum class command_outcome {
--- a/src/core/fleet/dispatch_maintenance.cpp
+++ b/src/core/fleet/dispatch_maintenance.cpp
@@ -30,6 +30,10 @@
   });
 }
 
+auto is_requested(const wave_record& wave, std::string_view machine) -> bool {
+  return std::ranges::find(wave.requested, machine) != wave.requested.end();
+}
+
 auto has_ended(const wave_record& wave, std::string_view machine) -> bool {
   return std::ranges::find(wave.ended, machine) != wave.ended.end();
 }
@@ -73,6 +77,7 @@
   }
   for (const auto& [number, wave] : tables.waves) {
     if (is_complete(wave)) continue;
+    inherit_requested_machines(number, wave, now);
     handle_returned_machines(number, wave, by_machine, now);
     choose_machines(number, wave, by_machine, now);
   }
@@ -86,6 +91,25 @@
   }
 }
 
+// Takes over the machines whose maintenance an earlier leader may have
+// requested without seeing a response: the maintenance may have begun, or begin
+// at any time. It is requested again, which changes nothing if it has begun.
+void dispatcher::inherit_requested_machines(std::uint64_t number,
+                                            const wave_record& wave,
+                                            clock_reading now) {
+  for (const auto& machine : wave.requested) {
+    bool is_known = has_begun(wave, machine) || has_ended(wave, machine) ||
+                    drains_.contains(machine);
+    if (is_known) continue;
+    auto& drain = drains_[machine];
+    drain.wave = number;
+    drain.since = now.steady;
+    drain.was_requested = true;
+    log_decision("upkeep_inherited",
+                 {{"machine", machine}, {"wave", std::to_string(number)}});
+  }
+}
+
 // Keeps work away from a worker. Returns its state, or null if it has none.
 auto dispatcher::mark_under_maintenance(const worker_record* record)
     -> worker_state* {
@@ -199,7 +223,9 @@
   return unavailable < spec.max_unavailable;
 }
 
-// Empties a machine, then requests its maintenance. Runs with checkpoints are
+// Empties a machine, then requests its maintenance. The request is sent once it
+// is committed that it will be, since only the leader that sends it gets the
+// response. Runs with checkpoints are
 // stopped at once, long-running tasks as their step allows, and others once the
 // drain time is over.
 void dispatcher::drain_machine(const fleet_tables& tables,
@@ -221,6 +247,12 @@
     return;
   }
   if (drain.request != 0 || drain.next_attempt_at > now.steady) return;
+  if (!is_requested(tables.waves.at(drain.wave), machine)) {
+    if (std::exchange(drain.request_proposed, true)) return;
+    propose_command(
+        record_maintenance_request{drain.wave, std::string(machine)});
+    return;
+  }
   bool responds = worker != nullptr && worker->missed_responses == 0 &&
                   worker->unavailable_until <= now.steady;
   bool is_recorded_one = worker != nullptr && is_confirmed(*worker, now);
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -153,7 +153,8 @@
     time_point next_attempt_at;
     bool in_maintenance = false;
     bool end_proposed = false;
-    bool was_requested = false;
+    bool request_proposed = false;  // to the log, before it is sent
+    bool was_requested = false;     // by this leader or an earlier one
     // The incarnation that the maintenance ends. It is uncertain after a
     // request without a response, which may have begun the maintenance.
     worker_incarnation incarnation;
@@ -306,6 +307,8 @@
   // Waves of maintenance, in dispatch_maintenance.cpp.
   using workers_by_machine = std::map<std::string_view, const worker_record*>;
   void advance_waves(const fleet_tables& tables, clock_reading now);
+  void inherit_requested_machines(std::uint64_t number, const wave_record& wave,
+                                  clock_reading now);
   void handle_returned_machines(std::uint64_t number, const wave_record& wave,
                                 const workers_by_machine& by_machine,
                                 clock_reading now);
--- a/src/core/fleet/fleet_state.cpp
+++ b/src/core/fleet/fleet_state.cpp
@@ -303,6 +303,18 @@
   return added ? command_outcome::done : command_outcome::repeated;
 }
 
+auto fleet_state::apply_one(const record_maintenance_request& command)
+    -> command_outcome {
+  auto it = tables_.waves.find(command.wave);
+  if (it == tables_.waves.end()) return command_outcome::not_found;
+  auto& requested = it->second.requested;
+  if (std::ranges::find(requested, command.machine) != requested.end()) {
+    return command_outcome::repeated;
+  }
+  requested.push_back(command.machine);
+  return command_outcome::done;
+}
+
 auto fleet_state::apply_one(const record_maintenance& command)
     -> command_outcome {
   auto it = tables_.waves.find(command.wave);
--- a/src/core/fleet/fleet_state.h
+++ b/src/core/fleet/fleet_state.h
@@ -27,6 +27,7 @@
   auto apply_one(const put_worker& command) -> command_outcome;
   auto apply_one(const remove_worker& command) -> command_outcome;
   auto apply_one(const add_wave& command) -> command_outcome;
+  auto apply_one(const record_maintenance_request& command) -> command_outcome;
   auto apply_one(const record_maintenance& command) -> command_outcome;
   auto apply_one(const record_speeds& command) -> command_outcome;
   auto apply_one(const record_starts& command) -> command_outcome;
--- a/src/core/fleet/records.h
+++ b/src/core/fleet/records.h
@@ -90,6 +90,8 @@
   milliseconds duration{0};
   std::uint32_t max_concurrent = 1;  // machines in maintenance at once
   time_point requested_at;           // wall clock
+  // Machines whose maintenance is or was to be requested, begun or not.
+  std::vector<std::string> requested;
   std::vector<maintenance_begun> started;
   std::vector<std::string> ended;
 };
--- a/test/contracts_test.cpp
+++ b/test/contracts_test.cpp
@@ -1,4 +1,5 @@
 #include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
 
 #include <algorithm>
 
@@ -96,6 +97,9 @@
   CPPUNIT_TEST(a_wave_ends_in_time_on_a_busy_site);
   CPPUNIT_TEST(a_wave_respects_max_unavailable);
   CPPUNIT_TEST(a_wave_continues_under_new_leaders);
+  CPPUNIT_TEST(a_new_leader_counts_maintenance_without_a_response);
+  CPPUNIT_TEST(a_new_leader_counts_maintenance_that_begins_late);
+  CPPUNIT_TEST(a_wave_keeps_its_limit_under_random_leader_changes);
   CPPUNIT_TEST(a_wave_skips_machines_that_do_not_exist);
   CPPUNIT_TEST(a_worker_is_used_after_its_maintenance_was_rejected);
   CPPUNIT_TEST(backfill_is_throttled_beside_serving_work);
@@ -205,6 +209,80 @@
     assert_clean(site);
   }
 
+  // Guards against more machines under maintenance than a wave allows: the
+  // leader changes while the platform has begun one and not yet responded. The
+  // next leader would choose another one, which has become the emptier one.
+  void a_new_leader_counts_maintenance_without_a_response() {
+    check_limit_after_leader_change(milliseconds(0), seconds(1));
+  }
+
+  // Guards against the same as
+  // a_new_leader_counts_maintenance_without_a_response(), where the platform
+  // carries out the request only after the change.
+  void a_new_leader_counts_maintenance_that_begins_late() {
+    check_limit_after_leader_change(milliseconds(700), milliseconds(0));
+  }
+
+  static void check_limit_after_leader_change(milliseconds request_delay,
+                                              milliseconds response_delay) {
+    fleet_site site(3, 1);
+    site.task_duration = milliseconds(300);
+    for (const auto* label : {"r0", "r0", "r1"}) {
+      auto step = make_step(1, 1);
+      step.label = label;
+      site.submit("q1", step);
+    }
+    site.run_for(milliseconds(100));
+    site.machine_request_delay = request_delay;
+    site.machine_response_delay = response_delay;
+    site.start_wave(1, {0, 1}, 1, seconds(30));
+    site.run_for(milliseconds(600));
+    site.replace_leader();
+    site.run_for(milliseconds(1500));
+    assert_clean(site);
+    site.machine_request_delay = site.machine_response_delay = {};
+    site.run_for(seconds(20));
+    CPPUNIT_ASSERT(is_complete(site.wave(1)));
+    assert_clean(site);
+  }
+
+  void a_wave_keeps_its_limit_under_random_leader_changes() {
+    bool passed = rc::check([] {
+      fleet_site site(6, 2);
+      site.task_duration = milliseconds(*rc::gen::inRange(100, 2000));
+      auto limit = *rc::gen::inRange<std::uint32_t>(1, 3);
+      site.start_wave(1, {0, 1, 2, 3, 4}, limit, seconds(60));
+      for (int round = 0; round < 30; ++round) {
+        switch (*rc::gen::inRange(0, 5)) {
+          case 0:
+            site.replace_leader();
+            break;
+          case 1:
+            site.restart_leadership();
+            break;
+          case 2:
+            site.machine_request_delay =
+                milliseconds(*rc::gen::inRange(0, 3) * 400);
+            break;
+          case 3:
+            site.machine_response_delay =
+                milliseconds(*rc::gen::inRange(0, 3) * 400);
+            break;
+          default:
+            site.submit("q1", make_step(2, 2));
+        }
+        site.run_for(milliseconds(*rc::gen::inRange(10, 800)));
+      }
+      site.machine_request_delay = site.machine_response_delay = {};
+      site.run_for(seconds(60));
+      for (const auto& line : site.history) RC_LOG() << line << "\n";
+      RC_LOG() << site.violation_text();
+      RC_ASSERT(site.violations.empty());
+      RC_ASSERT(is_complete(site.wave(1)));
+    });
+    CPPUNIT_ASSERT(passed);
+  }
+
   void a_wave_skips_machines_that_do_not_exist() {
     fleet_site site(2);
     site.start_wave(1, {17, 0, 18}, 1, seconds(30));
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -167,6 +167,7 @@
   wave.max_concurrent = max_concurrent_ = max_concurrent;
   wave.duration = duration;
   wave.requested_at = now_;
+  maintained_.clear();
   apply(fleet::add_wave{number, wave}, 0);
 }
 
@@ -211,6 +212,8 @@
 
 void fleet_site::restart_leadership() {
   led_since_ = now_;
+  ++leaderships_;
+  machine_responses_.clear();
   polls_.clear();
   late_responses_.clear();
   timeouts_.clear();
@@ -447,6 +450,7 @@
         deliver(id, fleet::worker_no_response{});
       }
     }
+    advance_machine_requests();
     for (auto& late : std::exchange(late_requests_, {})) {
       if (now_ < late.at) {
         late_requests_.push_back(std::move(late));
@@ -549,18 +553,50 @@
 }
 
 void fleet_site::handle(const fleet::send_machine_request& request) {
-  const auto* maintenance =
-      std::get_if<fleet::begin_maintenance>(&request.request);
-  fleet::machine_response response;
-  if (maintenance != nullptr) {
-    response = begin_maintenance(*maintenance);
-  } else {
-    response = list_machines();
+  if (machine_request_delay.count() > 0) {
+    machine_requests_.push_back(
+        {request, now_ + machine_request_delay, leaderships_});
+    return;
+  }
+  auto response = respond(request);
+  if (machine_response_delay.count() > 0) {
+    machine_responses_.push_back(
+        {request.id, response, now_ + machine_response_delay});
+    return;
   }
   execute(dispatcher_.handle_machine_response(state_.tables(), request.id,
                                               response, clock()));
 }
 
+void fleet_site::advance_machine_requests() {
+  for (auto& pending : std::exchange(machine_requests_, {})) {
+    if (now_ < pending.at) {
+      machine_requests_.push_back(std::move(pending));
+      continue;
+    }
+    auto response = respond(pending.request);
+    if (pending.leadership != leaderships_) continue;  // its sender is gone
+    machine_responses_.push_back(
+        {pending.request.id, response, now_ + machine_response_delay});
+  }
+  for (auto& pending : std::exchange(machine_responses_, {})) {
+    if (now_ < pending.at) {
+      machine_responses_.push_back(std::move(pending));
+    } else {
+      execute(dispatcher_.handle_machine_response(state_.tables(), pending.id,
+                                                  pending.response, clock()));
+    }
+  }
+}
+
+auto fleet_site::respond(const fleet::send_machine_request& request)
+    -> fleet::machine_response {
+  const auto* maintenance =
+      std::get_if<fleet::begin_maintenance>(&request.request);
+  if (maintenance == nullptr) return list_machines();
+  return begin_maintenance(*maintenance, request.fence);
+}
+
 auto fleet_site::list_machines() const -> fleet::machine_list {
   fleet::machine_list list;
   for (const auto& w : workers) {
@@ -574,7 +610,8 @@
   return list;
 }
 
-auto fleet_site::begin_maintenance(const fleet::begin_maintenance& request)
+auto fleet_site::begin_maintenance(const fleet::begin_maintenance& request,
+                                   std::uint64_t fence)
     -> fleet::machine_response {
   auto it = std::ranges::find_if(workers, [&](const fake_worker& w) {
     return w.record.machine == request.machine;
@@ -582,11 +619,18 @@
   if (it == workers.end()) {
     return fleet::machine_rejected{fleet::machine_rejection::unknown};
   }
+  auto& highest_fence = machine_fences_[request.machine];
+  if (fence < highest_fence) {
+    return fleet::machine_rejected{fleet::machine_rejection::fence};
+  }
+  highest_fence = fence;
+  if (maintained_.contains(request.machine)) return fleet::machine_accepted{};
   if (it->restarts_at != time_point{}) {
     return fleet::machine_rejected{fleet::machine_rejection::busy};
   }
   if (maintenance_rejection)
     return fleet::machine_rejected{*maintenance_rejection};
+  maintained_.insert(request.machine);
   under_maintenance_.insert(request.machine);
   if (under_maintenance_.size() > max_concurrent_)
     violations.insert("too many machines under maintenance");
--- a/test/fakes/fleet_site.h
+++ b/test/fakes/fleet_site.h
@@ -166,6 +166,10 @@
 
   std::vector<fake_worker> workers;
   std::optional<fleet::machine_rejection> maintenance_rejection;
+  // Of the platform of the machines: how long after a request it is carried
+  // out, and how long after that its response arrives.
+  milliseconds machine_request_delay{0};
+  milliseconds machine_response_delay{0};
   int advice_calls = 0;
   std::set<std::string> advised_workers;  // that were asked about
   // A serving task's response time by the sum of the throttles, in per cent, of
@@ -201,9 +205,12 @@
   void handle(const fleet::send_worker_request& request);
   void handle(const fleet::ask_advice& ask);
   void handle(const fleet::send_machine_request& request);
-  auto list_machines() const -> fleet::machine_list;
-  auto begin_maintenance(const fleet::begin_maintenance& request)
+  void advance_machine_requests();
+  auto respond(const fleet::send_machine_request& request)
       -> fleet::machine_response;
+  auto list_machines() const -> fleet::machine_list;
+  auto begin_maintenance(const fleet::begin_maintenance& request,
+                         std::uint64_t fence) -> fleet::machine_response;
   auto load_of(const fake_worker& worker, const fleet::task_ref& task) const
       -> std::int64_t;
   auto respond(fake_worker& worker, const fleet::send_worker_request& request,
@@ -254,6 +261,20 @@
     time_point at;
   };
 
+  /// A request to the platform of the machines that is yet to be carried out.
+  struct pending_machine_request {
+    fleet::send_machine_request request;
+    time_point at;
+    std::uint64_t leadership;  // that sent it
+  };
+
+  /// A response of the platform of the machines on its way to the leader.
+  struct pending_machine_response {
+    std::uint64_t id;
+    fleet::machine_response response;
+    time_point at;
+  };
+
   /// The response to a poll that is held up on its way to the leader.
   struct late_response {
     std::uint64_t id;
@@ -272,6 +293,11 @@
   std::set<std::string> allowed_;
   std::map<std::string, time_point> tickets_;  // expiry by ticket
   std::set<std::string> under_maintenance_;
+  std::set<std::string> maintained_;  // by the wave
+  std::map<std::string, std::uint64_t> machine_fences_;
+  std::vector<pending_machine_request> machine_requests_;
+  std::vector<pending_machine_response> machine_responses_;
+  std::uint64_t leaderships_ = 0;
   std::uint32_t max_concurrent_ = 0;
   std::vector<std::pair<std::uint64_t, time_point>> timeouts_;
   std::vector<std::pair<fleet::command, std::uint64_t>> delayed_commands_;
--- a/test/fleet_units_test.cpp
+++ b/test/fleet_units_test.cpp
@@ -394,7 +394,8 @@
         end_runs{
             {{{{0xfeed}, 0, 0, 0}, 1, w.incarnation, run_end::done, "snap"}},
             at_ms(7)},
-        add_wave{4, {{"m1"}, milliseconds(9), 1, at_ms(8), {}, {}}},
+        add_wave{4, {{"m1"}, milliseconds(9), 1, at_ms(8), {}, {}, {}}},
+        record_maintenance_request{4, "m1"},
         record_maintenance{4, "m1", true},
         cancel_job{{0xfeed}, at_ms(9)},
         fail_job{{0xfeed}, "why", at_ms(9)},
