Keep a task of a step while another one is on a silent worker

Cause: a task counted as at work if its worker had last listed it so, however long ago that was. A worker that crashes behind a partition goes on counting until its lease is over, nine seconds later.

Change: a task counts as at work only while its worker responds and is healthy. A poll that gets no response shows that within its wait and timeout, 2.3 s, well below the notice time of 4.5 s.

Other places that end a task of such a step were looked through: a drain may (the rule leaves draining workers out), reclaiming and stalls leave long-running tasks alone.

Tests, red before (0 tasks in place of 1) and green now: contracts_test::a_wave_keeps_the_task_beside_one_on_a_silent_worker, a_wave_keeps_the_task_beside_one_on_an_unhealthy_worker.

--- a/src/core/fleet/dispatch_maintenance.cpp
+++ b/src/core/fleet/dispatch_maintenance.cpp
@@ -215,19 +215,27 @@
   for (std::uint32_t i = 0; i < spec.tasks; ++i) {
     if (i == task.index) continue;
     auto run = runs_.find({task.job, task.occurrence, task.step, i});
-    bool is_ready = run != runs_.end() &&
-                    run->second.phase == run_phase::started &&
-                    run->second.percent >= ready_percent;
-    if (!is_ready) ++unavailable;
+    bool is_available = run != runs_.end() && is_at_work(run->second);
+    if (!is_available) ++unavailable;
   }
   return unavailable < spec.max_unavailable;
 }
 
-// Empties a machine, then requests its maintenance. The request is sent once it
-// is committed that it will be, since only the leader that sends it gets the
-// response. Runs with checkpoints are
+// Whether a long-running task has finished its start and its worker responds.
+// The task of a worker that does not, or is unhealthy, may have ended.
+auto dispatcher::is_at_work(const tracked_run& run) const -> bool {
+  auto worker = workers_.find(run.worker.name);
+  bool responds =
+      worker != workers_.end() && worker->second.incarnation == run.worker &&
+      worker->second.missed_responses == 0 && !worker->second.is_unhealthy;
+  return responds && run.phase == run_phase::started &&
+         run.percent >= ready_percent;
+}
+
+// Empties a machine, then requests its maintenance. Runs with checkpoints are
 // stopped at once, long-running tasks as their step allows, and others once the
-// drain time is over.
+// drain time is over. The request is sent once the intention is committed: if
+// the leader changes before the response, the next one has to know of it.
 void dispatcher::drain_machine(const fleet_tables& tables,
                                std::string_view machine, machine_drain& drain,
                                const worker_record* record,
--- a/src/core/fleet/dispatch_responses.cpp
+++ b/src/core/fleet/dispatch_responses.cpp
@@ -83,6 +83,7 @@
   auto& worker = workers_[pending.worker.name];
   worker.clock.sample(response.clock_ms, now.steady);
   worker.missed_responses = 0;
+  worker.is_unhealthy = false;
   worker.responded_at = now.steady;
   auto* run = find_requested_run(pending.request);
   if (run == nullptr) return;
@@ -110,6 +111,7 @@
   auto& worker = workers_[pending.worker.name];
   worker.clock.sample(response.clock_ms, now.steady);
   worker.missed_responses = 0;
+  worker.is_unhealthy = false;
   worker.responded_at = now.steady;
   // The response itself may have been in flight for the poll's whole timeout.
   worker.confirmed_at = std::max(worker.confirmed_at, pending.sent_at);
@@ -306,6 +308,7 @@
   if (response.clock_ms != 0)
     worker.clock.sample(response.clock_ms, now.steady);
   worker.missed_responses = 0;
+  worker.is_unhealthy = false;
   worker.responded_at = now.steady;
   auto* run = find_requested_run(pending.request);
   if (std::holds_alternative<poll_request>(pending.request)) {
@@ -371,6 +374,7 @@
                         const worker_unavailable&, clock_reading now) {
   auto& worker = workers_[pending.worker.name];
   worker.responded_at = now.steady;
+  worker.is_unhealthy = true;
   worker.next_poll = worker.unavailable_until =
       now.steady + unhealthy_retry_delay;
   if (std::holds_alternative<poll_request>(pending.request)) {
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -320,6 +320,7 @@
   auto mark_under_maintenance(const worker_record* record) -> worker_state*;
   auto can_stop_for_maintenance(const fleet_tables& tables,
                                 const task_ref& task) const -> bool;
+  auto is_at_work(const tracked_run& run) const -> bool;
   void end_maintenance(std::string_view machine, machine_drain& drain,
                        std::string_view reason);
   void handle_maintenance_rejection(std::string_view machine,
--- a/src/core/fleet/worker_state.h
+++ b/src/core/fleet/worker_state.h
@@ -27,6 +27,7 @@
   time_point confirmed_at;  // this incarnation was running then or later
   std::uint32_t missed_responses = 0;  // consecutive requests
   time_point unavailable_until;        // it rejected a request as unhealthy
+  bool is_unhealthy = false;           // as of its last response
   std::uint64_t acknowledged = 0;      // highest committed end
   std::uint64_t confirmed_end = 0;     // highest end acknowledged to the worker
   std::uint64_t uncommitted_end = 0;   // highest end of `uncommitted`
--- a/test/contracts_test.cpp
+++ b/test/contracts_test.cpp
@@ -96,6 +96,8 @@
   CPPUNIT_TEST(a_wave_respects_max_concurrent);
   CPPUNIT_TEST(a_wave_ends_in_time_on_a_busy_site);
   CPPUNIT_TEST(a_wave_respects_max_unavailable);
+  CPPUNIT_TEST(a_wave_keeps_the_task_beside_one_on_a_silent_worker);
+  CPPUNIT_TEST(a_wave_keeps_the_task_beside_one_on_an_unhealthy_worker);
   CPPUNIT_TEST(a_wave_continues_under_new_leaders);
   CPPUNIT_TEST(a_new_leader_counts_maintenance_without_a_response);
   CPPUNIT_TEST(a_new_leader_counts_maintenance_that_begins_late);
@@ -197,6 +199,49 @@
     assert_clean(site);
   }
 
+  // Guards against the stop of a step's only task that is at work: the other
+  // one counted as at work while its worker was out of reach.
+  void a_wave_keeps_the_task_beside_one_on_a_silent_worker() {
+    check_task_is_kept(
+        [](fakes::fake_worker& worker) { worker.unreachable = true; });
+  }
+
+  // Guards against the same as
+  // a_wave_keeps_the_task_beside_one_on_a_silent_worker(), where the worker
+  // responds that it is unhealthy.
+  void a_wave_keeps_the_task_beside_one_on_an_unhealthy_worker() {
+    check_task_is_kept(
+        [](fakes::fake_worker& worker) { worker.is_unavailable = true; });
+  }
+
+  static void check_task_is_kept(
+      const std::function<void(fakes::fake_worker&)>& disturb) {
+    fleet_site site(3, 1);
+    auto step = long_running(2, 1);
+    step.max_per_worker = 1;
+    auto id = site.submit("q1", step);
+    site.run_for(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(2, site.running(id));
+    std::vector<int> used;
+    for (int i = 0; i < 3; ++i) {
+      if (!site.workers[static_cast<std::size_t>(i)].running.empty())
+        used.push_back(i);
+    }
+    disturb(site.workers[static_cast<std::size_t>(used[0])]);
+    site.run_for(milliseconds(4500));
+    const auto& other = site.workers[static_cast<std::size_t>(used[1])];
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other.running.size());
+    site.start_wave(1, {used[1]}, 1, seconds(60));
+    site.run_for(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other.running.size());
+    auto& silent = site.workers[static_cast<std::size_t>(used[0])];
+    silent.unreachable = silent.is_unavailable = false;
+    site.run_for(seconds(20));
+    CPPUNIT_ASSERT(is_complete(site.wave(1)));
+    CPPUNIT_ASSERT_EQUAL(2, site.running(id));
+    assert_clean(site);
+  }
+
   void a_wave_continues_under_new_leaders() {
     fleet_site site(4);
     site.start_wave(1, {0, 1, 2, 3}, 1, seconds(30));
