Replicate the operator's drains of workers

Operators would see: a worker that was drained with parsleyctl, and confirmed as such, is back in service after the next change of the leader, and gets gangs while it is being repaired.

The leader kept drains in memory and confirmed them at once; the next one had none.

Tests: system_test::a_drained_worker_stays_drained_under_the_next_leader with real processes, red before (not draining within 10 s of the new leader) and green now; state_test::drains_outlive_a_snapshot_and_the_log.

By reading, not run: a replica without this change cannot decode the new command.

--- a/src/adapters/codec.cpp
+++ b/src/adapters/codec.cpp
@@ -237,6 +237,11 @@
   to.set_owner(from.owner);
 }
 
+static void write_body(const drain_worker& from, wire::command& command) {
+  command.mutable_drain()->set_name(from.worker);
+  command.mutable_drain()->set_draining(from.draining);
+}
+
 static auto read_body(const wire::put_file& from) -> put_file {
   return {from.name(),      from.body(),   {from.base()},
           from.change_id(), from.digest(), at_ms(from.at())};
@@ -411,6 +416,8 @@
                           at_ms(from.finish().at())};
     case kind::kReserve:
       return read_body(from.reserve());
+    case kind::kDrain:
+      return drain_worker{from.drain().name(), from.drain().draining()};
     case kind::kDrop:
       return release_key{read(from.drop().name()), from.drop().owner()};
     case kind::WHAT_NOT_SET:
@@ -603,6 +610,9 @@
       failure.set_at(to_ms(f.at));
     }
   }
+  for (const auto& worker : tables.draining_workers) {
+    to.add_draining_workers(worker);
+  }
   for (const auto& [customer, history] : tables.histories) {
     auto& row = *to.add_histories();
     row.set_customer(customer);
@@ -645,6 +655,8 @@
       failures.push_back({{f.job()}, at_ms(f.at())});
     }
   }
+  tables.draining_workers = {from.draining_workers().begin(),
+                             from.draining_workers().end()};
   for (const auto& row : from.histories()) {
     tables.histories[row.customer()].ratios =
         to_container<std::vector<std::uint32_t>>(row.ratios());
--- a/src/adapters/control_node.cpp
+++ b/src/adapters/control_node.cpp
@@ -140,18 +140,10 @@
     case wire::call::kMembers:
       handle_members(from, call);
       return;
-    case wire::call::kDrain: {
-      {
-        ranked_lock lock(workers_mutex_);
-        tracker_.set_draining(call.drain().name(), call.drain().draining());
-      }
-      wire::call_reply reply;
-      reply.set_id(call.id());
-      reply.set_noted(true);
-      send_reply(from, std::move(reply));
-      schedule_round();
+    case wire::call::kDrain:
+      handle_change(from, call.id(),
+                    drain_worker{call.drain().name(), call.drain().draining()});
       return;
-    }
     case wire::call::kFleet:  // served by parsleyledge-fleet-control
     case wire::call::WHAT_NOT_SET:
       return;
@@ -222,6 +214,7 @@
                  [](const claim_key&) -> none { return {}; },
                  [](const complete_key&) -> none { return {}; },
                  [](const release_key&) -> none { return {}; },
+                 [](const drain_worker&) -> none { return {}; },
                  [](const auto&) -> none {
                    return problem{400, "Bad request",
                                   "only the leader may issue this command",
@@ -567,7 +560,8 @@
     jobs.reserve(s.active_jobs().size());
     for (auto id : s.active_jobs()) jobs.push_back(s.find_job(id));
     ranked_lock lock(workers_mutex_);
-    tracker_.update_conditions(s.tables().failures, config->policy, now, wall);
+    tracker_.update_conditions(s.tables().failures, s.tables().draining_workers,
+                               config->policy, now, wall);
     if (tracker_.workers().empty()) return schedule{};
     return schedule_jobs(settings_.placement,
                          {tracker_.workers(), jobs, s.tables().homes,
--- a/src/core/jobs/gang_tracker.cpp
+++ b/src/core/jobs/gang_tracker.cpp
@@ -145,16 +145,16 @@
 }
 
 auto gang_tracker::update_conditions(const failure_table& failures,
+                                     const drained_workers& draining,
                                      const policy_config& policy,
                                      time_point now, time_point wall) -> bool {
   bool changed = false;
   for (auto& w : workers_) {
     auto condition = worker_condition::ready;
     auto failed = failures.find(w.name);
-    auto drained = draining_.find(w.name);
     if (now - contacts_[w.name].received_at > timing_.ttl) {
       condition = worker_condition::lost;
-    } else if (drained != draining_.end() && drained->second) {
+    } else if (draining.contains(w.name)) {
       condition = worker_condition::draining;
     } else if (failed != failures.end() &&
                is_quarantined(failed->second, policy, wall)) {
@@ -192,10 +192,6 @@
   return roster;
 }
 
-void gang_tracker::set_draining(std::string_view name, bool draining) {
-  draining_[std::string(name)] = draining;
-}
-
 auto gang_tracker::find_or_add_gang(const job_record& job, time_point now)
     -> gang& {
   auto [it, inserted] = gangs_.try_emplace({job.id, job.attempt});
--- a/src/core/jobs/gang_tracker.h
+++ b/src/core/jobs/gang_tracker.h
@@ -67,16 +67,14 @@
                     const site_config& site, time_point now, time_point wall)
       -> std::vector<gang_action>;
 
-  /// Sets each worker's condition from the time of its last message, the
-  /// operator's drains and its recorded failures. Returns whether any changed.
+  /// Sets each worker's condition from the time of its last message, whether
+  /// the operator drains it and its recorded failures. Returns whether any
+  /// changed.
   auto update_conditions(const failure_table& failures,
+                         const drained_workers& draining,
                          const policy_config& policy, time_point now,
                          time_point wall) -> bool;
 
-  /// Excludes a worker from new work, or admits it again. Takes effect at the
-  /// next `update_conditions`.
-  void set_draining(std::string_view name, bool draining);
-
   /// All known workers, sorted by name.
   auto workers() const -> std::span<const worker> { return workers_; }
 
@@ -146,7 +144,6 @@
   time_point leader_since_;
   std::vector<worker> workers_;  // sorted by name
   std::map<std::string, contact, std::less<>> contacts_;
-  std::map<std::string, bool, std::less<>> draining_;
   std::map<gang_key, gang> gangs_;
 };
 
--- a/src/core/jobs/worker.h
+++ b/src/core/jobs/worker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <string>
 
 namespace parsleyledge {
@@ -29,6 +30,9 @@
   auto operator==(const worker&) const -> bool = default;
 };
 
+/// Names of the workers that the operator drains.
+using drained_workers = std::set<std::string, std::less<>>;
+
 /// The mask of all accelerators of a worker: bit i is accelerator i.
 constexpr auto full_mask(std::uint32_t accelerators) -> std::uint64_t {
   return accelerators >= 64 ? ~std::uint64_t{0}
--- a/src/core/state/command.h
+++ b/src/core/state/command.h
@@ -154,11 +154,17 @@
   std::string owner;
 };
 
+/// Excludes a worker from new work, or admits it again.
+struct drain_worker {
+  std::string worker;
+  bool draining = false;
+};
+
 /// An entry of the replicated log.
 using command =
     std::variant<put_file, delete_file, submit_job, cancel_jobs, place_job,
                  reserve_cells, start_job, checkpoint_job, end_attempt,
                  reject_job, release_workers, set_homes, claim_key,
-                 complete_key, release_key>;
+                 complete_key, release_key, drain_worker>;
 
 }  // namespace parsleyledge
--- a/src/core/state/replicated_state.cpp
+++ b/src/core/state/replicated_state.cpp
@@ -343,6 +343,15 @@
   update_active(job);
 }
 
+auto replicated_state::apply_one(const drain_worker& cmd) -> command_result {
+  if (cmd.draining) {
+    tables_.draining_workers.insert(cmd.worker);
+  } else {
+    tables_.draining_workers.erase(cmd.worker);
+  }
+  return command_done{};
+}
+
 void replicated_state::record_failure(const end_attempt& cmd) {
   auto& job = tables_.jobs.at(cmd.job);
   if (cmd.worker.empty()) return;
--- a/src/core/state/replicated_state.h
+++ b/src/core/state/replicated_state.h
@@ -57,6 +57,7 @@
   auto apply_one(const claim_key& cmd) -> command_result;
   auto apply_one(const complete_key& cmd) -> command_result;
   auto apply_one(const release_key& cmd) -> command_result;
+  auto apply_one(const drain_worker& cmd) -> command_result;
 
   auto accept_change(std::string_view id, std::uint64_t digest,
                      std::string_view file, time_point at) -> command_result;
--- a/src/core/state/state_tables.h
+++ b/src/core/state/state_tables.h
@@ -8,6 +8,7 @@
 #include "core/config/config_version.h"
 #include "core/jobs/estimate.h"
 #include "core/jobs/job.h"
+#include "core/jobs/worker.h"
 #include "core/jobs/worker_failure.h"
 #include "core/state/command.h"
 #include "core/state/idempotency_key.h"
@@ -34,7 +35,8 @@
   std::map<job_id, job_record> jobs;
   std::deque<job_id> ended;  // ended jobs, oldest first
   std::map<guarantee_slot, std::vector<assignment>> homes;
-  failure_table failures;                             // by worker
+  failure_table failures;  // by worker
+  drained_workers draining_workers;
   std::map<std::string, run_time_history> histories;  // by customer
   std::map<key_name, key_record> keys;
   std::deque<key_name> key_order;  // by time of the claim, oldest first
--- a/test/state_test.cpp
+++ b/test/state_test.cpp
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(a_release_without_a_claim_is_erased_with_old_keys);
   CPPUNIT_TEST(large_responses_are_not_stored);
   CPPUNIT_TEST(a_failing_job_does_not_count_against_workers);
+  CPPUNIT_TEST(drains_outlive_a_snapshot_and_the_log);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -206,6 +207,21 @@
     }
   }
 
+  // Guards against a drained worker that is back in service once a replica has
+  // restarted from its disk.
+  void drains_outlive_a_snapshot_and_the_log() {
+    replicated_state state;
+    for (const auto& change :
+         {drain_worker{"w1", true}, drain_worker{"w2", true},
+          drain_worker{"w1", false}}) {
+      auto decoded = decode_command(encode(command(change)));
+      CPPUNIT_ASSERT(decoded.has_value());
+      CPPUNIT_ASSERT(is<command_done>(state.apply(*decoded, {})));
+    }
+    replicated_state restored(*decode_state(encode(state.tables())));
+    CPPUNIT_ASSERT(restored.tables().draining_workers == drained_workers{"w2"});
+  }
+
   void a_snapshot_keeps_released_keys() {
     for (bool claimed : {false, true}) {
       replicated_state state;
--- a/test/system_test.cpp
+++ b/test/system_test.cpp
@@ -95,6 +95,7 @@
   CPPUNIT_TEST(preserves_acknowledged_changes);
   CPPUNIT_TEST(a_paused_leader_reverts_no_change);
   CPPUNIT_TEST(a_leader_that_was_not_removed_can_lead_again);
+  CPPUNIT_TEST(a_drained_worker_stays_drained_under_the_next_leader);
   CPPUNIT_TEST(an_isolated_entry_rejects_requests);
   CPPUNIT_TEST(a_draining_endpoint_gets_no_requests);
   CPPUNIT_TEST(a_graceful_shutdown_aborts_no_request);
@@ -487,6 +488,35 @@
     }));
   }
 
+  // Guards against work on a worker that an operator has drained: only the
+  // leader knew of the drain, and the next one put the worker back into
+  // service.
+  void a_drained_worker_stays_drained_under_the_next_leader() {
+    process_site site(20500);
+    site.start_all();
+    site.configure(site_file);
+    site.start_worker(1, {"--accelerators", "4"});
+    CPPUNIT_ASSERT(eventually([&] { return known_workers(site) == 1; }));
+    auto is_drained = [&] {
+      auto workers = site.get(1, "/v1/workers");
+      return workers.status == 200 && contains(workers.body, "draining");
+    };
+    http_request drain;
+    drain.method = "PUT";
+    drain.target = "/v1/drains/worker-1";
+    CPPUNIT_ASSERT_EQUAL(200, site.call(1, drain).status);
+    CPPUNIT_ASSERT(eventually(is_drained));
+    int killed = kill_leader(site);
+    CPPUNIT_ASSERT(eventually([&] {
+      auto next = site.leader();
+      return next != 0 && next != killed && known_workers(site) == 1;
+    }));
+    CPPUNIT_ASSERT(eventually(is_drained, std::chrono::seconds(10)));
+    drain.method = "DELETE";
+    CPPUNIT_ASSERT_EQUAL(200, site.call(1, drain).status);
+    CPPUNIT_ASSERT(eventually([&] { return !is_drained(); }));
+  }
+
   // Guards against a group without a leader: a replica that transferred its
   // leadership, because the operator asked to remove it, never stood for
   // election again, although it is still a member.
