Show that clients outside the limits exceed the memory of a process

Cause: nothing bounds what a connection may send or leave unread: the limits in the code are 8 MB a request and 4,096 connections, whatever the configuration and the settings say, and trailers and chunk extensions have no limit at all.

--- a/test/fakes/process_site.cpp
+++ b/test/fakes/process_site.cpp
@@ -158,25 +158,73 @@
   auto settings_path = folder_ + "/" + name + ".conf";
   auto peer_port = first_port_ + 1;
   auto data_centre = fleet_data_centres_.try_emplace(number, number);
-  std::string seeds;
-  for (auto seed : fleet_seeds_) {
-    if (!seeds.empty()) seeds += ',';
-    seeds += fleet_control_address(seed);
-  }
   std::ofstream(settings_path)
       << "node=" << name << "\nip=" << fleet_ip(number) << "\nzone=dc"
       << data_centre.first->second
       << "\nlisten.control=" << fleet_control_address(number)
       << "\ndataDir=" << folder_ << "/" << name << ".data"
-      << "\nportRange=" << peer_port << "," << peer_port << "\nseeds=" << seeds
+      << "\nportRange=" << peer_port << "," << peer_port
+      << "\nseeds=" << fleet_seed_addresses()
       << "\nbootstrap=" << (first_start ? "true" : "false")
       << "\ntolerate.machines=" << tolerated_machines_
-      << "\nbounds.catchupS=4\n";
+      << "\nbounds.catchupS=4\n"
+      << fleet_limits_;
   launch(name, "parsleyledge-fleet-control",
          {"--node_file", settings_path, "--metrics_port",
           std::to_string(first_port_ + 3)});
 }
 
+void process_site::start_connected_fleet_entry(int number) {
+  auto name = "fleet-entry-" + std::to_string(number);
+  auto settings_path = folder_ + "/" + name + ".conf";
+  auto peer_port = first_port_ + 1;
+  std::ofstream(settings_path)
+      << "node=" << name
+      << "\nip=127.0.0.1\nlisten.front=" << address(entry_port(number))
+      << "\nlisten.readyAddr=" << address(first_port_ + 80 + number)
+      << "\nportRange=" << peer_port << "," << peer_port
+      << "\nseeds=" << fleet_seed_addresses() << "\n"
+      << fleet_limits_;
+  launch(name, "parsleyledge-fleet-entry",
+         {"--node_file", settings_path, "--metrics_port",
+          std::to_string(first_port_ + 90 + number)});
+}
+
+void process_site::set_fleet_limits(int memory_mb, int descriptors) {
+  fleet_limits_ = "limits.memoryMb=" + std::to_string(memory_mb) +
+                  "\nlimits.maxFds=" + std::to_string(descriptors) + "\n";
+}
+
+auto process_site::fleet_seed_addresses() const -> std::string {
+  std::string seeds;
+  for (auto seed : fleet_seeds_) {
+    if (!seeds.empty()) seeds += ',';
+    seeds += fleet_control_address(seed);
+  }
+  return seeds;
+}
+
+auto process_site::peak_memory_kb(std::string_view name) const -> long {
+  constexpr std::string_view key = "VmHWM:";
+  auto pid = pids_.find(name);
+  if (pid == pids_.end()) return 0;
+  std::ifstream status("/proc/" + std::to_string(pid->second) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(key))
+      return std::strtol(line.c_str() + key.size(), nullptr, 10);
+  }
+  return 0;
+}
+
+auto process_site::open_descriptors(std::string_view name) const -> long {
+  auto pid = pids_.find(name);
+  if (pid == pids_.end()) return 0;
+  std::error_code ec;
+  std::filesystem::directory_iterator open(
+      "/proc/" + std::to_string(pid->second) + "/fd", ec);
+  return ec ? 0 : std::distance(begin(open), end(open));
+}
+
 void process_site::erase_fleet_data(int number) {
   std::filesystem::remove_all(folder_ + "/fleet-control-" +
                               std::to_string(number) + ".data");
--- a/test/fakes/process_site.h
+++ b/test/fakes/process_site.h
@@ -43,6 +43,13 @@
   /// centre of its own unless `set_fleet_data_centre` says otherwise.
   void start_fleet_control(int number, bool first_start);
   void erase_fleet_data(int number);
+
+  /// Starts an entry of the fleet that uses the control processes of the seeds.
+  void start_connected_fleet_entry(int number);
+
+  /// The memory and the descriptors that the settings of the fleet's processes
+  /// grant at their next start; by default the settings name none.
+  void set_fleet_limits(int memory_mb, int descriptors);
   void set_fleet_data_centre(int number, int data_centre);
 
   /// How many machines of the fleet may be lost at the same time; 1 by default.
@@ -95,6 +102,15 @@
   /// Whether a process has been started and has not ended.
   auto is_running(std::string_view name) -> bool;
 
+  /// The peak resident memory of a running process in kilobytes; 0 if unknown.
+  auto peak_memory_kb(std::string_view name) const -> long;
+
+  /// The number of descriptors that a running process has open.
+  auto open_descriptors(std::string_view name) const -> long;
+
+  /// The address for workers and operators of a fleet's control process.
+  auto fleet_control_address(int number) const -> std::string;
+
   /// Copies what all processes have printed and logged to a folder.
   void copy_logs(std::string_view folder) const;
 
@@ -145,7 +161,7 @@
               std::vector<std::string> flags);
   auto address(int port) const -> std::string;
   auto fleet_ip(int number) const -> std::string;
-  auto fleet_control_address(int number) const -> std::string;
+  auto fleet_seed_addresses() const -> std::string;
   auto fleet_metrics_address(int number) const -> std::string;
   auto exchange(std::string_view address, http_request request,
                 std::chrono::milliseconds timeout = std::chrono::seconds(15))
@@ -158,6 +174,7 @@
   std::map<int, int> fleet_data_centres_;
   std::vector<int> fleet_seeds_{1, 2, 3};
   int tolerated_machines_ = 1;
+  std::string fleet_limits_;  // lines of the settings
   boost::asio::thread_pool pool_;
   http_client client_;
 };
