Evacuate data centres on an operator's order

Change: the order is a replicated command. The leader places and starts nothing in an evacuated data centre, moves long-running tasks as their step allows and long work with checkpoints where there is capacity, and reports what stays and why. parsleyctl lists, begins and withdraws evacuations. time_left() is a function of a run, since the new part uses it too; evacuate() of a draining worker is renamed to drain_worker().

--- a/src/adapters/fleet_codec.cpp
+++ b/src/adapters/fleet_codec.cpp
@@ -183,6 +183,12 @@
   return to;
 }
 
+void write(std::string_view data_centre, const evacuation_record& from,
+           wire::fleet_evacuation& to) {
+  to.set_data_centre(std::string(data_centre));
+  to.set_requested_at(to_ms(from.requested_at));
+}
+
 void write(std::uint64_t number, const wave_record& from,
            wire::fleet_wave& to) {
   to.set_number(number);
@@ -310,6 +316,12 @@
                           to.mutable_kept_up()->set_ended(c.ended);
                           to.mutable_kept_up()->set_born_ms(c.started_at_ms);
                         },
+                        [&](const evacuate_data_centre& c) {
+                          write(c.data_centre, {c.at}, *to.mutable_evacuated());
+                        },
+                        [&](const restore_data_centre& c) {
+                          to.set_restored(c.data_centre);
+                        },
                         [&](const record_speeds& c) {
                           auto& speeds = *to.mutable_speeds();
                           for (const auto& one : c.speeds) {
@@ -378,6 +390,11 @@
       return record_maintenance{from.kept_up().wave(), from.kept_up().machine(),
                                 from.kept_up().ended(),
                                 from.kept_up().born_ms()};
+    case fleet_command::kEvacuated:
+      return evacuate_data_centre{from.evacuated().data_centre(),
+                                  at_ms(from.evacuated().requested_at())};
+    case fleet_command::kRestored:
+      return restore_data_centre{from.restored()};
     case fleet_command::kSpeeds: {
       record_speeds speeds;
       for (const auto& one : from.speeds().speeds()) {
@@ -514,6 +531,9 @@
   for (const auto& [machine, speed] : tables.speeds) {
     write(recorded_speed{machine, speed}, *message.add_speeds());
   }
+  for (const auto& [name, evacuation] : tables.evacuations) {
+    write(name, evacuation, *message.add_evacuations());
+  }
   return message.SerializeAsString();
 }
 
@@ -538,6 +558,9 @@
   for (const auto& speed : message.speeds()) {
     tables.speeds[speed.machine()] = read(speed).speed;
   }
+  for (const auto& one : message.evacuations()) {
+    tables.evacuations[one.data_centre()] = {at_ms(one.requested_at())};
+  }
   return tables;
 }
 
@@ -567,7 +590,14 @@
           [&](const start_wave_request& r) {
             write(r.number, r.wave, *to.mutable_start_wave());
           },
-          [&](const read_wave_request& r) { to.set_read_wave(r.number); }},
+          [&](const read_wave_request& r) { to.set_read_wave(r.number); },
+          [&](const evacuate_request& r) {
+            to.mutable_evacuation()->set_data_centre(r.data_centre);
+            to.mutable_evacuation()->set_withdraw(r.withdraw);
+          },
+          [&](const read_evacuations_request&) {
+            to.set_read_evacuations(true);
+          }},
       from);
 }
 
@@ -595,6 +625,11 @@
                                 read(from.start_wave())};
     case fleet_request::kReadWave:
       return read_wave_request{from.read_wave()};
+    case fleet_request::kEvacuation:
+      return evacuate_request{from.evacuation().data_centre(),
+                              from.evacuation().withdraw()};
+    case fleet_request::kReadEvacuations:
+      return read_evacuations_request{};
     case fleet_request::WHAT_NOT_SET:
       return {};
   }
@@ -606,11 +641,24 @@
   to.set_text(from.text);
   to.set_number(from.number);
   to.set_retry_ms(from.retry_after.count());
+  if (!from.limits) return;
+  to.mutable_limits()->set_header_bytes(from.limits->header_bytes);
+  to.mutable_limits()->set_body_bytes(from.limits->body_bytes);
+  to.mutable_limits()->set_header_timeout_ms(
+      from.limits->header_timeout.count());
 }
 
 auto read(const wire::fleet_reply& from) -> reply {
-  return {static_cast<reply_status>(from.status()), from.text(), from.number(),
-          milliseconds(from.retry_ms())};
+  reply to{static_cast<reply_status>(from.status()),
+           from.text(),
+           from.number(),
+           milliseconds(from.retry_ms()),
+           {}};
+  if (from.has_limits()) {
+    to.limits = {{from.limits().header_bytes(), from.limits().body_bytes(),
+                  milliseconds(from.limits().header_timeout_ms())}};
+  }
+  return to;
 }
 
 }  // namespace parsleyledge::fleet
--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -219,13 +219,29 @@
   metrics_.gauge("group_missing_voters") = status.quorum.missing.size();
 }
 
+// Called with the locks of the state and the dispatcher held. A data centre
+// that is no longer under evacuation keeps its gauge, at 0.
+void fleet_control_node::record_evacuations(const fleet::fleet_tables& tables) {
+  metrics_.gauge("evacuated_data_centres") = tables.evacuations.size();
+  for (const auto& [name, tasks] : dispatcher_.evacuations().remaining())
+    evacuation_gauges_.insert(name);
+  for (const auto& name : evacuation_gauges_) {
+    const auto& remaining = dispatcher_.evacuations().remaining();
+    auto it = remaining.find(name);
+    metrics_.gauge("evacuated_tasks{data_centre=\"" + name + "\"}") =
+        it == remaining.end() ? 0 : it->second;
+  }
+}
+
 void fleet_control_node::run_round() {
   auto status = replica_.status();
   send_members(status);
   record_group(status);
   decide([&](const fleet::fleet_tables& tables) {
     update_leadership(tables, status);
-    return dispatcher_.tick(tables, read_clocks());
+    auto effects = dispatcher_.tick(tables, read_clocks());
+    record_evacuations(tables);
+    return effects;
   });
 }
 
--- a/src/adapters/fleet_control_node.h
+++ b/src/adapters/fleet_control_node.h
@@ -6,6 +6,7 @@
 #include <boost/asio/thread_pool.hpp>
 #include <functional>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -37,6 +38,7 @@
   std::vector<std::string> control;  // peer addresses of control processes
   agreement::replica_settings replica;
   fleet::dispatch_limits limits;
+  std::vector<std::string> data_centres;  // of the site, as far as known
   // Without a disk the process joins no group and only forwards requests to
   // the leader.
   bool has_disk = true;
@@ -107,6 +109,10 @@
   void handle_request(fleet::start_wave_request request, reply_handler done);
   void handle_request(const fleet::read_wave_request& request,
                       reply_handler done);
+  void handle_request(const fleet::evacuate_request& request,
+                      reply_handler done);
+  void handle_request(const fleet::read_evacuations_request& request,
+                      reply_handler done);
 
   struct resolved_job;
   struct pending_reply;
@@ -115,6 +121,7 @@
   void commit(const fleet::command& command, reply_handler done);
   void send_members(const replica_status& status);
   void record_group(const replica_status& status);
+  void record_evacuations(const fleet::fleet_tables& tables);
   void handle_members(const wire::member_list& list);
   void pass_members_to(const agreement::message& greeting);
   void schedule_round();
@@ -167,6 +174,7 @@
   std::vector<std::string> seeds_;
   std::vector<agreement::member> known_members_;  // as last sent or received
   time_point members_sent_at_;                    // to the seeds and members
+  std::set<std::string, std::less<>> evacuation_gauges_;  // data centres
 };
 
 }  // namespace parsleyledge
--- a/src/adapters/fleet_control_requests.cpp
+++ b/src/adapters/fleet_control_requests.cpp
@@ -360,4 +360,47 @@
   done({reply_status::done, *complete ? "complete" : "running", 0, {}});
 }
 
+// Orders carry no number, so the one that is committed last is in force.
+void fleet_control_node::handle_request(const fleet::evacuate_request& request,
+                                        reply_handler done) {
+  const auto& name = request.data_centre;
+  bool known = std::ranges::find(settings_.data_centres, name) !=
+               settings_.data_centres.end();
+  known = known || replica_.read_state([&](const fleet::fleet_state& state) {
+    return state.tables().evacuations.contains(name) ||
+           std::ranges::any_of(state.tables().workers, [&](const auto& item) {
+             return item.second.data_centre == name;
+           });
+  });
+  log_event(log_level::info, "evacuation_requested",
+            {{"data_centre", name},
+             {"withdraw", request.withdraw},
+             {"known", known}});
+  if (!known)
+    return done(refusal(reply_status::invalid, "no such data centre"));
+  if (request.withdraw) {
+    commit(fleet::restore_data_centre{name}, std::move(done));
+  } else {
+    commit(fleet::evacuate_data_centre{name, wall_now()}, std::move(done));
+  }
+}
+
+// Reads after a barrier, as the configuration is read.
+void fleet_control_node::handle_request(const fleet::read_evacuations_request&,
+                                        reply_handler done) {
+  commit(fleet::read_barrier{}, [this, done = std::move(done)](reply r) {
+    if (r.status != reply_status::done) return done(std::move(r));
+    auto summaries = replica_.read_state([](const fleet::fleet_state& state) {
+      return fleet::summarize_evacuations(state.tables());
+    });
+    for (const auto& one : summaries) {
+      r.text += one.data_centre + " " +
+                std::to_string(to_ms(one.requested_at)) + " " +
+                std::to_string(one.tasks) + " " +
+                std::to_string(one.long_running) + "\n";
+    }
+    done(std::move(r));
+  });
+}
+
 }  // namespace parsleyledge
--- a/src/apps/ctl.cpp
+++ b/src/apps/ctl.cpp
@@ -22,6 +22,9 @@
 namespace json = boost::json;
 
 ABSL_FLAG(address_list, entry, {}, "ip:port,... of entries, tried in turn");
+ABSL_FLAG(address_list, fleet, {},
+          "ip:port,... of the metrics of fleet control processes, tried in "
+          "turn by the commands on evacuations");
 ABSL_FLAG(bool, json, false, "print JSON in place of tables");
 ABSL_FLAG(wait_option, wait, {},
           "job submit: wait until the job has ended; config push: wait for "
@@ -467,6 +470,22 @@
          return put_or_delete(client, "/v1/drains/" + args[0],
                               absl::GetFlag(FLAGS_undo), "");
        }},
+      {"evacuation list", 0,
+       "data centres under evacuation and the tasks still there; --fleet",
+       [](auto& client, arguments) {
+         return print_list(
+             client, "/v1/evacuations", "evacuations",
+             {"data_centre", "since_ms", "tasks", "long_running"});
+       }},
+      {"evacuation begin", 1,
+       "DATA_CENTRE: start nothing there until it is withdrawn; --fleet",
+       [](auto& client, arguments args) {
+         return put_or_delete(client, "/v1/evacuations/" + args[0], false, "");
+       }},
+      {"evacuation withdraw", 1, "DATA_CENTRE: take it back; --fleet",
+       [](auto& client, arguments args) {
+         return put_or_delete(client, "/v1/evacuations/" + args[0], true, "");
+       }},
       {"replica add", 2, "NUMBER ip:port: add a control replica",
        [](auto& client, arguments args) {
          return put_or_delete(client, "/v1/replicas/" + args[0], false,
@@ -512,11 +531,15 @@
     }
     bool is_local = command.name == "config check" || command.name == "dump" ||
                     command.name == "explain" || command.name == "causes";
-    auto entries = absl::GetFlag(FLAGS_entry).addresses;
-    if (entries.empty() && !is_local) {
-      exit_with_message(exit_code::bad_usage, "--entry ip:port is required");
+    bool is_fleet_command = command.name.starts_with("evacuation ");
+    auto addresses =
+        absl::GetFlag(is_fleet_command ? FLAGS_fleet : FLAGS_entry).addresses;
+    if (addresses.empty() && !is_local) {
+      exit_with_message(exit_code::bad_usage,
+                        std::string(is_fleet_command ? "--fleet" : "--entry") +
+                            " ip:port is required");
     }
-    operator_client client(entries);
+    operator_client client(addresses);
     return static_cast<int>(
         command.run(client, arguments(args).subspan(name_word_count)));
   }
--- a/src/apps/fleet_control.cpp
+++ b/src/apps/fleet_control.cpp
@@ -8,6 +8,7 @@
 
 #include "adapters/app.h"
 #include "adapters/clock.h"
+#include "adapters/evacuation_api.h"
 #include "adapters/fleet_control_node.h"
 #include "adapters/http_server.h"
 #include "adapters/settings.h"
@@ -70,6 +71,7 @@
   settings.replica.min_voters = 2 * node.tolerated_machines + 1;
   settings.replica.catch_up_time = node.catch_up_time;
   settings.replica.data_centre = node.data_centre;
+  settings.data_centres = node.data_centres;
   settings.has_disk = !node.data_folder.empty();
   settings.limits.max_lease = node.max_lease;
   settings.limits.lease = node.max_lease * 9 / 10;
@@ -144,10 +146,16 @@
   if (error.empty()) {
     error = admin_server.listen(
         node_file.ip + ":" + std::to_string(absl::GetFlag(FLAGS_metrics_port)),
-        [&node](http_request request) -> boost::asio::awaitable<http_response> {
+        [&node,
+         serve](http_request request) -> boost::asio::awaitable<http_response> {
           if (request.target == "/state") {
             co_return make_response(200, "application/json", node.state_text());
           }
+          if (is_evacuation_call(request)) {
+            auto response =
+                co_await serve_evacuations(std::move(request), serve);
+            co_return response;
+          }
           co_return make_response(200, "text/plain", node.counters().format());
         });
   }
--- a/src/core/fleet/command.h
+++ b/src/core/fleet/command.h
@@ -151,6 +151,18 @@
   std::vector<recorded_speed> speeds;
 };
 
+/// Orders that no task is started in a data centre until it is restored. Of
+/// orders on one data centre the last in the log is in force.
+struct evacuate_data_centre {
+  std::string data_centre;
+  time_point at;
+};
+
+/// Withdraws the evacuation of a data centre.
+struct restore_data_centre {
+  std::string data_centre;
+};
+
 /// Changes nothing. Once it is committed, the tables contain everything that
 /// was acknowledged before it was proposed.
 struct read_barrier {};
@@ -159,7 +171,8 @@
     std::variant<read_barrier, put_site, add_job, cancel_job, fail_job,
                  place_tasks, end_runs, put_worker, remove_worker, add_wave,
                  record_maintenance, record_speeds, record_starts,
-                 record_maintenance_request>;
+                 record_maintenance_request, evacuate_data_centre,
+                 restore_data_centre>;
 
 /// The result of a command.
 enum class command_outcome {
--- a/src/core/fleet/dispatch_health.cpp
+++ b/src/core/fleet/dispatch_health.cpp
@@ -177,27 +177,13 @@
   }
 }
 
-// Estimates the time until a run ends from its average progress on this worker;
-// nullopt before any progress was measured.
-auto dispatcher::time_left(const tracked_run& run, clock_reading now) const
-    -> std::optional<milliseconds> {
-  auto gained_percent = std::int64_t{run.percent} - run.baseline_percent;
-  auto elapsed = run.progressed_at - run.baseline_at;
-  if (run.baseline_at == time_point{} || gained_percent <= 0 ||
-      elapsed.count() <= 0)
-    return {};
-  auto at_last_poll =
-      elapsed * (std::int64_t{complete_percent} - run.percent) / gained_percent;
-  return at_last_poll - (now.steady - run.progressed_at);
-}
-
 // Moves work off a draining worker. Runs that will end before the drain
 // deadline go on, and so do runs whose remaining time is unknown. Runs with
 // checkpoints are stopped just in time to save their progress. Long-running
 // tasks, and runs without checkpoints that need more than twice the time left,
 // are stopped at once, so that they start elsewhere.
-void dispatcher::evacuate(const fleet_tables& tables,
-                          const worker_state& worker, clock_reading now) {
+void dispatcher::drain_worker(const fleet_tables& tables,
+                              const worker_state& worker, clock_reading now) {
   auto remaining = worker.drain_deadline - now.steady;
   if (worker.drain_deadline == time_point{} || remaining.count() < 0) return;
   const auto* record = find_worker(tables, worker.incarnation);
@@ -205,7 +191,7 @@
   for (auto* run : worker.runs) {
     if (run->phase != run_phase::started) continue;
     const auto& spec = tables.jobs.at(run->task.job).spec.steps[run->task.step];
-    auto time_to_end = time_left(*run, now);
+    auto time_to_end = time_left(*run, now.steady);
     bool ends_here =
         !spec.long_running && time_to_end && *time_to_end < remaining;
     bool cannot_finish =
--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -114,6 +114,7 @@
     if (state == workers_.end()) break;
     const auto& worker = state->second;
     if (state->first != name || !is_usable(record, worker, now)) continue;
+    if (is_evacuated(tables, record)) continue;
     auto speed = speeds_.learned(machine_of(record));
     auto available = record.capacity - worker.used;
     // A worker that uses more than a capacity that has shrunk takes no work,
--- a/src/core/fleet/dispatch_reclaim.cpp
+++ b/src/core/fleet/dispatch_reclaim.cpp
@@ -115,7 +115,7 @@
     if (at != index.end()) {
       work.as_victim.freed.push_back({at->second, reserved_by(spec)});
     }
-    auto left = time_left(run->second, now);
+    auto left = time_left(run->second, now.steady);
     work.time_left = left && work.time_left
                          ? std::optional(std::max(*left, *work.time_left))
                          : std::nullopt;
--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -61,6 +61,7 @@
   for (const auto& [machine, speed] : tables.speeds) {
     speeds_.restore(machine, speed);
   }
+  evacuations_.restore(tables);
   inherit_runs(tables, may_start_late, now);
   synchronize_runs(tables, now);
   auto to_stop = std::ranges::count_if(runs_, [](const auto& item) {
@@ -97,6 +98,7 @@
   pending_advice_.reset();
   next_advice_at_ = {};
   drains_.clear();
+  evacuations_ = {};
   machine_list_request_ = 0;
   failing_jobs_.clear();
   lost_runs_.clear();
@@ -204,7 +206,8 @@
     if (!worker.clock.has_expired(now.steady)) continue;
     mark_runs_lost(tables, worker.incarnation, lease_over{}, now);
   }
-  for (const auto& [name, worker] : workers_) evacuate(tables, worker, now);
+  for (const auto& [name, worker] : workers_) drain_worker(tables, worker, now);
+  move_evacuated_work(tables, now);
   record_learned_speeds(now);
   advance_waves(tables, now);
   plan_placements(tables, now);
@@ -212,6 +215,21 @@
   return take_effects();
 }
 
+void dispatcher::move_evacuated_work(const fleet_tables& tables,
+                                     clock_reading now) {
+  auto pass =
+      tables.evacuations.empty() ? planning_pass{} : begin_pass(tables, now);
+  auto may_stop = [&](const task_ref& task) {
+    return can_stop_for_maintenance(tables, task);
+  };
+  auto moved = evacuations_.choose_moves(
+      {tables, *site_, runs_, pass, now.steady, may_stop});
+  for (const auto& task : moved)
+    stop_run(runs_.at(task), data_centre_evacuated{});
+  for (auto& one : evacuations_.take_decisions())
+    effects_.emplace_back(std::move(one));
+}
+
 void dispatcher::record_learned_speeds(clock_reading now) {
   if (now.steady - speeds_recorded_at_ < limits_.speed_record_interval) return;
   speeds_recorded_at_ = now.steady;
@@ -265,6 +283,9 @@
   if (record.draining) {
     return abandon_start(tables, run, "the worker is draining", now);
   }
+  if (is_evacuated(tables, record)) {
+    return abandon_start(tables, run, "its data centre is evacuated", now);
+  }
   if (!is_confirmed(worker, now)) return;  // needs_probe() holds
   if (start_exceeds_capacity(tables, record, worker, run)) {
     return abandon_start(tables, run, "the worker's capacity has shrunk", now);
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -11,6 +11,7 @@
 #include "core/fleet/backlog.h"
 #include "core/fleet/dispatch_limits.h"
 #include "core/fleet/effect.h"
+#include "core/fleet/evacuation_tracker.h"
 #include "core/fleet/failure_log.h"
 #include "core/fleet/placer.h"
 #include "core/fleet/planning_pass.h"
@@ -107,6 +108,9 @@
     return workers_;
   }
 
+  /// The evacuations of data centres.
+  auto evacuations() const -> const evacuation_tracker& { return evacuations_; }
+
   /// The learned speeds of machines.
   auto speeds() const -> const speed_table& { return speeds_; }
 
@@ -286,10 +290,9 @@
       -> bool;
   void restart_stalled(const fleet_tables& tables, const task_ref& ref,
                        clock_reading now);
-  void evacuate(const fleet_tables& tables, const worker_state& worker,
-                clock_reading now);
-  auto time_left(const tracked_run& run, clock_reading now) const
-      -> std::optional<milliseconds>;
+  void drain_worker(const fleet_tables& tables, const worker_state& worker,
+                    clock_reading now);
+  void move_evacuated_work(const fleet_tables& tables, clock_reading now);
 
   // Advice of the queues' policies, in dispatch_advice.cpp.
   auto permission_of(const backlog_item& item, const worker_incarnation& worker,
@@ -443,6 +446,7 @@
   std::optional<pending_advice> pending_advice_;
   time_point next_advice_at_;  // the policy is busy until then
   std::map<std::string, machine_drain, std::less<>> drains_;  // by machine
+  evacuation_tracker evacuations_;
   // The request for the list of machines in flight; 0 if none.
   std::uint64_t machine_list_request_ = 0;
   time_point machine_list_requested_at_;
--- a/src/core/fleet/fleet_state.cpp
+++ b/src/core/fleet/fleet_state.cpp
@@ -105,7 +105,8 @@
 }
 
 // Skips a placement that no longer matches the tables: the job may have been
-// cancelled, or the worker removed, before the command was committed.
+// cancelled, the worker removed, or its data centre evacuated, before the
+// command was committed.
 void fleet_state::place(const placement& assignment) {
   auto it = tables_.jobs.find(assignment.task.job);
   if (it == tables_.jobs.end() || is_ended(it->second)) return;
@@ -114,6 +115,7 @@
       worker->second.incarnation != assignment.worker) {
     return;
   }
+  if (is_evacuated(tables_, worker->second)) return;
   auto& job = it->second;
   bool finished =
       assignment.task.occurrence < job.first_open ||
@@ -303,6 +305,19 @@
   return added ? command_outcome::done : command_outcome::repeated;
 }
 
+auto fleet_state::apply_one(const evacuate_data_centre& command)
+    -> command_outcome {
+  auto [it, added] = tables_.evacuations.try_emplace(
+      command.data_centre, evacuation_record{command.at});
+  return added ? command_outcome::done : command_outcome::repeated;
+}
+
+auto fleet_state::apply_one(const restore_data_centre& command)
+    -> command_outcome {
+  bool erased = tables_.evacuations.erase(command.data_centre) != 0;
+  return erased ? command_outcome::done : command_outcome::repeated;
+}
+
 auto fleet_state::apply_one(const record_maintenance_request& command)
     -> command_outcome {
   auto it = tables_.waves.find(command.wave);
--- a/src/core/fleet/fleet_state.h
+++ b/src/core/fleet/fleet_state.h
@@ -31,6 +31,8 @@
   auto apply_one(const record_maintenance& command) -> command_outcome;
   auto apply_one(const record_speeds& command) -> command_outcome;
   auto apply_one(const record_starts& command) -> command_outcome;
+  auto apply_one(const evacuate_data_centre& command) -> command_outcome;
+  auto apply_one(const restore_data_centre& command) -> command_outcome;
 
   void place(const placement& assignment);
   void end_run(const ended_run& end, time_point at);
--- a/src/core/fleet/loss_cause.cpp
+++ b/src/core/fleet/loss_cause.cpp
@@ -23,6 +23,9 @@
           [](const machine_maintenance&) -> string_view {
             return "maintenance";
           },
+          [](const data_centre_evacuated&) -> string_view {
+            return "evacuation";
+          },
           [](const lease_over&) -> string_view { return "lease_expired"; },
           [](const run_stalled&) -> string_view { return "stalled"; },
           [](const job_over&) -> string_view { return "job_ended"; },
@@ -52,6 +55,9 @@
           [](const machine_maintenance&) {
             return std::string("maintenance of its machine");
           },
+          [](const data_centre_evacuated&) {
+            return std::string("evacuation of its data centre");
+          },
           [](const lease_over&) { return std::string("lease expired"); },
           [](const run_stalled&) { return std::string("stalled"); },
           [](const job_over& c) {
--- a/src/core/fleet/loss_cause.h
+++ b/src/core/fleet/loss_cause.h
@@ -33,6 +33,9 @@
 /// The machine of the worker is to be maintained.
 struct machine_maintenance {};
 
+/// The data centre of the worker is under evacuation.
+struct data_centre_evacuated {};
+
 /// The lease expired, since the worker did not respond.
 struct lease_over {};
 
@@ -52,8 +55,9 @@
 /// Why a run ended, or has to be stopped, before it was done.
 using loss_cause =
     std::variant<displaced, gang_member_ended, gang_incomplete, task_failed,
-                 worker_ended, worker_drains, machine_maintenance, lease_over,
-                 run_stalled, job_over, start_abandoned>;
+                 worker_ended, worker_drains, machine_maintenance,
+                 data_centre_evacuated, lease_over, run_stalled, job_over,
+                 start_abandoned>;
 
 /// The name of the cause in metrics and summaries.
 auto to_string(const loss_cause& cause) -> std::string_view;
--- a/src/core/fleet/planning_pass.h
+++ b/src/core/fleet/planning_pass.h
@@ -55,6 +55,9 @@
   /// Whether at least half of the capacity of a service is left.
   auto is_half_free(std::string_view service) -> bool;
 
+  /// The number of rows.
+  auto size() const -> std::size_t { return rows_.size(); }
+
   auto row(std::size_t i) const -> const planning_row& { return rows_[i]; }
   void allocate_on(std::size_t i, const resources& amount) {
     rows_[i].available -= amount;
--- a/src/core/fleet/records.cpp
+++ b/src/core/fleet/records.cpp
@@ -31,6 +31,37 @@
   return false;
 }
 
+auto is_evacuated(const fleet_tables& tables, const worker_record& worker)
+    -> bool {
+  return tables.evacuations.contains(worker.data_centre);
+}
+
+auto summarize_evacuations(const fleet_tables& tables)
+    -> std::vector<evacuation_summary> {
+  std::vector<evacuation_summary> found;
+  for (const auto& [name, evacuation] : tables.evacuations)
+    found.push_back({name, evacuation.requested_at});
+  if (found.empty()) return found;
+  auto add = [&](const task_record& task, bool long_running) {
+    const auto* worker = find_worker(tables, task.worker);
+    if (!task.assigned || worker == nullptr) return;
+    auto it = std::ranges::find(found, worker->data_centre,
+                                &evacuation_summary::data_centre);
+    if (it == found.end()) return;
+    ++it->tasks;
+    if (long_running) ++it->long_running;
+  };
+  for (const auto& [id, job] : tables.jobs) {
+    for (const auto& [number, occurrence] : job.open) {
+      for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+        for (const auto& task : occurrence.steps[s].tasks)
+          add(task, job.spec.steps[s].long_running);
+      }
+    }
+  }
+  return found;
+}
+
 auto is_ended(const job_record& job) -> bool {
   return job.state != job_state::queued && job.state != job_state::running;
 }
--- a/src/core/fleet/records.h
+++ b/src/core/fleet/records.h
@@ -96,6 +96,13 @@
   std::vector<std::string> ended;
 };
 
+/// An operator's order that no task is started in a data centre.
+struct evacuation_record {
+  time_point requested_at;  // wall clock
+
+  auto operator==(const evacuation_record&) const -> bool = default;
+};
+
 /// The speed of a machine, as a logarithm relative to the mean, and the weight
 /// of the samples behind it.
 struct machine_speed {
@@ -115,6 +122,8 @@
   std::map<std::string, worker_record, std::less<>> workers;
   std::map<std::uint64_t, wave_record> waves;
   std::map<std::string, machine_speed, std::less<>> speeds;  // by machine
+  // By data centre.
+  std::map<std::string, evacuation_record, std::less<>> evacuations;
   std::uint64_t last_revision = 0;  // of this copy; not replicated
 };
 
@@ -126,6 +135,23 @@
 auto find_worker(const fleet_tables& tables,
                  const worker_incarnation& incarnation) -> const worker_record*;
 
+/// Whether the data centre of a worker is under evacuation.
+auto is_evacuated(const fleet_tables& tables, const worker_record& worker)
+    -> bool;
+
+/// An evacuation in force, with the tasks that are still assigned to workers of
+/// the data centre.
+struct evacuation_summary {
+  std::string data_centre;
+  time_point requested_at;  // wall clock
+  std::size_t tasks = 0;
+  std::size_t long_running = 0;  // among the tasks
+};
+
+/// The evacuations in force, by the name of the data centre.
+auto summarize_evacuations(const fleet_tables& tables)
+    -> std::vector<evacuation_summary>;
+
 /// Whether a job is complete, failed or cancelled.
 auto is_ended(const job_record& job) -> bool;
 
--- a/src/core/fleet/request.h
+++ b/src/core/fleet/request.h
@@ -7,6 +7,7 @@
 
 #include "core/fleet/job_spec.h"
 #include "core/fleet/records.h"
+#include "core/fleet/request_limits.h"
 #include "core/fleet/worker_report.h"
 
 namespace parsleyledge::fleet {
@@ -57,6 +58,17 @@
   std::uint64_t number = 0;
 };
 
+/// Orders the evacuation of a data centre, or withdraws the order.
+struct evacuate_request {
+  std::string data_centre;
+  bool withdraw = false;
+};
+
+/// Requests the evacuations in force: a line for each, with the name of the
+/// data centre, since when (milliseconds since 1970), and the numbers of tasks
+/// that still run there and of long-running ones among them.
+struct read_evacuations_request {};
+
 /// Checks whether the leader responds.
 struct ping_request {};
 
@@ -64,7 +76,8 @@
 using request =
     std::variant<ping_request, submit_request, read_request, cancel_request,
                  report_request, leave_request, put_site_request,
-                 read_site_request, start_wave_request, read_wave_request>;
+                 read_site_request, start_wave_request, read_wave_request,
+                 evacuate_request, read_evacuations_request>;
 
 enum class reply_status {
   done,
@@ -82,6 +95,8 @@
   std::string text;         // a state, a document, or the reason of a rejection
   std::int64_t number = 0;  // a count
   milliseconds retry_after{0};
+  std::optional<request_limits> limits =
+      std::nullopt;  // of callers; of a ping's reply only
 };
 
 }  // namespace parsleyledge::fleet
--- a/src/core/fleet/site.h
+++ b/src/core/fleet/site.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/fleet/request_limits.h"
 #include "core/time.h"
 
 namespace parsleyledge::fleet {
@@ -58,6 +59,7 @@
   std::map<std::string, service, std::less<>> services;
   std::map<std::string, customer, std::less<>> customers;
   std::map<std::string, std::string, std::less<>> customer_by_key;
+  request_limits limits;  // of callers
 };
 
 /// The queue of the host with the longest prefix of the path, or null.
--- a/src/core/fleet/tracked_run.h
+++ b/src/core/fleet/tracked_run.h
@@ -50,4 +50,9 @@
   bool throttle_pending = false;  // a throttle request is in flight
 };
 
+/// Estimates the time until a run ends from its average progress on its worker;
+/// nullopt before any progress was measured.
+auto time_left(const tracked_run& run, time_point now)
+    -> std::optional<milliseconds>;
+
 }  // namespace parsleyledge::fleet
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -25,6 +25,7 @@
 // Of check_random_events(); the later ones are drawn by one test only.
 constexpr int event_kinds = 22;
 constexpr int all_event_kinds = event_kinds + 3;
+constexpr int event_kinds_with_evacuation = all_event_kinds + 1;
 
 void assert_clean(const fleet_site& site) {
   CPPUNIT_ASSERT_EQUAL(std::string(), site.violation_text());
@@ -149,6 +150,7 @@
   CPPUNIT_TEST(invariants_hold_under_random_events);
   CPPUNIT_TEST(work_goes_on_after_random_events);
   CPPUNIT_TEST(work_goes_on_after_more_random_events);
+  CPPUNIT_TEST(work_goes_on_after_evacuations);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -1632,10 +1634,18 @@
     check_random_events(all_event_kinds);
   }
 
+  void work_goes_on_after_evacuations() {
+    check_random_events(event_kinds_with_evacuation);
+  }
+
   static void check_random_events(int kinds) {
     bool passed = rc::check([kinds] {
       fleet_site site(8, 3);
       site.configure(16, 8, 3);
+      bool evacuated = false;
+      if (kinds == event_kinds_with_evacuation) {
+        for (int i = 0; i < 3; ++i) site.set_data_centre(i, "east");
+      }
       bool has_policy = *rc::gen::inRange(0, 4) == 0;
       if (has_policy) {
         site.set_policy({"w1", "w2", "w4", "w5", "w7"}, seconds(5));
@@ -1710,6 +1720,14 @@
           case event_kinds + 2:
             site.restart_leadership();
             break;
+          case all_event_kinds:
+            evacuated = !evacuated;
+            if (evacuated) {
+              site.evacuate("east");
+            } else {
+              site.restore("east");
+            }
+            break;
           case 13: {
             auto step = make_step(*rc::gen::inRange<std::uint32_t>(1, 4), 1);
             step.long_running = true;
@@ -1737,6 +1755,7 @@
         }
         site.run_for(milliseconds(*rc::gen::inRange(10, 2500)));
       }
+      site.restore("east");
       for (std::size_t i = 0; i < site.workers.size(); ++i) {
         auto& w = site.workers[i];
         w.drops_responses = w.fails_runs = w.stalls_runs = false;
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -119,6 +119,7 @@
   report.address = w.record.address;
   report.machine = w.record.machine;
   report.service = w.record.service;
+  report.data_centre = w.record.data_centre;
   report.rack = w.record.rack;
   report.labels = w.record.labels;
   report.capacity = w.record.capacity;
@@ -204,6 +205,19 @@
   apply(fleet::cancel_job{id, now_}, 0);
 }
 
+void fleet_site::set_data_centre(int worker, std::string_view name) {
+  workers[static_cast<std::size_t>(worker)].record.data_centre = name;
+  deliver_report(make_report(worker));
+}
+
+void fleet_site::evacuate(std::string_view data_centre) {
+  apply(fleet::evacuate_data_centre{std::string(data_centre), now_}, 0);
+}
+
+void fleet_site::restore(std::string_view data_centre) {
+  apply(fleet::restore_data_centre{std::string(data_centre)}, 0);
+}
+
 void fleet_site::change_leader() {
   dispatcher_.end_leadership();
   ++fence_;
@@ -950,6 +964,10 @@
   }
   if (!is_within(used_by(worker), capacity))
     violations.insert("start beyond the capacity of a worker");
+  const auto& evacuations = state_.tables().evacuations;
+  auto order = evacuations.find(worker.record.data_centre);
+  if (order != evacuations.end() && order->second.requested_at < sent_at)
+    violations.insert("start in an evacuated data centre");
 }
 
 auto fleet_site::is_healthy(const fake_worker& worker) const -> bool {
--- a/test/fakes/fleet_site.h
+++ b/test/fakes/fleet_site.h
@@ -104,6 +104,13 @@
   auto next_job() const -> fleet::job_id { return {next_job_}; }
   void cancel(fleet::job_id id);
 
+  /// Moves a worker to a data centre; its report says so at once.
+  void set_data_centre(int worker, std::string_view name);
+
+  /// Orders the evacuation of a data centre, or withdraws it.
+  void evacuate(std::string_view data_centre);
+  void restore(std::string_view data_centre);
+
   /// Advances the clock, in steps of 10 ms.
   void run_for(milliseconds time);
 
--- a/test/fakes/process_site.cpp
+++ b/test/fakes/process_site.cpp
@@ -160,7 +160,7 @@
   auto data_centre = fleet_data_centres_.try_emplace(number, number);
   std::ofstream(settings_path)
       << "node=" << name << "\nip=" << fleet_ip(number) << "\nzone=dc"
-      << data_centre.first->second
+      << data_centre.first->second << "\nzones.dc1=r\nzones.dc2=r\nzones.dc3=r"
       << "\nlisten.control=" << fleet_control_address(number)
       << "\ndataDir=" << folder_ << "/" << name << ".data"
       << "\nportRange=" << peer_port << "," << peer_port
@@ -250,11 +250,15 @@
   return exchange(fleet_control_address(number), std::move(request), timeout);
 }
 
-auto process_site::fleet_metric(int number, std::string_view name) -> long {
+auto process_site::call_fleet_metrics(int number, std::string_view target)
+    -> http_response {
   http_request request;
-  request.target = "/metrics";
-  auto text =
-      "\n" + exchange(fleet_metrics_address(number), std::move(request)).body;
+  request.target = target;
+  return exchange(fleet_metrics_address(number), std::move(request));
+}
+
+auto process_site::fleet_metric(int number, std::string_view name) -> long {
+  auto text = "\n" + call_fleet_metrics(number, "/metrics").body;
   auto line = "\n" + std::string(name) + " ";
   auto at = text.find(line);
   return at == std::string::npos
@@ -263,9 +267,7 @@
 }
 
 auto process_site::fleet_role(int number) -> std::string {
-  http_request request;
-  request.target = "/state";
-  auto response = exchange(fleet_metrics_address(number), std::move(request));
+  auto response = call_fleet_metrics(number, "/state");
   if (response.status != 200) return {};
   auto role = boost::json::parse(response.body).at("role").as_string();
   return {role.begin(), role.end()};
--- a/test/front_test.cpp
+++ b/test/front_test.cpp
@@ -226,6 +226,12 @@
         std::get<fleet::leave_request>(removal).incarnation.started_at_ms);
     CPPUNIT_ASSERT(std::holds_alternative<fleet::start_wave_request>(
         send("POST", "/api/wave-start", valid_wave)));
+    for (bool withdraw : {false, true}) {
+      auto order = std::get<fleet::evacuate_request>(
+          send(withdraw ? "DELETE" : "POST", "/api/evacuate/dc-1", ""));
+      CPPUNIT_ASSERT_EQUAL(std::string("dc-1"), order.data_centre);
+      CPPUNIT_ASSERT_EQUAL(withdraw, order.withdraw);
+    }
     const auto& wave = send("GET", "/api/wave-get/3", "");
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{3},
                          std::get<fleet::read_wave_request>(wave).number);
@@ -267,6 +273,8 @@
         {"GET", "/api/wave-get/1x", "", 410},
         {"GET", "/api/instances/i-1", "", 405},
         {"POST", "/api/wave-start", "{}", 400},
+        {"POST", "/api/evacuate/", "", 400},
+        {"GET", "/api/evacuate/z", "", 405},
         {"PUT", "/api/wave-start", valid_wave, 404},
         {"GET", "/api/other", "", 404}};
     for (const auto& test_case : table) {
