Bound the memory of requests that are not complete

Cause: a connection could make a process hold as much as it sent. Trailers and chunk extensions had no limit, bodies one of 8 MB whatever the configuration says, and partial bodies and unread responses added up over 4,096 connections.

Change: one budget a process, an eighth of its memory, for the bytes of unfinished requests and responses. The connection with the largest product of bytes and time gives way. The limits of the configuration in force hold for callers; entries learn them with the leader's response to a ping. The buffer of a connection is bounded, and so is the number of connections by the descriptors of the process.

--- a/src/adapters/app.cpp
+++ b/src/adapters/app.cpp
@@ -8,6 +8,8 @@
 #include <mutex>
 
 #include "adapters/io_error.h"
+#include "adapters/memory_budget.h"
+#include "adapters/metrics.h"
 #include "adapters/settings.h"
 
 namespace parsleyledge {
@@ -101,4 +103,10 @@
   start_log(parsed, process, stream);
 }
 
+void record_memory(const memory_budget& budget, metrics& to) {
+  to.gauge("request_memory_bytes") = budget.used();
+  to.gauge("connections_shed") = budget.shed_count();
+  to.gauge("requests_without_memory") = budget.refused_count();
+}
+
 }  // namespace parsleyledge
--- a/src/adapters/app.h
+++ b/src/adapters/app.h
@@ -12,6 +12,9 @@
 
 namespace parsleyledge {
 
+class memory_budget;
+class metrics;
+
 /// Exit codes of the programs.
 enum class exit_code { done = 0, refused = 1, bad_usage = 2, unknown = 3 };
 
@@ -46,4 +49,8 @@
 void start_log_from_flag(std::string_view level, std::string_view process,
                          log_stream stream = log_stream::standard_error);
 
+/// Sets the gauges of the memory of requests, and how often a connection was
+/// shed or refused memory.
+void record_memory(const memory_budget& budget, metrics& to);
+
 }  // namespace parsleyledge
--- a/src/adapters/fleet_control_node.cpp
+++ b/src/adapters/fleet_control_node.cpp
@@ -267,6 +267,7 @@
 void fleet_control_node::load_site(const fleet::fleet_tables& tables) {
   auto version = site_ == nullptr ? 0 : site_->version;
   if (tables.site_version == version) return;
+  document_bytes_ = tables.site_document.size();
   auto parsed = platform_.parse_site(tables.site_document);
   if (!parsed) {
     log_event(log_level::error, "site_invalid",
--- a/src/adapters/fleet_control_node.h
+++ b/src/adapters/fleet_control_node.h
@@ -86,6 +86,9 @@
   /// Stops all timers and the peer socket.
   void stop();
 
+  /// The size of the configuration, as far as this process knows it.
+  auto document_bytes() const -> std::size_t { return document_bytes_; }
+
   /// A dump of the state of this process, as JSON.
   auto state_text() -> std::string;
 
@@ -162,6 +165,7 @@
   time_point round_due_;                   // used by the timer's strand only
   agreement::overload_detector overload_;  // the same
   std::atomic<bool> stopped_{false};
+  std::atomic<std::size_t> document_bytes_{0};
   std::atomic<bool> proposal_failed_{false};  // a proposal was not committed
   std::atomic<bool> decision_scheduled_{false};
   // Earliest start of the next decision, in ticks of the steady clock.
--- a/src/adapters/fleet_control_requests.cpp
+++ b/src/adapters/fleet_control_requests.cpp
@@ -114,8 +114,10 @@
 auto fleet_control_node::serve(fleet::request request, milliseconds timeout)
     -> asio::awaitable<reply> {
   if (!replica_.may_serve()) {
+    bool reads_site = std::holds_alternative<fleet::read_site_request>(request);
     auto leader_reply = co_await ask_leader(client_, std::move(request),
                                             steady_now() + timeout);
+    if (reads_site) document_bytes_ = leader_reply.text.size();
     co_return leader_reply;
   }
   // The reply may arrive on any thread of the pool; it is posted to the
@@ -208,11 +210,15 @@
 }
 
 // The reply lists the addresses of the group's members, one per line, because
-// the caller's seeds may be outdated.
+// the caller's seeds may be outdated, and the limits of callers' requests.
 void fleet_control_node::handle_request(const fleet::ping_request&,
                                         reply_handler done) {
   reply r{reply_status::done, {}, 0, {}};
   for (const auto& m : replica_.status().members) r.text += m.address + "\n";
+  {
+    ranked_lock lock(dispatch_mutex_);
+    if (site_ != nullptr) r.limits = site_->limits;
+  }
   done(std::move(r));
 }
 
@@ -333,6 +339,7 @@
     r.text = replica_.read_state([](const fleet::fleet_state& state) {
       return state.tables().site_document;
     });
+    document_bytes_ = r.text.size();
     if (r.text.empty()) {
       r = refusal(reply_status::unavailable, "no configuration yet");
     }
--- a/src/adapters/fleet_entry_node.cpp
+++ b/src/adapters/fleet_entry_node.cpp
@@ -100,6 +100,21 @@
   client_.set_addresses(std::move(addresses));
 }
 
+void fleet_entry_node::set_limits_handler(
+    std::function<void(const fleet::request_limits&)> handler) {
+  limits_handler_ = std::move(handler);
+}
+
+void fleet_entry_node::update_limits(const fleet::request_limits& limits) {
+  if (limits == limits_ || !limits_handler_) return;
+  limits_ = limits;
+  log_event(log_level::info, "request_limits",
+            {{"header_bytes", static_cast<std::int64_t>(limits.header_bytes)},
+             {"body_bytes", static_cast<std::int64_t>(limits.body_bytes)},
+             {"header_timeout_ms", limits.header_timeout.count()}});
+  limits_handler_(limits);
+}
+
 void fleet_entry_node::set_control_addresses(
     std::vector<std::string> addresses) {
   client_.set_addresses(addresses);
@@ -116,6 +131,7 @@
     if (reply.status == fleet::reply_status::done) {
       record_response();
       update_control_addresses(reply.text);
+      if (reply.limits) update_limits(*reply.limits);
     } else if (leader_reachable_.exchange(false)) {
       leader_lost_ms_ = to_ms(steady_now());
       log_event(log_level::warning, "leader_lost", {{"detail", reply.text}});
--- a/src/adapters/fleet_entry_node.h
+++ b/src/adapters/fleet_entry_node.h
@@ -29,6 +29,11 @@
   fleet_entry_node(boost::asio::thread_pool& pool,
                    fleet_entry_settings settings);
 
+  /// Sets what is called with the limits of callers' requests each time the
+  /// leader names other ones. To be called before start().
+  void set_limits_handler(
+      std::function<void(const fleet::request_limits&)> handler);
+
   /// Opens the peer socket and starts the pings. Returns an error text, or an
   /// empty string on success.
   auto start() -> std::string;
@@ -62,11 +67,14 @@
   auto is_in_outage() const -> bool;
   void record_response();
   void update_control_addresses(std::string_view lines);
+  void update_limits(const fleet::request_limits& limits);
 
   metrics metrics_;
   peer_socket peers_;
   control_client client_;
   std::vector<std::string> seeds_;  // used on the strand of the pings
+  std::function<void(const fleet::request_limits&)> limits_handler_;
+  fleet::request_limits limits_;  // the same, as last passed to the handler
   boost::asio::steady_timer timer_;
   std::atomic<bool> draining_{false};
   std::atomic<bool> stopped_{false};
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -8,27 +8,26 @@
 #include <string>
 #include <string_view>
 
+#include "adapters/http_limits.h"
 #include "adapters/http_message.h"
 
 namespace parsleyledge {
 
+class memory_budget;
+
 using http_handler =
     std::function<boost::asio::awaitable<http_response>(http_request)>;
 
-/// Size limits, connection limit and timeouts of a server.
-struct http_limits {
-  std::uint64_t body_bytes = 8u << 20;
-  std::uint32_t header_bytes = 16u << 10;
-  std::size_t connections = 4096;
-  std::chrono::seconds idle_timeout{60};  // between requests
-  // To read a request, and again to write its response.
-  std::chrono::seconds request_timeout{30};
-};
+/// The size of the response to a request, as far as it is known before the
+/// request is handled; 0 if it is small.
+using response_size_estimate = std::function<std::size_t(const http_request&)>;
 
 /// Serves HTTP/1.1 on a thread pool.
 class http_server {
  public:
-  http_server(boost::asio::thread_pool& pool, http_limits limits);
+  /// Without a budget the server has one of its own, of the default size.
+  http_server(boost::asio::thread_pool& pool, http_limits limits,
+              std::shared_ptr<memory_budget> budget = nullptr);
   http_server(const http_server&) = delete;
   auto operator=(const http_server&) -> http_server& = delete;
   ~http_server();
@@ -37,6 +36,15 @@
   /// error message, or an empty string on success.
   auto listen(std::string_view address, http_handler handler) -> std::string;
 
+  /// Replaces the limits of requests that begin from now on, and of their
+  /// headers on connections that are accepted from now on.
+  void set_request_limits(std::uint64_t body_bytes, std::uint32_t header_bytes,
+                          std::chrono::milliseconds header_timeout);
+
+  /// Reserves memory for large responses before their requests are handled.
+  /// To be called before listen().
+  void set_response_estimate(response_size_estimate estimate);
+
   /// From now on closes each connection after its current or next response,
   /// unless another request has arrived on it by then.
   void drain();
--- a/src/apps/control.cpp
+++ b/src/apps/control.cpp
@@ -9,6 +9,7 @@
 #include "adapters/http_server.h"
 #include "adapters/journal.h"
 #include "adapters/log.h"
+#include "adapters/memory_budget.h"
 #include "adapters/settings.h"
 
 using namespace parsleyledge;
@@ -25,6 +26,12 @@
 ABSL_FLAG(std::string, data_folder, "", "folder of the journal, on a disk");
 ABSL_FLAG(std::string, placement, "cells", "cells, first_fit or best_fit");
 ABSL_FLAG(int, threads, 4, "threads of the pool");
+ABSL_FLAG(int, memory_mb, 0,
+          "memory of the process; an eighth of it holds requests and responses "
+          "that are not complete. 0: 512 MB");
+ABSL_FLAG(int, max_descriptors, 0,
+          "descriptors of the process; three quarters of them are for "
+          "connections of clients. 0: 4096 connections");
 ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error");
 
 namespace {
@@ -89,7 +96,13 @@
                     [](std::string_view detail) {
                       exit_with_error("replica_stopped", detail);
                     });
-  http_server server(pool, http_limits{});
+  auto memory_mb =
+      static_cast<std::size_t>(std::max(absl::GetFlag(FLAGS_memory_mb), 0));
+  auto descriptors = static_cast<std::size_t>(
+      std::max(absl::GetFlag(FLAGS_max_descriptors), 0));
+  http_server server(
+      pool, limits_of(memory_mb, descriptors),
+      std::make_shared<memory_budget>(request_memory_of(memory_mb)));
   auto error = node.start();
   if (error.empty()) {
     error = server.listen(absl::GetFlag(FLAGS_listen_http).text,
--- a/src/apps/entry.cpp
+++ b/src/apps/entry.cpp
@@ -7,6 +7,7 @@
 #include "adapters/entry_node.h"
 #include "adapters/http_server.h"
 #include "adapters/log.h"
+#include "adapters/memory_budget.h"
 #include "adapters/settings.h"
 
 using namespace parsleyledge;
@@ -23,6 +24,12 @@
 ABSL_FLAG(std::string, routing, "sampled_load",
           "sampled_load, round_robin or least_in_flight");
 ABSL_FLAG(int, threads, 4, "threads of the pool");
+ABSL_FLAG(int, memory_mb, 0,
+          "memory of the process; an eighth of it holds requests and responses "
+          "that are not complete. 0: 512 MB");
+ABSL_FLAG(int, max_descriptors, 0,
+          "descriptors of the process; three quarters of them are for "
+          "connections of clients. 0: 4096 connections");
 ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error");
 
 namespace {
@@ -62,7 +69,13 @@
 
   boost::asio::thread_pool pool(static_cast<std::size_t>(threads));
   entry_node node(pool, settings);
-  http_server server(pool, http_limits{});
+  auto memory_mb =
+      static_cast<std::size_t>(std::max(absl::GetFlag(FLAGS_memory_mb), 0));
+  auto descriptors = static_cast<std::size_t>(
+      std::max(absl::GetFlag(FLAGS_max_descriptors), 0));
+  http_server server(
+      pool, limits_of(memory_mb, descriptors),
+      std::make_shared<memory_budget>(request_memory_of(memory_mb)));
   auto error = node.start();
   if (error.empty()) {
     error = server.listen(absl::GetFlag(FLAGS_listen_http).text,
--- a/src/apps/fleet_control.cpp
+++ b/src/apps/fleet_control.cpp
@@ -11,6 +11,7 @@
 #include "adapters/evacuation_api.h"
 #include "adapters/fleet_control_node.h"
 #include "adapters/http_server.h"
+#include "adapters/memory_budget.h"
 #include "adapters/settings.h"
 #include "platform/bodies.h"
 #include "platform/front.h"
@@ -134,8 +135,14 @@
     if (address.empty()) return {};
     return split_address(address).first + ":" + std::to_string(control_port);
   };
-  http_server server(pool, http_limits{});
-  http_server admin_server(pool, http_limits{});
+  auto limits = limits_of(node_file.memory_mb, node_file.max_descriptors);
+  auto budget =
+      std::make_shared<memory_budget>(request_memory_of(node_file.memory_mb));
+  http_server server(pool, limits, budget);
+  http_server admin_server(pool, limits, budget);
+  server.set_response_estimate([&node](const http_request& request) {
+    return platform::is_config_read(request) ? node.document_bytes() : 0;
+  });
   auto error = node.start();
   if (error.empty()) {
     error = server.listen(node_file.control_address, [&](http_request request) {
@@ -146,7 +153,7 @@
   if (error.empty()) {
     error = admin_server.listen(
         node_file.ip + ":" + std::to_string(absl::GetFlag(FLAGS_metrics_port)),
-        [&node,
+        [&node, budget,
          serve](http_request request) -> boost::asio::awaitable<http_response> {
           if (request.target == "/state") {
             co_return make_response(200, "application/json", node.state_text());
@@ -156,6 +163,7 @@
                 co_await serve_evacuations(std::move(request), serve);
             co_return response;
           }
+          record_memory(*budget, node.counters());
           co_return make_response(200, "text/plain", node.counters().format());
         });
   }
--- a/src/apps/fleet_entry.cpp
+++ b/src/apps/fleet_entry.cpp
@@ -7,6 +7,7 @@
 #include "adapters/clock.h"
 #include "adapters/fleet_entry_node.h"
 #include "adapters/http_server.h"
+#include "adapters/memory_budget.h"
 #include "adapters/settings.h"
 #include "platform/front.h"
 #include "platform/node_settings.h"
@@ -45,9 +46,17 @@
   auto serve = [&node](fleet::request request, milliseconds limit) {
     return node.serve(std::move(request), limit);
   };
-  http_server caller_server(pool, http_limits{});
-  http_server readiness_server(pool, http_limits{});
-  http_server metrics_server(pool, http_limits{});
+  auto limits = limits_of(node_file.memory_mb, node_file.max_descriptors);
+  auto budget =
+      std::make_shared<memory_budget>(request_memory_of(node_file.memory_mb));
+  http_server caller_server(pool, limits, budget);
+  http_server readiness_server(pool, limits, budget);
+  http_server metrics_server(pool, limits, budget);
+  node.set_limits_handler([&](const fleet::request_limits& in_force) {
+    caller_server.set_request_limits(
+        in_force.body_bytes, static_cast<std::uint32_t>(in_force.header_bytes),
+        in_force.header_timeout);
+  });
   auto error = node.start();
   if (error.empty()) {
     error = caller_server.listen(
@@ -68,7 +77,8 @@
   if (error.empty()) {
     error = metrics_server.listen(
         node_file.ip + ":" + std::to_string(absl::GetFlag(FLAGS_metrics_port)),
-        [&node](http_request) -> boost::asio::awaitable<http_response> {
+        [&node, budget](http_request) -> boost::asio::awaitable<http_response> {
+          record_memory(*budget, node.counters());
           co_return make_response(200, "text/plain", node.counters().format());
         });
   }
