Keep the number of votes odd

Cause: six voters have no quorum on either side of a cut of three to three, and one vote less tolerates as many losses.

Change: the leader leaves one of an even number of votes out, unless the tolerated losses need all. The member without a vote takes that of a silent or doubtful one, and a vote is given before another one is taken.

--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -221,7 +221,10 @@
   auto replaced_by(const member& newcomer) const -> const member*;
   auto exchange(member newcomer, member replaced) -> bool;
   auto wanted_members() const -> std::vector<member>;
+  auto without_spare_vote(std::vector<member> wanted) const
+      -> std::vector<member>;
   auto change_vote() -> bool;
+  auto change_votes_to(std::span<const member> wanted, bool voter) -> bool;
   void remove_surplus_member();
   void log_silent_members();
   auto shares_place(const member& newcomer, const member& m) const -> bool;
--- a/src/core/agreement/replica_membership.cpp
+++ b/src/core/agreement/replica_membership.cpp
@@ -412,7 +412,7 @@
 
 // The members as they should be: all that do not lack entries vote, except for
 // as few doubtful ones as it takes to tolerate the doubt. If no choice does,
-// all vote.
+// all vote. Of an even number of votes one is left out.
 auto replica::wanted_members() const -> std::vector<member> {
   auto wanted = members_;
   std::vector<member*> doubtful;
@@ -424,19 +424,50 @@
     doubtful.insert(was_suspended ? doubtful.begin() : doubtful.end(), &m);
   }
   auto all_vote = wanted;
+  bool is_tolerated = tolerates_doubt(wanted);
   for (auto* m : doubtful) {
-    if (tolerates_doubt(wanted)) return wanted;
+    if (is_tolerated) break;
     m->voter = false;
+    is_tolerated = tolerates_doubt(wanted);
   }
-  return tolerates_doubt(wanted) ? wanted : all_vote;
+  return without_spare_vote(is_tolerated ? std::move(wanted)
+                                         : std::move(all_vote));
+}
+
+// Takes one vote of an even number of them, unless the tolerated losses need
+// all: a split in two halves would leave neither a quorum, and one vote less
+// tolerates as many losses. The member without it is the one that is most
+// probably lost, then a doubtful one, and otherwise the same as before.
+auto replica::without_spare_vote(std::vector<member> wanted) const
+    -> std::vector<member> {
+  auto votes = static_cast<std::size_t>(
+      std::ranges::count(wanted, true, &member::voter));
+  bool has_spare = settings_.min_voters != 0 && votes % 2 == 0 &&
+                   votes > settings_.min_voters;
+  if (!has_spare) return wanted;
+  auto rank = [&](const member& m) {
+    const auto* current = find_member(m.id);
+    return std::tuple(m.voter, m.id != settings_.id, is_leaving(m),
+                      may_be_replaced_one(m), !current->voter, m.id);
+  };
+  auto spare = std::ranges::max_element(
+      wanted, {}, [&](const member& m) { return rank(m); });
+  spare->voter = false;
+  return wanted;
 }
 
-// Takes a step towards the wanted votes, one vote at a time.
+// Takes a step towards the wanted votes, one vote at a time. A vote is given
+// before another one is taken, so that the tolerated losses never lack one.
 auto replica::change_vote() -> bool {
   auto wanted = wanted_members();
+  return change_votes_to(wanted, true) || change_votes_to(wanted, false);
+}
+
+auto replica::change_votes_to(std::span<const member> wanted, bool voter)
+    -> bool {
   for (std::size_t i = 0; i < wanted.size(); ++i) {
     const auto& m = members_[i];
-    if (wanted[i].voter == m.voter) continue;
+    if (wanted[i].voter == m.voter || wanted[i].voter != voter) continue;
     if (m.voter && m.id == settings_.id) {
       begin_transfer();
       return true;
@@ -444,9 +475,12 @@
     auto changed = members_;
     changed[i].voter = wanted[i].voter;
     if (!has_live_quorum(changed)) continue;
-    auto decision = m.voter ? describe(member_action::suspended, m,
-                                       "may be the replaced one")
-                            : describe(member_action::promoted, m, "caught up");
+    auto reason = !m.voter                 ? "caught up"
+                  : may_be_replaced_one(m) ? "may be the replaced one"
+                                           : "even number of votes";
+    auto decision =
+        describe(m.voter ? member_action::suspended : member_action::promoted,
+                 m, reason);
     change_members(std::move(changed), std::move(decision));
     return true;
   }
