Evacuate and restore a data centre in the soak

Cause: the soak did not know the orders to evacuate.

Change: one more operator sends orders until they are confirmed and checks that a confirmed one is in force at any machine, unless an attempt before it may still take effect.

--- a/test/fakes/process_site.cpp
+++ b/test/fakes/process_site.cpp
@@ -250,11 +250,12 @@
   return exchange(fleet_control_address(number), std::move(request), timeout);
 }
 
-auto process_site::call_fleet_metrics(int number, std::string_view target)
+auto process_site::call_fleet_metrics(int number, std::string_view target,
+                                      std::chrono::milliseconds timeout)
     -> http_response {
   http_request request;
   request.target = target;
-  return exchange(fleet_metrics_address(number), std::move(request));
+  return exchange(fleet_metrics_address(number), std::move(request), timeout);
 }
 
 auto process_site::fleet_metric(int number, std::string_view name) -> long {
--- a/test/fakes/process_site.h
+++ b/test/fakes/process_site.h
@@ -66,7 +66,9 @@
                               std::chrono::seconds(15)) -> http_response;
 
   /// Reads a path at the metrics address of a fleet's control process.
-  auto call_fleet_metrics(int number, std::string_view target) -> http_response;
+  auto call_fleet_metrics(int number, std::string_view target,
+                          std::chrono::milliseconds timeout =
+                              std::chrono::seconds(15)) -> http_response;
 
   /// The value of a metric of a fleet's control process; -1 if unavailable.
   auto fleet_metric(int number, std::string_view name) -> long;
--- a/test/soak/clients.cpp
+++ b/test/soak/clients.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int reader_count = 2;
+constexpr std::string_view evacuated_data_centre = "dc1";
+constexpr std::chrono::milliseconds order_interval{300};
 constexpr std::chrono::milliseconds read_interval{40};
 // Short, so that a write has often just been confirmed when machines are lost.
 constexpr std::chrono::milliseconds write_interval{5};
@@ -49,6 +51,55 @@
       read_all(stop, seed + static_cast<std::uint64_t>(i) * 1000);
     });
   }
+  threads_.emplace_back(
+      [this, seed](const std::stop_token& stop) { evacuate_all(stop, ~seed); });
+}
+
+auto clients::order_until_confirmed(const std::stop_token& stop,
+                                    std::mt19937_64& random,
+                                    std::string_view method) -> bool {
+  auto path = absl::StrCat("/api/evacuate/", evacuated_data_centre);
+  bool all_refused = true;
+  while (!stop.stop_requested()) {
+    auto machine = any_machine(random);
+    if (machine != 0) {
+      http_request order{std::string(method), path, {}, {}};
+      auto status =
+          site_.call_fleet_control(machine, std::move(order), call_timeout)
+              .status;
+      if (status == 200) return all_refused;
+      // 503 says that the order was not carried out and will not be.
+      all_refused = all_refused && status == 503;
+    }
+    fakes::pause_for(read_interval);
+  }
+  return false;
+}
+
+void clients::check_evacuation(int machine, bool evacuated) {
+  auto response =
+      site_.call_fleet_metrics(machine, "/v1/evacuations", call_timeout);
+  if (response.status != 200) return;
+  bool listed = response.body.find(evacuated_data_centre) != std::string::npos;
+  if (listed == evacuated) return;
+  seen_.report(
+      {"a confirmed order to evacuate is in force", 0, machine, response.body});
+}
+
+void clients::evacuate_all(const std::stop_token& stop, std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  // An attempt without a definite response may take effect after the order that
+  // follows, so one more order is confirmed before the next check.
+  bool was_certain = true;
+  for (bool evacuate = true; !stop.stop_requested(); evacuate = !evacuate) {
+    bool is_certain =
+        order_until_confirmed(stop, random, evacuate ? "POST" : "DELETE");
+    fakes::pause_for(order_interval);
+    auto machine = any_machine(random);
+    if (is_certain && was_certain && machine != 0)
+      check_evacuation(machine, evacuate);
+    was_certain = is_certain;
+  }
 }
 
 void clients::set_machines(std::span<const int> machines) {
--- a/test/soak/clients.h
+++ b/test/soak/clients.h
@@ -16,8 +16,9 @@
 
 namespace parsleyledge::soak {
 
-/// Operators that write configurations with rising versions and read them,
-/// through any machine that runs. They stop with the object.
+/// Operators that write configurations with rising versions and read them, and
+/// one that evacuates a data centre and takes it back, through any machine that
+/// runs. They stop with the object.
 class clients {
  public:
   clients(fakes::process_site& site, history& seen, std::uint64_t seed);
@@ -32,6 +33,16 @@
  private:
   void write_all(const std::stop_token& stop, std::uint64_t seed);
   void read_all(const std::stop_token& stop, std::uint64_t seed);
+  void evacuate_all(const std::stop_token& stop, std::uint64_t seed);
+
+  /// Sends an order until it is confirmed. Returns whether each attempt before
+  /// that was refused, so that none of them can take effect later.
+  auto order_until_confirmed(const std::stop_token& stop,
+                             std::mt19937_64& random, std::string_view method)
+      -> bool;
+
+  /// Checks that a confirmed order is in force at a machine, if it responds.
+  void check_evacuation(int machine, bool evacuated);
 
   /// Waits until a configuration is read late enough for the check of its age.
   /// A write before that would hide the loss of the newest confirmed one.
