Choose evacuation moves only when due, and limit internal servers to 64 connections

Cause: the leader built a planning pass for each tick while a data centre was under evacuation, and three servers of one process could together take more connections than it has descriptors.

--- a/src/adapters/http_limits.h
+++ b/src/adapters/http_limits.h
@@ -46,4 +46,12 @@
   return limits;
 }
 
+/// The limits of a server for the platform and operators, such as that of the
+/// metrics, which few clients call.
+constexpr auto internal_limits_of(http_limits limits) -> http_limits {
+  constexpr std::size_t max_connections = 64;
+  limits.connections = std::min(limits.connections, max_connections);
+  return limits;
+}
+
 }  // namespace parsleyledge
--- a/src/apps/fleet_control.cpp
+++ b/src/apps/fleet_control.cpp
@@ -139,7 +139,7 @@
   auto budget =
       std::make_shared<memory_budget>(request_memory_of(node_file.memory_mb));
   http_server server(pool, limits, budget);
-  http_server admin_server(pool, limits, budget);
+  http_server admin_server(pool, internal_limits_of(limits), budget);
   server.set_response_estimate([&node](const http_request& request) {
     return platform::is_config_read(request) ? node.document_bytes() : 0;
   });
--- a/src/apps/fleet_entry.cpp
+++ b/src/apps/fleet_entry.cpp
@@ -50,8 +50,8 @@
   auto budget =
       std::make_shared<memory_budget>(request_memory_of(node_file.memory_mb));
   http_server caller_server(pool, limits, budget);
-  http_server readiness_server(pool, limits, budget);
-  http_server metrics_server(pool, limits, budget);
+  http_server readiness_server(pool, internal_limits_of(limits), budget);
+  http_server metrics_server(pool, internal_limits_of(limits), budget);
   node.set_limits_handler([&](const fleet::request_limits& in_force) {
     caller_server.set_request_limits(
         in_force.body_bytes, static_cast<std::uint32_t>(in_force.header_bytes),
--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -217,15 +217,17 @@
 
 void dispatcher::move_evacuated_work(const fleet_tables& tables,
                                      clock_reading now) {
-  auto pass =
-      tables.evacuations.empty() ? planning_pass{} : begin_pass(tables, now);
-  auto may_stop = [&](const task_ref& task) {
-    return can_stop_for_maintenance(tables, task);
-  };
-  auto moved = evacuations_.choose_moves(
-      {tables, *site_, runs_, pass, now.steady, may_stop});
-  for (const auto& task : moved)
-    stop_run(runs_.at(task), data_centre_evacuated{});
+  evacuations_.synchronize(tables);
+  if (evacuations_.is_choice_due(now.steady)) {
+    auto pass = begin_pass(tables, now);
+    auto may_stop = [&](const task_ref& task) {
+      return can_stop_for_maintenance(tables, task);
+    };
+    auto moved = evacuations_.choose_moves(
+        {tables, *site_, runs_, pass, now.steady, may_stop});
+    for (const auto& task : moved)
+      stop_run(runs_.at(task), data_centre_evacuated{});
+  }
   for (auto& one : evacuations_.take_decisions())
     effects_.emplace_back(std::move(one));
 }
--- a/src/core/fleet/evacuation_tracker.cpp
+++ b/src/core/fleet/evacuation_tracker.cpp
@@ -85,7 +85,7 @@
   return std::exchange(decisions_, {});
 }
 
-void evacuation_tracker::log_orders(const fleet_tables& tables) {
+void evacuation_tracker::synchronize(const fleet_tables& tables) {
   for (const auto& [name, evacuation] : tables.evacuations) {
     if (!known_.insert(name).second) continue;
     decisions_.push_back({"evacuation_begun", {{"data_centre", name}}});
@@ -96,6 +96,11 @@
     decisions_.push_back({"evacuation_withdrawn", {{"data_centre", name}}});
     return true;
   });
+  if (known_.empty()) remaining_.clear();
+}
+
+auto evacuation_tracker::is_choice_due(time_point now) const -> bool {
+  return !known_.empty() && now >= next_choice_at_;
 }
 
 void evacuation_tracker::log_progress(
@@ -123,12 +128,6 @@
 
 auto evacuation_tracker::choose_moves(const evacuation_input& input)
     -> std::vector<task_ref> {
-  log_orders(input.tables);
-  if (input.tables.evacuations.empty()) {
-    remaining_.clear();
-    return {};
-  }
-  if (input.now < next_choice_at_) return {};
   next_choice_at_ = input.now + choice_interval;
   std::vector<located_work> found;
   for (const auto& [id, job] : input.tables.jobs) {
--- a/src/core/fleet/evacuation_tracker.h
+++ b/src/core/fleet/evacuation_tracker.h
@@ -37,6 +37,13 @@
   /// Begins a leadership. The evacuations in the tables are known already.
   void restore(const fleet_tables& tables);
 
+  /// Logs the orders since the last call and the end of those withdrawn.
+  void synchronize(const fleet_tables& tables);
+
+  /// Whether it is time to choose again what moves. Never true without an
+  /// evacuation.
+  auto is_choice_due(time_point now) const -> bool;
+
   /// Returns the tasks to be stopped now, so that they start elsewhere. Of a
   /// step whose tasks run until they are cancelled at most one.
   auto choose_moves(const evacuation_input& input) -> std::vector<task_ref>;
@@ -54,7 +61,6 @@
   /// Numbers of tasks by the reason why they are still there.
   using task_counts = std::map<std::string_view, std::size_t>;
 
-  void log_orders(const fleet_tables& tables);
   void log_progress(const std::map<std::string_view, task_counts>& tasks,
                     time_point now);
 
