--- a/src/adapters/evacuation_api.cpp
+++ b/src/adapters/evacuation_api.cpp
@@ -29,9 +29,9 @@
 }
 
 /// Converts the lines of a read_evacuations_request to rows.
-auto to_rows(const std::string& lines) -> json::array {
+auto to_rows(std::string_view lines) -> json::array {
   json::array rows;
-  std::istringstream text(lines);
+  std::istringstream text{std::string(lines)};
   std::string name;
   std::int64_t since = 0;
   std::int64_t tasks = 0;
