--- a/test/soak/clients.cpp
+++ b/test/soak/clients.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr int reader_count = 2;
-constexpr std::string_view evacuated_data_centre = "dc1";
+constexpr const char* evacuated_data_centre = "dc1";
 constexpr std::chrono::milliseconds order_interval{300};
 constexpr std::chrono::milliseconds read_interval{40};
 // Short, so that a write has often just been confirmed when machines are lost.
