--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -216,10 +216,13 @@
  public:
   /// Adds what a call of parse() has consumed.
   void add(const request_parser& parser, std::size_t consumed) {
-    if (is_header_done_) return;
-    header_bytes_ += consumed;
+    bool was_header_done = is_header_done_;
+    if (!was_header_done) header_bytes_ += consumed;
     is_header_done_ = parser.is_header_done();
-    if (is_header_done_) field_bytes_ = memory_of_fields(parser);
+    // A trailer adds fields at the end of the request.
+    bool has_new_fields = !was_header_done || parser.is_done();
+    if (is_header_done_ && has_new_fields)
+      field_bytes_ = memory_of_fields(parser);
   }
 
   auto header_bytes() const -> std::size_t { return header_bytes_; }
@@ -270,7 +273,8 @@
                   request_size::body_memory(parser);
     if (!share.resize(needed)) co_return memory_refusal();
     parse(parser, buffer, ec);
-    size.add(parser, before - buffer.size());
+    auto consumed = before - buffer.size();
+    size.add(parser, consumed);
     if (ec && ec != http::error::need_more) co_return result_of(ec);
     if (size.header_bytes() > self.header_bytes)
       co_return result_of(http::error::header_limit);
@@ -279,7 +283,8 @@
     auto held = buffer.capacity() + size.header_memory() +
                 request_size::body_memory(parser);
     if (!share.resize(held)) co_return memory_refusal();
-    bool needs_input = ec == http::error::need_more || buffer.size() == 0;
+    bool needs_input =
+        ec == http::error::need_more || consumed == 0 || buffer.size() == 0;
     if (parser.is_done() || !needs_input) continue;
     auto space = std::min(buffer.max_size() - buffer.size(), buffer_reserve);
     if (space == 0) co_return result_of(http::error::buffer_overflow);
--- a/test/client_limits_test.cpp
+++ b/test/client_limits_test.cpp
@@ -104,6 +104,15 @@
   return {large_crowd_size, head + "\r\n", "b", 1};
 }
 
+/// Complete requests with a trailer of the smallest fields, whose responses are
+/// not read.
+auto trailers_of_tiny_fields() -> crowd {
+  auto request = std::string(chunked_head) + "1\r\n{\r\n0\r\n";
+  for (int i = 0; i < 4000; ++i) request += "a:\r\n";
+  request += "\r\n";
+  return {large_crowd_size, {}, request, 3 * request.size()};
+}
+
 /// One chunk a write.
 auto chunk_by_chunk() -> crowd {
   return {crowd_size, std::string(chunked_head),
@@ -248,6 +257,7 @@
   CPPUNIT_TEST(headers_without_end_at_an_entry);
   CPPUNIT_TEST(aligned_headers_without_end_at_an_entry);
   CPPUNIT_TEST(headers_of_tiny_fields_at_a_control_process);
+  CPPUNIT_TEST(trailers_of_tiny_fields_at_an_entry);
   CPPUNIT_TEST(chunk_by_chunk_over_the_limit_at_a_control_process);
   CPPUNIT_TEST(partial_bodies_within_the_limit_at_an_entry);
   CPPUNIT_TEST(partial_bodies_within_the_limit_at_a_control_process);
@@ -305,6 +315,11 @@
     site.check_survives(site.leader_address(), headers_of_tiny_fields());
   }
 
+  void trailers_of_tiny_fields_at_an_entry() {
+    served_site site(25800);
+    site.check_survives(site.entry_address(), trailers_of_tiny_fields());
+  }
+
   void chunk_by_chunk_over_the_limit_at_a_control_process() {
     served_site site(25700);
     site.check_survives(site.leader_address(), chunk_by_chunk());
