--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -240,6 +240,7 @@
   /// The bytes of the body. Memory that is reserved for an announced length and
   /// not yet used does not count.
   static auto body_memory(const request_parser& parser) -> std::size_t {
+    if (!parser.is_header_done()) return 0;
     const auto& body = parser.get().body();
     return parser.content_length() ? body.size() : body.capacity();
   }
