--- a/review/standins-3/standins.cpp
+++ b/review/standins-3/standins.cpp
@@ -520,7 +520,7 @@
 
 // Keeps the record of a day with very many work units short.
 void runner::log_run(const std::string& text) {
-  constexpr int max_lines = 10'000;
+  constexpr int max_lines = 1'500;
   int lines = ++history_.lines;
   if (lines == max_lines) log_.line("further starts and ends are left out");
   if (lines < max_lines) log_.line("runner " + settings_.id + " " + text);
