Log what a group's members and its last leader know at a fault

Each replica logs members_changed as it adopts other members, with the parts of an exchange. A leader that steps down logs leadership_lost with the age of the last message that each voter acknowledged, and group_without_leader says whether an exchange is under way, before the long fields, as collected lines may be cut. No decision changes.

Test: agreement_test::a_leader_that_steps_down_names_the_voters_it_misses, passed.

--- a/src/adapters/replica_node.cpp
+++ b/src/adapters/replica_node.cpp
@@ -8,6 +8,7 @@
 #include "adapters/io_error.h"
 #include "adapters/log.h"
 #include "adapters/site_state_machine.h"
+#include "core/agreement/quorum.h"
 #include "core/overloaded.h"
 
 namespace parsleyledge {
@@ -41,6 +42,18 @@
     if (!text.empty()) text += ", ";
     text += m.address + (m.voter ? " voter" : " learner");
     if (m.surplus) text += " surplus";
+    if (m.exchange == ag::exchange_part::outgoing) text += " outgoing";
+    if (m.exchange == ag::exchange_part::incoming) text += " incoming";
+  }
+  return text;
+}
+
+auto describe(std::span<const ag::voter_contact> voters) -> std::string {
+  std::string text;
+  for (const auto& v : voters) {
+    if (!text.empty()) text += ", ";
+    text += v.address + " " + std::to_string(v.acknowledged_before.count()) +
+            " ms ago";
   }
   return text;
 }
@@ -209,6 +222,7 @@
     }
     add(replica_.flush(now));
     log_role_change();
+    log_member_change();
     log_quorum(now);
   }
   for (const auto& snapshot : snapshots) install_snapshot(snapshot);
@@ -230,6 +244,19 @@
              {"term", static_cast<std::int64_t>(term.value)}});
 }
 
+// Called with the replica's lock held. Each replica logs the members that it
+// goes by, which are not committed yet as it adopts them. So the lines of any
+// of them show whether an exchange of voters was under way at a fault.
+template <typename Machine>
+void basic_replica_node<Machine>::log_member_change() {
+  auto members = replica_.members();
+  if (std::ranges::equal(members, logged_members_)) return;
+  logged_members_.assign(members.begin(), members.end());
+  log_event(log_level::info, "members_changed",
+            {{"in_exchange", ag::in_exchange(members)},
+             {"members", describe(members)}});
+}
+
 // Called with the replica's lock held. The last line of an outage tells which
 // voters the group waits for, whatever machine it is read on.
 template <typename Machine>
@@ -255,6 +282,7 @@
   log_event(log_level::warning, "group_without_leader",
             {{"since_ms", status.without_leader.count()},
              {"has_quorum", status.has_quorum},
+             {"in_exchange", ag::in_exchange(replica_.members())},
              {"missing", describe(status.missing)},
              {"members", describe(replica_.members())}});
   quorum_logged_at_ = now;
@@ -274,6 +302,13 @@
              {"behind", static_cast<std::int64_t>(decision.behind.value)}});
 }
 
+template <typename Machine>
+void basic_replica_node<Machine>::log_lost_leadership(
+    const ag::leadership_lost& lost) {
+  log_event(log_level::warning, "leadership_lost",
+            {{"reason", lost.reason}, {"acknowledged", describe(lost.voters)}});
+}
+
 template <typename Machine>
 void basic_replica_node<Machine>::execute(std::vector<ag::effect> effects) {
   while (!effects.empty()) {
@@ -298,6 +333,8 @@
         applied = true;
       } else if (const auto* d = std::get_if<ag::member_decision>(&e)) {
         log_decision(*d);
+      } else if (const auto* l = std::get_if<ag::leadership_lost>(&e)) {
+        log_lost_leadership(*l);
       }
     }
     std::vector<ag::effect> more;
--- a/src/adapters/replica_node.h
+++ b/src/adapters/replica_node.h
@@ -156,11 +156,13 @@
              std::vector<finished>& finished);
   void restore(const agreement::persist_snapshot& snapshot);
   void log_decision(const agreement::member_decision& decision);
+  void log_lost_leadership(const agreement::leadership_lost& lost);
   void snapshot_if_due();
   void install_snapshot(const encoded_snapshot& snapshot);
   void schedule_tick();
   void fail(std::string_view detail);
   void log_role_change();
+  void log_member_change();
   void log_quorum(time_point now);
   auto can_serve_applied(time_point now) const -> bool;
 
@@ -176,6 +178,7 @@
   bool snapshot_in_progress_ = false;                         // likewise
   agreement::role logged_role_{};                             // likewise
   agreement::term_number logged_term_;                        // likewise
+  std::vector<agreement::member> logged_members_;             // likewise
   agreement::quorum_status logged_quorum_;                    // likewise
   time_point quorum_logged_at_;                               // likewise
   std::atomic<std::uint64_t> applied_term_{0};  // of the last applied entry
--- a/src/core/agreement/effect.h
+++ b/src/core/agreement/effect.h
@@ -53,6 +53,12 @@
   kept
 };
 
+/// How long ago a leader sent the last message that a voter acknowledged.
+struct voter_contact {
+  std::string address;
+  milliseconds acknowledged_before{};
+};
+
 /// Log a decision of the leader on a member, with the state that it had before.
 struct member_decision {
   member_action action = member_action::kept;
@@ -65,11 +71,17 @@
   log_index behind;        // how many entries it lacks
 };
 
+/// Log that this replica gives up its leadership without a successor.
+struct leadership_lost {
+  std::string_view reason;  // a literal
+  std::vector<voter_contact> voters;
+};
+
 /// An action that the caller of a replica executes. Writes come before messages
 /// and the application of entries, except for messages with `before_sync`.
 using effect =
     std::variant<persist_hard_state, persist_entries, persist_snapshot,
-                 send_message, apply_entry, member_decision>;
+                 send_message, apply_entry, member_decision, leadership_lost>;
 
 /// The name of the action, for logs.
 auto to_string(member_action value) -> std::string_view;
--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -207,13 +207,13 @@
   } else if (role_ == role::leader) {
     if (lease_start() + settings_.delays.election_max < now &&
         leading_since_ + settings_.delays.election_max < now) {
-      become_follower(hard_.term, {});
+      give_up_leadership("no quorum responds");
       return take_effects();
     }
     // The target of the transfer may still win its election, so this replica
     // steps down.
     if (transferring_ && now >= transfer_deadline_) {
-      become_follower(hard_.term, {});
+      give_up_leadership("nobody took the transferred leadership");
       return take_effects();
     }
     if (now >= heartbeat_due_) {
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -203,6 +203,7 @@
   auto silence_of_peer(replica_id id, time_point now) const
       -> std::optional<milliseconds>;
   void become_follower(term_number term, replica_id leader);
+  void give_up_leadership(std::string_view reason);
   void start_election(bool pre_vote, bool transfer);
   void become_leader();
   void bootstrap_group();
--- a/src/core/agreement/replica_quorum.cpp
+++ b/src/core/agreement/replica_quorum.cpp
@@ -29,6 +29,21 @@
   return std::chrono::duration_cast<milliseconds>(now - it->second);
 }
 
+void replica::give_up_leadership(std::string_view reason) {
+  leadership_lost lost{reason, {}};
+  for (const auto& m : members_) {
+    auto it = progress_.find(m.id);
+    if (!has_vote(m) || m.id == settings_.id || it == progress_.end()) continue;
+    // A voter that acknowledged nothing counts from the start of the
+    // leadership.
+    auto acknowledged_at = std::max(it->second.acked_at, leading_since_);
+    lost.voters.push_back({m.address, std::chrono::duration_cast<milliseconds>(
+                                          now_ - acknowledged_at)});
+  }
+  effects_.emplace_back(std::move(lost));
+  become_follower(hard_.term, {});
+}
+
 auto replica::quorum(time_point now) const -> quorum_status {
   quorum_status status;
   if (role_ == role::leader) return status;
--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -251,6 +251,7 @@
   time_point now = first_start_at;
   network_faults faults;
   std::set<std::string> acknowledged;
+  std::vector<leadership_lost> lost_leaderships;
 
  private:
   struct in_flight_message {
@@ -321,6 +322,8 @@
           send(m->content, m->address);
         } else if (const auto* a = std::get_if<apply_entry>(&e)) {
           apply(id, a->entry);
+        } else if (const auto* l = std::get_if<leadership_lost>(&e)) {
+          lost_leaderships.push_back(*l);
         }
       }
       effects =
@@ -1111,6 +1114,7 @@
   CPPUNIT_TEST(survives_a_second_disk_loss_after_recovery);
   CPPUNIT_TEST(a_partitioned_leader_steps_down);
   CPPUNIT_TEST(a_replica_without_a_leader_names_the_voters_it_waits_for);
+  CPPUNIT_TEST(a_leader_that_steps_down_names_the_voters_it_misses);
   CPPUNIT_TEST(a_rejoining_replica_does_not_disrupt_the_leader);
   CPPUNIT_TEST(a_frozen_leader_does_not_serve);
   CPPUNIT_TEST(transfers_leadership_within_200_ms);
@@ -1335,6 +1339,29 @@
     }
   }
 
+  // Guards against an outage whose log does not tell which voters the last
+  // leader missed, and since when.
+  void a_leader_that_steps_down_names_the_voters_it_misses() {
+    group g(3, 1);
+    auto* leader = g.wait_for_leader();
+    CPPUNIT_ASSERT(leader != nullptr);
+    g.run(milliseconds(1000));
+    auto first = leader->settings().id.value % 3 + 1;
+    g.crash({first});
+    g.run(milliseconds(2000));
+    CPPUNIT_ASSERT(g.lost_leaderships.empty());
+    g.crash({first % 3 + 1});
+    g.run(milliseconds(2000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, g.lost_leaderships.size());
+    std::map<std::string, milliseconds> voters;
+    for (const auto& v : g.lost_leaderships.front().voters)
+      voters[v.address] = v.acknowledged_before;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, voters.size());
+    CPPUNIT_ASSERT(voters["r" + std::to_string(first)] > milliseconds(3000));
+    CPPUNIT_ASSERT(voters["r" + std::to_string(first % 3 + 1)] <
+                   milliseconds(1500));
+  }
+
   // Guards against an outage that no log explains, since no replica tells which
   // voters it waits for.
   void a_replica_without_a_leader_names_the_voters_it_waits_for() {
