Show that a disk lost as a successor counts ends the group

A machine is lost, or stopped as planned, before its successor has run for the catch-up time. The group has no leader any more then: operators can't read the configuration, callers get no answer.

--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -810,8 +810,14 @@
 /// power at the same moment.
 class drawn_losses {
  public:
-  drawn_losses(const site_shape& shape, std::uint64_t seed)
+  /// When the replaced replicas end: a drawn time after their successors count,
+  /// or before that, so that they are the tolerated losses until then.
+  enum class replaced_end { late, early };
+
+  drawn_losses(const site_shape& shape, std::uint64_t seed,
+               replaced_end end = replaced_end::late)
       : shape_(shape),
+        end_(end),
         group_(bootstrap_size, seed, true, 2 * shape.tolerated + 1),
         random_(seed) {
     group_.catch_up_time = catch_up_time;
@@ -827,14 +833,20 @@
 
   void run() {
     draw_replacement(milliseconds(0));
-    if (pick(3) == 0) {
+    bool may_be_two = end_ == replaced_end::late || shape_.tolerated > 1;
+    if (may_be_two && pick(3) == 0) {
       draw_replacement(milliseconds(static_cast<int>(pick(9000))));
     }
-    auto strike_at = draw_strike();
+    time_point strike_at;
+    if (end_ == replaced_end::early) {
+      strike_at = draw_early_ends();
+    } else {
+      strike_at = draw_strike();
+      draw_departures(strike_at);
+    }
     for (const auto& r : replacements_) {
       add_event(r.starts_at, [this, r] { start_successor(r); });
     }
-    draw_departures(strike_at);
     for (const auto& [at, event] : events_) {
       if (at >= strike_at) break;
       run_until(at);
@@ -882,6 +894,7 @@
   // transfer of the leadership before it. In between, no set of votes tolerates
   // both the losses of before and those of after that moment.
   static constexpr milliseconds exchange_time{800};
+  static constexpr milliseconds shutdown_time{1500};
   static constexpr milliseconds down_time{1600};
   static constexpr milliseconds recovery_time{12'000};
   static constexpr milliseconds settling_time{15'000};
@@ -956,6 +969,30 @@
     }
   }
 
+  // The replaced replicas are lost before their successors start, or are asked
+  // to end and have ended before these count. Returns a moment at which they
+  // have just begun to count, for the losses of other disks.
+  auto draw_early_ends() -> time_point {
+    time_point strike_at;
+    for (auto& r : replacements_) {
+      r.loses_one = true;
+      if (pick(2) == 0) {
+        auto lost_at = r.starts_at;
+        r.starts_at += milliseconds(static_cast<int>(pick(6000)));
+        add_event(lost_at, [this, r] { group_.lose_disk(r.replaced); });
+      } else {
+        auto latest = (catch_up_time - shutdown_time).count();
+        auto ends_at = r.starts_at + milliseconds(static_cast<int>(pick(
+                                         static_cast<std::size_t>(latest))));
+        add_event(ends_at, [this, r] { group_.retire(r.replaced); });
+        add_event(ends_at + shutdown_time,
+                  [this, r] { group_.lose_disk(r.replaced); });
+      }
+      strike_at = std::max(strike_at, r.starts_at + catch_up_time);
+    }
+    return strike_at + milliseconds(static_cast<int>(pick(1000)));
+  }
+
   static auto counts(const replacement& r, time_point at) -> bool {
     return at >= r.starts_at + catch_up_time;
   }
@@ -1023,6 +1060,7 @@
   }
 
   site_shape shape_;
+  replaced_end end_;
   group group_;
   std::mt19937_64 random_;
   std::vector<replacement> replacements_;
@@ -1131,6 +1169,7 @@
   CPPUNIT_TEST(the_next_leader_removes_a_replaced_leader);
   CPPUNIT_TEST(a_replacement_leaves_a_group_of_its_size);
   CPPUNIT_TEST(a_replica_that_does_not_count_is_not_needed);
+  CPPUNIT_TEST(disks_may_be_lost_as_the_successors_of_lost_replicas_count);
   CPPUNIT_TEST(the_only_voter_is_replaced);
   CPPUNIT_TEST(a_replaced_successor_beside_an_earlier_member_is_not_needed);
   CPPUNIT_TEST(a_replaced_replica_gets_no_vote_during_a_split);
@@ -1738,12 +1777,23 @@
   // replica that does not count, a replaced one or a successor that had not
   // caught up, when it was lost together with tolerated disks.
   void a_replica_that_does_not_count_is_not_needed() {
+    check_drawn_losses(drawn_losses::replaced_end::late);
+  }
+
+  // Guards against the loss of the state: the exchange of a lost replica for
+  // its successor began with the catch-up time at its end. A disk that was lost
+  // at that moment left it without a quorum.
+  void disks_may_be_lost_as_the_successors_of_lost_replicas_count() {
+    check_drawn_losses(drawn_losses::replaced_end::early);
+  }
+
+  static void check_drawn_losses(drawn_losses::replaced_end end) {
     constexpr site_shape shapes[] = {
         {3, 3, 1}, {5, 5, 2}, {3, 6, 2}, {4, 8, 2}};
     for (const auto& shape : shapes) {
       for (std::uint64_t seed = 1; seed <= drawn_losses_per_shape; ++seed) {
         try {
-          drawn_losses losses(shape, seed);
+          drawn_losses losses(shape, seed, end);
           losses.run();
           losses.check();
         } catch (CppUnit::Exception& e) {
--- a/test/replacement_test.cpp
+++ b/test/replacement_test.cpp
@@ -149,6 +149,9 @@
   CPPUNIT_TEST(a_replaced_machine_that_stays_does_not_count);
   CPPUNIT_TEST(a_successor_that_is_lost_at_once_does_not_count);
   CPPUNIT_TEST(a_successor_that_is_lost_while_it_catches_up_does_not_count);
+  CPPUNIT_TEST(a_disk_may_be_lost_as_the_successor_of_a_lost_follower_counts);
+  CPPUNIT_TEST(a_disk_may_be_lost_as_the_successor_of_a_lost_leader_counts);
+  CPPUNIT_TEST(a_disk_may_be_lost_as_the_successor_of_a_stopped_machine_counts);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -264,6 +267,48 @@
     lose(site, {successor, replaced % 3 + 1, false});
     check_nothing_is_lost(site, successor);
   }
+
+  // Guards against the loss of the state: the exchange of a lost machine for
+  // its successor began with the catch-up time at its end. A disk that was lost
+  // at that moment left it without a quorum.
+  void a_disk_may_be_lost_as_the_successor_of_a_lost_follower_counts() {
+    process_site site(23900);
+    start_group(site);
+    lose_a_disk_as_the_successor_counts(site, follower(site));
+  }
+
+  // Guards against the same loss where the lost machine was the leader.
+  void a_disk_may_be_lost_as_the_successor_of_a_lost_leader_counts() {
+    process_site site(24000);
+    start_group(site);
+    lose_a_disk_as_the_successor_counts(site, leader(site));
+  }
+
+  // Guards against the same loss where the replaced machine was asked to end
+  // before its successor counted.
+  void a_disk_may_be_lost_as_the_successor_of_a_stopped_machine_counts() {
+    process_site site(24100);
+    start_group(site);
+    auto gone = leader(site);
+    start_successor(site, gone);
+    pause_for(milliseconds(1000));
+    site.signal(name_of(gone), SIGTERM);
+    pause_for(catch_up - milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(0, site.wait(name_of(gone)));
+    lose(site, {0, gone % 3 + 1, false});
+    check_nothing_is_lost(site, gone);
+  }
+
+ private:
+  static void lose_a_disk_as_the_successor_counts(process_site& site,
+                                                  int gone) {
+    site.kill(name_of(gone));
+    pause_for(seconds(1));
+    start_successor(site, gone);
+    pause_for(catch_up);
+    lose(site, {0, gone % 3 + 1, false});
+    check_nothing_is_lost(site, gone);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(replacement_test);
