Replace a lost member before its successor counts

The operator could not read the configuration, and accepted jobs got no answer.

Cause: a machine was lost, or left as planned, before its successor had run for the catch-up time. The successor took its vote only once it counted. From that moment on another machine may lose its disk, and an exchange by joint consensus needs a majority of the old voters: the lost machine, the one without its disk and the leader. Neither the exchange nor anything else could be committed any more. The class: a change that the next loss makes necessary begins only when that loss is allowed.

Now a successor that has the log takes the place of a member of its data centre as soon as that one departs or is silent for 1 s (3 s beside another member there). Until the successor counts, the lost member is the tolerated loss, so all other voters respond and the exchange completes. The place is provisional: a successor that is lost before it counts gives it back. New leaders measure the silence of their predecessor from its last message, not from their own election.

Weighed: an additional vote for the successor (a group of four needs three), and a shorter exchange (no interval is short enough).

Three further cases of agreement_test cover the provisional place.

--- a/src/adapters/agreement_codec.cpp
+++ b/src/adapters/agreement_codec.cpp
@@ -184,6 +184,7 @@
   to.set_data_centre(from.data_centre);
   to.set_admitted_at(from.admitted_at.value);
   to.set_exchange(static_cast<std::uint32_t>(from.exchange));
+  to.set_provisional(from.provisional);
 }
 
 static auto read_exchange(std::uint32_t from) -> ag::exchange_part {
@@ -196,7 +197,8 @@
   return {{from.id()},          {from.life()},
           from.address(),       from.voter(),
           from.surplus(),       from.data_centre(),
-          {from.admitted_at()}, read_exchange(from.exchange())};
+          {from.admitted_at()}, read_exchange(from.exchange()),
+          from.provisional()};
 }
 
 void write(const ag::log_entry& from, wire::log_entry& to) {
--- a/src/adapters/replica_node.cpp
+++ b/src/adapters/replica_node.cpp
@@ -42,6 +42,7 @@
     if (!text.empty()) text += ", ";
     text += m.address + (m.voter ? " voter" : " learner");
     if (m.surplus) text += " surplus";
+    if (m.provisional) text += " provisional";
     if (m.exchange == ag::exchange_part::outgoing) text += " outgoing";
     if (m.exchange == ag::exchange_part::incoming) text += " incoming";
   }
--- a/src/core/agreement/effect.h
+++ b/src/core/agreement/effect.h
@@ -49,6 +49,7 @@
   exchanged,  // takes the place of another member
   replaced,   // another member takes its place
   suspended,  // has no vote while another one of its data centre may leave
+  confirmed,  // counts, after it took a place provisionally
   removed,
   kept
 };
--- a/src/core/agreement/message.h
+++ b/src/core/agreement/message.h
@@ -36,7 +36,7 @@
   // which index to continue.
   log_index match;
   time_point sent_at;
-  // How long a learner has run and heard from leaders without a long pause.
+  // How long the sender has run and heard from leaders without a long pause.
   std::optional<milliseconds> in_contact_for{};
 };
 
--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -339,7 +339,11 @@
   leading_since_ = now_;
   transferring_ = false;
   progress_.clear();
-  for (const auto& m : members_) progress_[m.id] = new_progress(m);
+  for (const auto& m : members_) {
+    progress_[m.id] = new_progress(m);
+    if (m.id == last_leader_)
+      progress_[m.id].received_at = last_leader_contact_;
+  }
   heartbeat_due_ = now_ + settings_.delays.heartbeat;
   log_entry no_op{
       {hard_.term, last_position().index.next()}, entry_kind::no_op, {}, {}};
@@ -500,7 +504,7 @@
   if (in.term > hard_.term || role_ == role::candidate || leader_ != in.from) {
     become_follower(in.term, in.from);
   }
-  record_leader_contact();
+  record_leader_contact(in.from);
   election_due_ = now_ + random_timeout();
   auto previous_term = term_at(request.previous.index);
   if (request.previous.index > snapshot_last_.index &&
@@ -542,19 +546,18 @@
   acknowledge(in, match, request.sent_at);
 }
 
-void replica::record_leader_contact() {
-  if (now_ - last_leader_contact_ > max_contact_pause) in_contact_since_ = now_;
+void replica::record_leader_contact(replica_id leader) {
+  auto last_contact = std::max(last_leader_contact_, led_until_);
+  if (now_ - last_contact > max_contact_pause) in_contact_since_ = now_;
   last_leader_contact_ = now_;
+  last_leader_ = leader;
 }
 
 void replica::acknowledge(const message& in, log_index match,
                           time_point sent_at) {
-  append_reply response{true, match, sent_at, {}};
-  if (!is_voter()) {
-    response.in_contact_for =
-        std::chrono::duration_cast<milliseconds>(now_ - in_contact_since_);
-  }
-  reply(in, response);
+  auto in_contact_for =
+      std::chrono::duration_cast<milliseconds>(now_ - in_contact_since_);
+  reply(in, append_reply{true, match, sent_at, in_contact_for});
 }
 
 void replica::handle(const message& in, const append_reply& response) {
@@ -617,7 +620,7 @@
   if (in.term > hard_.term || leader_ != in.from) {
     become_follower(in.term, in.from);
   }
-  record_leader_contact();
+  record_leader_contact(in.from);
   election_due_ = now_ + random_timeout();
   if (chunk.last.index <= commit_) {
     acknowledge(in, commit_, chunk.sent_at);
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -176,7 +176,7 @@
     time_point received_at;
     time_point resent_at;  // when missing entries were last sent again
     std::optional<time_point> departing_at;  // its last departure message
-    // Since when a learner has run and heard from leaders, as far as is known.
+    // Since when the peer has run and heard from leaders, as far as is known.
     std::optional<time_point> in_contact_since;
     bool kept_despite_silence = false;  // and logged
   };
@@ -220,7 +220,10 @@
   void complete_exchange();
   auto exchange_member() -> bool;
   auto replaced_by(const member& newcomer) const -> const member*;
-  auto exchange(member newcomer, member replaced) -> bool;
+  auto lost_predecessor(const member& newcomer) const -> const member*;
+  auto is_lost(const member& m) const -> bool;
+  auto exchange(member newcomer, member replaced, bool provisional) -> bool;
+  auto confirm_member() -> bool;
   auto wanted_members() const -> std::vector<member>;
   auto without_spare_vote(std::vector<member> wanted) const
       -> std::vector<member>;
@@ -265,7 +268,7 @@
   auto has_quorum(const std::map<replica_id, bool>& votes) const -> bool;
   auto term_at(log_index index) const -> std::optional<term_number>;
   auto entry_at(log_index index) const -> const log_entry&;
-  void record_leader_contact();
+  void record_leader_contact(replica_id leader);
   auto is_voter() const -> bool;
   auto has_recent_leader_contact() const -> bool;
   auto random_timeout() -> milliseconds;
@@ -277,6 +280,7 @@
   replica_id leader_;
   time_point now_;
   time_point last_leader_contact_;
+  replica_id last_leader_;       // whose message that was
   time_point in_contact_since_;  // with leaders, without a long pause
   time_point election_due_;
   time_point heartbeat_due_;
--- a/src/core/agreement/replica_membership.cpp
+++ b/src/core/agreement/replica_membership.cpp
@@ -20,6 +20,9 @@
 constexpr std::uint64_t max_promotion_lag = 64;  // entries
 // Longer than a restart, so that a voter that restarts keeps its place.
 constexpr milliseconds unresponsive_timeout{3000};
+// How long a member is silent before a successor that runs takes its place.
+// Shorter, as the successor shows that the member is to be replaced.
+constexpr milliseconds replaced_member_timeout{1000};
 // How long a silent surplus member is kept, so that it is known when it
 // returns, even without its disk.
 constexpr milliseconds surplus_retention{600'000};
@@ -45,6 +48,8 @@
       return "replaced";
     case member_action::suspended:
       return "suspended";
+    case member_action::confirmed:
+      return "confirmed";
     case member_action::removed:
       return "removed";
     case member_action::kept:
@@ -234,6 +239,8 @@
 // Whether a surplus member counts instead of the one that it replaces. It must
 // have responded since its catch-up time ended, as it may be lost before.
 auto replica::counts(const member& m) const -> bool {
+  if (m.id == settings_.id)
+    return now_ - in_contact_since_ >= settings_.catch_up_time;
   auto it = progress_.find(m.id);
   return is_live(m) && !is_departing(m.id) && is_caught_up(m) &&
          it->second.in_contact_since &&
@@ -267,11 +274,14 @@
   });
 }
 
-// A later member replaces an earlier one of its data centre, never the reverse:
-// a replaced machine must not get its vote back while its successor is away.
+// A later member replaces an earlier one of its data centre, not the reverse: a
+// replaced machine must not get its vote back while its successor is away. A
+// successor that is lost before it counted has replaced nobody.
 auto replica::may_replace(const member& newcomer, const member& m) const
     -> bool {
   if (!shares_place(newcomer, m)) return false;
+  bool is_same_place = m.data_centre == newcomer.data_centre;
+  if (m.provisional && is_same_place && is_leaving(m)) return true;
   bool is_placed =
       !newcomer.data_centre.empty() && newcomer.data_centre == m.data_centre;
   if (in_doubt(newcomer, m) || !is_placed) {
@@ -294,6 +304,37 @@
   return chosen;
 }
 
+// Whether a member of a data centre is taken for lost while a successor runs
+// there. Beside another member of the data centre it may not be the replaced
+// one, and keeps its place during a restart.
+auto replica::is_lost(const member& m) const -> bool {
+  if (m.id == settings_.id) return false;
+  auto members = std::ranges::count_if(members_, [&](const member& other) {
+    return !other.surplus && other.data_centre == m.data_centre;
+  });
+  auto timeout = members > 1 ? unresponsive_timeout : replaced_member_timeout;
+  return is_departing(m.id) || silence_of(m.id) > timeout;
+}
+
+// The lost member whose place a successor takes before it counts. The lost one
+// is the loss that the group tolerates until then. The moment at which the
+// successor counts is too late: another member may be lost then, and the
+// exchange needs it.
+auto replica::lost_predecessor(const member& newcomer) const -> const member* {
+  if (newcomer.data_centre.empty() || !is_live(newcomer) ||
+      is_departing(newcomer.id) || !is_caught_up(newcomer)) {
+    return nullptr;
+  }
+  const member* lost = nullptr;
+  for (const auto& m : members_) {
+    bool is_earlier = !m.surplus && m.data_centre == newcomer.data_centre &&
+                      m.admitted_at < newcomer.admitted_at;
+    if (!is_earlier || !is_lost(m) || in_doubt(newcomer, m)) continue;
+    if (lost == nullptr || silence_of(m.id) > silence_of(lost->id)) lost = &m;
+  }
+  return lost;
+}
+
 auto replica::may_change_members() const -> bool {
   return role_ == role::leader && !transferring_ && members_index_ <= commit_ &&
          term_at(commit_) == hard_.term;
@@ -308,24 +349,42 @@
     return;
   }
   log_silent_members();
-  if (!exchange_member() && !change_vote()) remove_surplus_member();
+  if (!exchange_member() && !confirm_member() && !change_vote())
+    remove_surplus_member();
 }
 
-// Gives a surplus member that counts the place of the member that it replaces.
+// Gives a surplus member the place of the member that it replaces, once it
+// counts or the other one is lost.
 auto replica::exchange_member() -> bool {
   for (const auto& newcomer : members_) {
-    if (!newcomer.surplus || !counts(newcomer)) continue;
-    const auto* replaced = replaced_by(newcomer);
-    if (replaced != nullptr && exchange(newcomer, *replaced)) return true;
+    if (!newcomer.surplus) continue;
+    bool is_early = !counts(newcomer);
+    const auto* replaced =
+        is_early ? lost_predecessor(newcomer) : replaced_by(newcomer);
+    if (replaced != nullptr && exchange(newcomer, *replaced, is_early))
+      return true;
   }
   return false;
 }
 
+auto replica::confirm_member() -> bool {
+  auto it = std::ranges::find_if(members_, [&](const member& m) {
+    return m.provisional && !m.surplus && counts(m);
+  });
+  if (it == members_.end()) return false;
+  auto changed = members_;
+  changed[static_cast<std::size_t>(it - members_.begin())].provisional = false;
+  auto decision = describe(member_action::confirmed, *it, "counts");
+  change_members(std::move(changed), std::move(decision));
+  return true;
+}
+
 // A voter is exchanged in two entries of the log (joint consensus), as a change
 // of two members at once could elect two leaders. From the first entry on,
 // decisions take a majority of the old voters and one of the new voters. Once
 // it is committed, the second one ends the vote of the replaced member.
-auto replica::exchange(member newcomer, member replaced) -> bool {
+auto replica::exchange(member newcomer, member replaced, bool provisional)
+    -> bool {
   // Leadership goes first, as a leader without a vote does not serve. The only
   // voter can transfer it to its successor alone, between the two entries.
   if (replaced.voter && replaced.id == settings_.id && voter_count() > 1) {
@@ -336,17 +395,21 @@
   for (auto& m : changed) {
     if (m.id == newcomer.id) {
       m.surplus = replaced.voter;
+      m.provisional = provisional;
       if (replaced.voter) m.exchange = exchange_part::incoming;
     } else if (m.id == replaced.id) {
       m.surplus = !replaced.voter;
+      m.provisional = false;
       if (replaced.voter) m.exchange = exchange_part::outgoing;
     }
   }
   if (!has_live_quorum(changed)) return false;
   change_members(std::move(changed),
-                 describe(member_action::exchanged, newcomer, "counts"));
+                 describe(member_action::exchanged, newcomer,
+                          provisional ? "the other one is lost" : "counts"));
   effects_.emplace_back(
-      describe(member_action::replaced, replaced, "its successor counts"));
+      describe(member_action::replaced, replaced,
+               provisional ? "lost" : "its successor counts"));
   return true;
 }
 
--- a/src/core/agreement/types.h
+++ b/src/core/agreement/types.h
@@ -47,6 +47,9 @@
   // earlier one.
   log_index admitted_at{};
   exchange_part exchange = exchange_part::none;
+  // Whether it took the place of a lost member before it counted. If it is lost
+  // itself before it counts, the other one may take the place back.
+  bool provisional = false;
 
   auto operator==(const member&) const -> bool = default;
 };
--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -1170,6 +1170,9 @@
   CPPUNIT_TEST(a_replacement_leaves_a_group_of_its_size);
   CPPUNIT_TEST(a_replica_that_does_not_count_is_not_needed);
   CPPUNIT_TEST(disks_may_be_lost_as_the_successors_of_lost_replicas_count);
+  CPPUNIT_TEST(a_successor_that_is_lost_before_it_counts_gives_the_place_back);
+  CPPUNIT_TEST(a_successor_that_counts_keeps_the_place_of_a_lost_replica);
+  CPPUNIT_TEST(a_restart_beside_a_successor_costs_no_place);
   CPPUNIT_TEST(the_only_voter_is_replaced);
   CPPUNIT_TEST(a_replaced_successor_beside_an_earlier_member_is_not_needed);
   CPPUNIT_TEST(a_replaced_replica_gets_no_vote_during_a_split);
@@ -1807,6 +1810,67 @@
     }
   }
 
+  // Guards against the loss of the state: a successor took the place of a
+  // replica that was down for some seconds, and was lost for good before it
+  // counted.
+  void a_successor_that_is_lost_before_it_counts_gives_the_place_back() {
+    for (std::uint32_t replaced : {1, 2, 3}) {
+      placed_group site({3, 3, 1}, replaced);
+      site.net.crash({replaced});
+      site.start(4, replaced);
+      site.net.run(milliseconds(3500));
+      CPPUNIT_ASSERT(site.votes(4) && !site.votes(replaced));
+      site.restart(replaced);
+      site.net.run(milliseconds(200));
+      site.net.lose_disk({4});
+      site.net.run(milliseconds(6000));
+      CPPUNIT_ASSERT(site.votes(replaced));
+      site.check_losses(4, {replaced % 3 + 1});
+    }
+  }
+
+  // Guards against the loss of the state: a replica that was lost for a while
+  // took its place back from a successor that counts but was cut off. The
+  // successor may lead while its catch-up time ends.
+  void a_successor_that_counts_keeps_the_place_of_a_lost_replica() {
+    for (bool leads : {false, true}) {
+      placed_group site({3, 3, 1}, 1);
+      site.net.crash({1});
+      site.start(4, 1);
+      site.net.run(milliseconds(3000));
+      CPPUNIT_ASSERT(site.votes(4));
+      for (int i = 0; i < 10; ++i) {
+        auto id = id_of(*site.net.wait_for_leader());
+        if ((id == replica_id{4}) == leads) break;
+        site.net.transfer_from(id);
+      }
+      CPPUNIT_ASSERT_EQUAL(leads,
+                           id_of(*site.net.wait_for_leader()) == replica_id{4});
+      site.net.run(milliseconds(2000));
+      site.restart(1);
+      site.net.run(milliseconds(6000));
+      site.net.set_partitioned({4}, true);
+      site.net.run(milliseconds(6000));
+      CPPUNIT_ASSERT(site.votes(4) && !site.votes(1));
+      site.check_losses(1, {2}, {4});
+    }
+  }
+
+  // Guards against a vote for a successor that does not count: of two replicas
+  // in its data centre, the one that is not replaced restarts.
+  void a_restart_beside_a_successor_costs_no_place() {
+    placed_group site({3, 6, 2}, 1);
+    site.start(7, 1);
+    site.net.crash({4});
+    site.net.run(milliseconds(2500));
+    site.restart(4);
+    site.net.run(milliseconds(1000));
+    auto* leader = site.net.wait_for_leader();
+    CPPUNIT_ASSERT(leader->find_member({7})->surplus);
+    CPPUNIT_ASSERT(!leader->find_member({4})->surplus);
+    site.check_losses(7, {2, 3});
+  }
+
   // Guards against a permanent outage: the only voter transferred its
   // leadership to nobody, again and again, instead of admitting the vote of its
   // successor.
--- a/test/journal_test.cpp
+++ b/test/journal_test.cpp
@@ -177,8 +177,15 @@
     write(disk, {entry(1, "a"), entry(2, "b"), entry(3, "c")});
     std::vector<member> members{{{1}, {9}, "x", true},
                                 {{2}, {8}, "y", false, true}};
-    members.push_back(
-        {{3}, {7}, "z", true, false, "dc3", {12}, exchange_part::outgoing});
+    members.push_back({{3},
+                       {7},
+                       "z",
+                       true,
+                       false,
+                       "dc3",
+                       {12},
+                       exchange_part::outgoing,
+                       true});
     std::vector<log_entry> tail{entry(3, "c")};
     CPPUNIT_ASSERT_EQUAL(std::string(), error_of([&] {
                            return disk.write_snapshot(
