--- a/test/soak/plan.cpp
+++ b/test/soak/plan.cpp
@@ -17,9 +17,13 @@
 
 constexpr milliseconds down_time{1600};  // of a machine without power
 constexpr milliseconds longest_pause{3000};
-// The platform's catch-up time, after which a successor counts, and the moment
-// of the exchange of votes: no votes tolerate the losses of both sides of it.
-constexpr milliseconds after_exchange{4000 + 1000};
+// The platform's catch-up time, after which a successor counts.
+constexpr milliseconds catch_up{4000};
+// After the exchange of votes with a machine that still runs: no votes tolerate
+// the losses of both sides of that moment.
+constexpr milliseconds after_exchange = catch_up + milliseconds(1000);
+// A machine that is stopped by then has ended before its successor counts.
+constexpr milliseconds latest_early_stop{2500};
 // A successor that is lost before it counts is lost by then, so that a late
 // signal does not reach it after the catch-up time.
 constexpr milliseconds latest_early_loss{3300};
@@ -61,6 +65,8 @@
       lose_disks(draw(0, 1000), {}, counting_, counting_);
     } else if (kind < 85) {
       replace_beside_disturbances();
+    } else if (kind < 92) {
+      lose_disks_as_successors_count();
     } else {
       round_.rest = draw(500, 3000);
       disturb(pick(1, 3), seconds(6));
@@ -171,6 +177,21 @@
     for (auto m : stay) end_replaced(back + between_disks, m);
   }
 
+  /// Machines are lost or stopped before their successors count, and disks are
+  /// lost just after these have begun to.
+  void lose_disks_as_successors_count() {
+    for (const auto& r : replace()) {
+      if (chance(50)) {
+        add(last_start_ + draw(0, 500), machines_lost{{r.machine}, {}, {}});
+      } else {
+        add(last_start_ + draw(0, latest_early_stop.count()),
+            machine_signalled{r.machine, SIGTERM, true});
+      }
+    }
+    auto at = last_start_ + catch_up + draw(200, 1000);
+    lose_disks(at, {}, counting_, counting_);
+  }
+
   void end_replaced(milliseconds at, int machine) {
     at += draw(0, 4000);
     if (chance(50)) {
