Bound the memory of the stored jobs

Every control process exceeds its memory, is killed, and again after each start, as it reads the same jobs from its disk. No leader any more: accepted jobs are out of reach, new ones are refused.

Cause: nothing counted what the accepted jobs take.

The state counts the memory of its jobs by customer, estimated from what they ask for with one open occurrence. A job that exceeds a sixth of the process's memory in all, or half of that for its customer, is refused at once, with 5 s of Retry-After. A job that is stored already is confirmed as before.

Tests of the count in fleet_units_test.

--- a/src/adapters/fleet_control_node.h
+++ b/src/adapters/fleet_control_node.h
@@ -20,6 +20,7 @@
 #include "adapters/replica_node.h"
 #include "core/agreement/overload_detector.h"
 #include "core/fleet/dispatcher.h"
+#include "core/fleet/job_ledger.h"
 #include "core/fleet/request.h"
 #include "ports/fleet.h"
 
@@ -39,6 +40,7 @@
   agreement::replica_settings replica;
   fleet::dispatch_limits limits;
   std::vector<std::string> data_centres;  // of the site, as far as known
+  std::size_t max_job_bytes = 0;          // of stored jobs; 0: no limit
   // Without a disk the process joins no group and only forwards requests to
   // the leader.
   bool has_disk = true;
@@ -117,6 +119,13 @@
   void handle_request(const fleet::read_evacuations_request& request,
                       reply_handler done);
 
+  /// Whether a submitted job is stored, there is room for it, which is held for
+  /// it while it is committed, or there is none.
+  enum class job_admission { stored, pending, no_room };
+
+  auto admit_job(const fleet::job_spec& spec, std::size_t bytes)
+      -> job_admission;
+
   struct resolved_job;
   struct pending_reply;
   auto resolve_job(const fleet::job_address& address, fleet::reply& failure)
@@ -175,6 +184,7 @@
   ranked_mutex dispatch_mutex_{lock_rank::worker_table};
   fleet::dispatcher dispatcher_;
   std::shared_ptr<const fleet::site> site_;
+  fleet::job_ledger pending_jobs_;  // submitted, not committed yet
   std::vector<std::string> seeds_;
   std::vector<agreement::member> known_members_;  // as last sent or received
   time_point members_sent_at_;                    // to the seeds and members
--- a/src/adapters/fleet_control_requests.cpp
+++ b/src/adapters/fleet_control_requests.cpp
@@ -21,6 +21,9 @@
 using fleet::reply_status;
 
 constexpr milliseconds retry_delay{1000};  // while there is no leader
+// While the stored jobs take all the memory that they may. Ended jobs are
+// erased some minutes later.
+constexpr milliseconds full_store_retry_delay{5000};
 constexpr std::size_t job_id_digits = 16;
 
 auto refusal(reply_status status, std::string_view text) -> reply {
@@ -236,6 +239,17 @@
   request.spec.queue = resolved.queue->name;
   request.spec.customer = resolved.customer;
   request.spec.accepted_by = *resolved.queue;
+  auto bytes = fleet::stored_bytes(request.spec);
+  auto admission = admit_job(request.spec, bytes);
+  if (admission == job_admission::no_room) {
+    log_event(log_level::warning, "job_refused",
+              {{"job", fleet::to_string(*id)},
+               {"customer", resolved.customer},
+               {"reason", "the stored jobs take all memory for them"},
+               {"bytes", static_cast<std::int64_t>(bytes)}});
+    return done({reply_status::busy, "too many jobs are stored", 0,
+                 full_store_retry_delay});
+  }
   log_event(
       log_level::info, "job_submitted",
       {{"job", fleet::to_string(*id)},
@@ -243,9 +257,33 @@
        {"customer", resolved.customer},
        {"site_version", static_cast<std::int64_t>(resolved.config->version)},
        {"steps", static_cast<std::int64_t>(request.spec.steps.size())}});
+  if (admission == job_admission::pending) {
+    done = [this, customer = resolved.customer, bytes,
+            done = std::move(done)](reply r) {
+      {
+        ranked_lock lock(dispatch_mutex_);
+        pending_jobs_.remove(customer, bytes);
+      }
+      done(std::move(r));
+    };
+  }
   commit(fleet::add_job{std::move(request.spec), wall_now()}, std::move(done));
 }
 
+// A job that is stored already is confirmed again, whatever memory is left.
+auto fleet_control_node::admit_job(const fleet::job_spec& spec,
+                                   std::size_t bytes) -> job_admission {
+  return replica_.read_state([&](const fleet::fleet_state& state) {
+    if (state.tables().jobs.contains(spec.id)) return job_admission::stored;
+    ranked_lock lock(dispatch_mutex_);
+    if (!fleet::has_room(state.stored_jobs(), pending_jobs_, spec.customer,
+                         bytes, settings_.max_job_bytes))
+      return job_admission::no_room;
+    pending_jobs_.add(spec.customer, bytes);
+    return job_admission::pending;
+  });
+}
+
 void fleet_control_node::handle_request(const fleet::read_request& request,
                                         reply_handler done) {
   reply failure{reply_status::done, {}, 0, {}};
--- a/src/adapters/http_limits.h
+++ b/src/adapters/http_limits.h
@@ -29,6 +29,15 @@
   return (memory_mb == 0 ? unknown_memory_mb : memory_mb) * bytes_per_mb / 8;
 }
 
+/// The bytes that the stored jobs of a process with this memory may take; 0
+/// stands for an unknown memory. A snapshot holds the tables a second time and
+/// encoded, and the log holds what was committed since the last one.
+constexpr auto job_memory_of(std::size_t memory_mb) -> std::size_t {
+  constexpr std::size_t bytes_per_mb = 1U << 20;
+  constexpr std::size_t unknown_memory_mb = 512;
+  return (memory_mb == 0 ? unknown_memory_mb : memory_mb) * bytes_per_mb / 6;
+}
+
 /// The limits of a server in a process with this memory and these descriptors;
 /// 0 stands for unknown ones. A decoded document takes up to eight times its
 /// size, so a body may have a thirty-second of the memory, and a quarter of the
--- a/src/apps/fleet_control.cpp
+++ b/src/apps/fleet_control.cpp
@@ -74,6 +74,7 @@
   settings.replica.data_centre = node.data_centre;
   settings.data_centres = node.data_centres;
   settings.has_disk = !node.data_folder.empty();
+  settings.max_job_bytes = job_memory_of(node.memory_mb);
   settings.limits.max_lease = node.max_lease;
   settings.limits.lease = node.max_lease * 9 / 10;
   settings.limits.gang_start_timeout = node.gang_start_timeout;
--- a/src/core/fleet/fleet_state.cpp
+++ b/src/core/fleet/fleet_state.cpp
@@ -37,6 +37,11 @@
 
 }  // namespace
 
+fleet_state::fleet_state(fleet_tables tables) : tables_(std::move(tables)) {
+  for (const auto& [id, job] : tables_.jobs)
+    stored_jobs_.add(job.spec.customer, stored_bytes(job.spec));
+}
+
 auto fleet_state::apply(const command& command) -> command_outcome {
   return std::visit([this](const auto& one) { return apply_one(one); },
                     command);
@@ -58,6 +63,7 @@
   if (!added) return command_outcome::repeated;
   it->second.spec = command.spec;
   it->second.accepted_at = command.at;
+  stored_jobs_.add(command.spec.customer, stored_bytes(command.spec));
   update_revision(it->second);
   erase_ended_jobs(command.at);
   return command_outcome::done;
@@ -69,6 +75,8 @@
     if (it != tables_.jobs.end()) {
       if (now - it->second.ended_at < ended_job_retention) return;
       if (has_assigned_tasks(it->second)) return;
+      const auto& spec = it->second.spec;
+      stored_jobs_.remove(spec.customer, stored_bytes(spec));
       tables_.jobs.erase(it);
     }
     tables_.ended.pop_front();
--- a/src/core/fleet/fleet_state.h
+++ b/src/core/fleet/fleet_state.h
@@ -3,6 +3,7 @@
 #include <span>
 
 #include "core/fleet/command.h"
+#include "core/fleet/job_ledger.h"
 
 namespace parsleyledge::fleet {
 
@@ -11,11 +12,14 @@
 class fleet_state {
  public:
   fleet_state() = default;
-  explicit fleet_state(fleet_tables tables) : tables_(std::move(tables)) {}
+  explicit fleet_state(fleet_tables tables);
 
   auto apply(const command& command) -> command_outcome;
   auto tables() const -> const fleet_tables& { return tables_; }
 
+  /// The memory of the stored jobs. Not replicated: derived from the tables.
+  auto stored_jobs() const -> const job_ledger& { return stored_jobs_; }
+
  private:
   auto apply_one(const read_barrier& command) -> command_outcome;
   auto apply_one(const put_site& command) -> command_outcome;
@@ -48,6 +52,7 @@
   void erase_ended_jobs(time_point now);
 
   fleet_tables tables_;
+  job_ledger stored_jobs_;
 };
 
 }  // namespace parsleyledge::fleet
--- a/test/fleet_units_test.cpp
+++ b/test/fleet_units_test.cpp
@@ -67,6 +67,8 @@
   CPPUNIT_TEST(only_a_higher_configuration_version_is_applied);
   CPPUNIT_TEST(urgent_work_comes_first_and_expired_work_last);
   CPPUNIT_TEST(occurrences_beyond_a_limit_wait_for_earlier_ones);
+  CPPUNIT_TEST(stored_jobs_are_counted_until_they_are_erased);
+  CPPUNIT_TEST(a_customer_may_take_half_of_the_memory_for_jobs);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -325,6 +327,48 @@
     CPPUNIT_ASSERT(order == (std::vector<std::uint64_t>{4, 2, 3, 1}));
   }
 
+  // Guards against control processes that exceed their memory: nothing counted
+  // what the stored jobs take.
+  void stored_jobs_are_counted_until_they_are_erased() {
+    fleet_state state;
+    job_spec spec;
+    spec.id = {1};
+    spec.customer = "a";
+    spec.steps.resize(9500);
+    state.apply(add_job{spec, at_ms(0)});
+    state.apply(add_job{spec, at_ms(1)});
+    auto bytes = stored_bytes(spec);
+    // As measured, such a job takes 4 MB.
+    CPPUNIT_ASSERT(bytes > 3'000'000 && bytes < 8'000'000);
+    CPPUNIT_ASSERT_EQUAL(bytes, state.stored_jobs().of("a"));
+    fleet_state restored(state.tables());
+    CPPUNIT_ASSERT_EQUAL(bytes, restored.stored_jobs().total());
+    state.apply(cancel_job{spec.id, at_ms(2)});
+    job_spec later;
+    later.id = {2};
+    later.customer = "b";
+    state.apply(add_job{later, at_ms(3'600'000)});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, state.stored_jobs().of("a"));
+    CPPUNIT_ASSERT_EQUAL(stored_bytes(later), state.stored_jobs().total());
+  }
+
+  // Guards against one customer whose jobs keep out those of all others.
+  void a_customer_may_take_half_of_the_memory_for_jobs() {
+    job_ledger stored;
+    job_ledger pending;
+    CPPUNIT_ASSERT(has_room(stored, pending, "a", 50, 100));
+    stored.add("a", 30);
+    pending.add("a", 20);
+    CPPUNIT_ASSERT(!has_room(stored, pending, "a", 1, 100));
+    CPPUNIT_ASSERT(has_room(stored, pending, "b", 50, 100));
+    pending.remove("a", 20);
+    CPPUNIT_ASSERT(has_room(stored, pending, "a", 20, 100));
+    stored.add("b", 50);
+    stored.add("c", 20);
+    CPPUNIT_ASSERT(!has_room(stored, pending, "c", 1, 100));
+    CPPUNIT_ASSERT(has_room(stored, pending, "c", 1000, 0));
+  }
+
   // Guards against a leader that collects without an end once a job
   // with a huge number of occurrences is due; the next leader would do the
   // same.
