Bound the tasks and the requests of a worker

Of the jobs of others few are carried out.

Cause: all tasks that fit were placed in one pass, and all their starts sent at once, each with a connection of its own.

A worker has at most 1,024 tasks assigned, and 32 start and stop requests in flight, of the 64 connections that it accepts. Stops go first. On a worker of the platform's sites some dozens of tasks fit.

--- a/src/core/fleet/dispatch_gang_reservations.cpp
+++ b/src/core/fleet/dispatch_gang_reservations.cpp
@@ -61,7 +61,7 @@
     auto taken = counts.find(name);
     candidates.push_back({row.record->rack, available, row.record->capacity,
                           row.speed, taken == counts.end() ? 0 : taken->second,
-                          row.speed_known});
+                          row.speed_known, row.task_slots});
   }
   return candidates;
 }
--- a/src/core/fleet/dispatch_limits.h
+++ b/src/core/fleet/dispatch_limits.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 #include "core/time.h"
 
 namespace parsleyledge::fleet {
@@ -29,6 +31,11 @@
   // A worker that ended restarts under its name and address no sooner than
   // this; by the site's settings.
   milliseconds min_restart_time{2000};
+  // Tasks that are assigned to a worker at a time. Bounds the leader's memory
+  // for tasks that reserve next to nothing.
+  std::uint32_t max_tasks_per_worker{1024};
+  // Start and stop requests in flight to a worker; it accepts 64 connections.
+  std::uint32_t max_requests_per_worker{32};
   // How long the members of a gang wait for each other to start.
   milliseconds gang_start_timeout{3000};
   // A reservation of reclaimed capacity is dropped if the capacity is not free
--- a/src/core/fleet/dispatch_plan.cpp
+++ b/src/core/fleet/dispatch_plan.cpp
@@ -129,7 +129,9 @@
               speed.weight > 0,
               worker.quarantined_until > now.steady,
               worker.runs.empty(),
-              trial_of(tables, worker)});
+              trial_of(tables, worker),
+              std::int64_t{limits_.max_tasks_per_worker} -
+                  static_cast<std::int64_t>(worker.runs.size())});
   }
   auto subtract = [&](std::span<const placement> placements) {
     for (const auto& p : placements) {
@@ -350,6 +352,7 @@
   for (const auto& c : chosen) {
     slowest = std::min(slowest, candidates[c.candidate].speed);
     auto amount = need.per_task * c.tasks;
+    pass.take_task_slots(rows[c.candidate], c.tasks);
     pass.begin_trial(pass.row(rows[c.candidate]).record->incarnation.name,
                      item.step.job, item.suspected);
     if (!urgent) {
--- a/src/core/fleet/dispatcher.cpp
+++ b/src/core/fleet/dispatcher.cpp
@@ -21,6 +21,11 @@
          phase == run_phase::unconfirmed;
 }
 
+/// Whether a request for the run is in flight.
+auto is_requested(const tracked_run& run) -> bool {
+  return run.phase == run_phase::starting || run.phase == run_phase::stopping;
+}
+
 /// Whether a run may use capacity of its worker. One that is to be stopped does
 /// so until its end is listed.
 auto may_be_running(const tracked_run& run) -> bool {
@@ -261,8 +266,16 @@
   if (!has_requests && !needs_poll(worker, now)) return;
   const auto* record = find_worker(tables, worker.incarnation);
   if (record == nullptr) return;
-  for (auto* run : worker.runs) {
-    if (is_due(run)) send_run_request(tables, *record, worker, *run, now);
+  auto in_flight = static_cast<std::size_t>(std::ranges::count_if(
+      worker.runs, [](const tracked_run* run) { return is_requested(*run); }));
+  // Stops go first, as they make room for the starts.
+  for (auto phase : {run_phase::to_stop, run_phase::to_start}) {
+    for (auto* run : worker.runs) {
+      if (in_flight >= limits_.max_requests_per_worker) break;
+      if (run->phase != phase || !is_due(run)) continue;
+      send_run_request(tables, *record, worker, *run, now);
+      if (is_requested(*run)) ++in_flight;
+    }
   }
   if (needs_probe(worker, now)) {
     send_poll(*record, worker, milliseconds(0), now);
--- a/src/core/fleet/placer.cpp
+++ b/src/core/fleet/placer.cpp
@@ -16,6 +16,7 @@
 auto count_placeable(const candidate& worker, const placement_need& need)
     -> std::uint32_t {
   auto count = count_fitting(worker.free, need.per_task);
+  count = std::min(count, std::max<std::int64_t>(worker.task_slots, 0));
   if (need.max_per_worker > 0) {
     auto left = std::int64_t{need.max_per_worker} - worker.taken;
     count = std::min(count, std::max<std::int64_t>(left, 0));
@@ -150,6 +151,7 @@
   for (auto worker : workers) {
     worker.free = worker.capacity;
     worker.taken = 0;
+    worker.task_slots = unlimited_tasks;
     total += count_placeable(worker, need);
   }
   return total >= (need.all_or_nothing ? need.tasks : 1);
--- a/src/core/fleet/placer.h
+++ b/src/core/fleet/placer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -9,6 +10,8 @@
 
 namespace parsleyledge::fleet {
 
+constexpr auto unlimited_tasks = std::numeric_limits<std::int64_t>::max();
+
 /// A worker that may run tasks of a step.
 struct candidate {
   std::string_view rack;
@@ -17,6 +20,7 @@
   double speed = 1;         // relative to the others of its service
   std::uint32_t taken = 0;  // tasks of this step already assigned to it
   bool speed_known = true;  // whether its speed has been measured
+  std::int64_t task_slots = unlimited_tasks;  // tasks that it may yet take
 };
 
 /// The tasks to be placed, with their constraints.
--- a/src/core/fleet/planning_pass.cpp
+++ b/src/core/fleet/planning_pass.cpp
@@ -35,7 +35,9 @@
 
 void planning_pass::allocate(std::string_view worker, const resources& amount) {
   auto it = index_.find(worker);
-  if (it != index_.end()) rows_[it->second].available -= amount;
+  if (it == index_.end()) return;
+  rows_[it->second].available -= amount;
+  --rows_[it->second].task_slots;
 }
 
 void planning_pass::begin_trial(std::string_view worker, job_id job,
--- a/src/core/fleet/planning_pass.h
+++ b/src/core/fleet/planning_pass.h
@@ -25,6 +25,7 @@
   bool quarantined = false;  // for work that has waited too long only
   bool empty = false;        // nothing is assigned to it
   start_trial trial;         // of its runs that have just started
+  std::int64_t task_slots = unlimited_tasks;  // tasks that it may yet take
 };
 
 /// The workers and their capacity during one pass over the backlog. A need that
@@ -34,7 +35,7 @@
  public:
   void add(planning_row row);
 
-  /// Allocates capacity on a worker, if the worker has a row.
+  /// Allocates the capacity of a task on a worker, if the worker has a row.
   void allocate(std::string_view worker, const resources& amount);
 
   /// Records that runs of a job start on a worker, if the worker has a row.
@@ -62,6 +63,9 @@
   void allocate_on(std::size_t i, const resources& amount) {
     rows_[i].available -= amount;
   }
+  void take_task_slots(std::size_t i, std::uint32_t tasks) {
+    rows_[i].task_slots -= tasks;
+  }
 
   /// Reserves capacity on a worker for a gang, if the worker has a row.
   void reserve(std::string_view worker, const resources& amount);
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -72,6 +72,7 @@
 class dispatcher_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(dispatcher_test);
   CPPUNIT_TEST(steps_run_in_order);
+  CPPUNIT_TEST(tasks_that_reserve_nothing_are_bounded);
   CPPUNIT_TEST(work_of_a_removed_queue_runs_on);
   CPPUNIT_TEST(occurrences_start_when_they_are_due);
   CPPUNIT_TEST(a_gang_that_fails_too_often_fails_its_job);
@@ -154,6 +155,37 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against a leader that exceeds its memory: it placed all tasks of a
+  // job that reserve no capacity, and sent the starts of all at once.
+  void tasks_that_reserve_nothing_are_bounded() {
+    const fleet::dispatch_limits limits;
+    fleet_site site(2);
+    site.configure(0);
+    fleet::step_spec step;
+    step.tasks = 10'000;
+    step.estimate = milliseconds(1000);
+    auto id = site.submit("q1", step);
+    auto most_runs = 2 * std::size_t{limits.max_tasks_per_worker};
+    for (int i = 0; i < 300; ++i) {
+      site.run_for(milliseconds(10));
+      CPPUNIT_ASSERT(site.dispatcher().runs().size() <= most_runs);
+      std::map<std::string, std::uint32_t> in_flight;
+      for (const auto& [task, run] : site.dispatcher().runs()) {
+        bool is_requested = run.phase == fleet::run_phase::starting ||
+                            run.phase == fleet::run_phase::stopping;
+        if (is_requested) ++in_flight[run.worker.name];
+      }
+      for (const auto& [worker, requests] : in_flight)
+        CPPUNIT_ASSERT(requests <= limits.max_requests_per_worker);
+    }
+    CPPUNIT_ASSERT(site.running(id) > 0);
+    // Ordinary work of another customer goes on.
+    auto other = site.submit("q0", make_step(1, 1), "b");
+    site.run_for(seconds(5));
+    assert_state(job_state::complete, site, other);
+    assert_clean(site);
+  }
+
   // Guards against accepted jobs that neither run nor fail once a configuration
   // removes their queue, also after a restart from a snapshot.
   void work_of_a_removed_queue_runs_on() {
