Withhold an end only while its task may complete

Cause: an end as done of a run that was recorded as lost is withheld until its task is done, so that the task doesn't complete twice. A long-running task never completes, nor does one of an ended job, and no later end of that runner is acknowledged. Behind a withheld end a runner lists 500 ends only.

Ends are withheld only for tasks that may complete.

--- a/src/core/fleet/dispatch_responses.cpp
+++ b/src/core/fleet/dispatch_responses.cpp
@@ -25,6 +25,15 @@
 constexpr std::uint32_t min_measured_progress = 10;
 constexpr std::uint32_t complete_percent = 100;
 
+/// Whether a second end of the task as done would complete it twice. Tasks of
+/// ended jobs and long-running tasks never complete.
+auto may_complete(const fleet_tables& tables, const task_ref& ref) -> bool {
+  const auto* task = find_task(tables, ref);
+  if (task == nullptr || task->done) return false;
+  const auto& job = tables.jobs.at(ref.job);
+  return !is_ended(job) && !job.spec.steps[ref.step].long_running;
+}
+
 /// Whether a run in this phase that a poll does not list is lost.
 auto is_lost_if_unlisted(run_phase phase) -> bool {
   return phase == run_phase::started || phase == run_phase::stopped ||
@@ -236,8 +245,8 @@
     // A run that was marked as lost has finished, and its task may be running
     // again. An acknowledgement of this end would complete the task twice, but
     // the ends listed after it are of other runs.
-    if (!matches && end.outcome == run_end::done && task != nullptr &&
-        !task->done) {
+    if (!matches && end.outcome == run_end::done &&
+        may_complete(tables, end.task)) {
       log_decision("end_withheld", {{"task", fleet::to_string(end.task)},
                                     {"run", std::to_string(end.run)},
                                     {"worker", worker.incarnation.name}});
@@ -292,8 +301,7 @@
     return task == nullptr || !task->assigned || task->run != end.run;
   });
   std::erase_if(worker.withheld, [&](const listed_end& end) {
-    const auto* task = find_task(tables, end.task);
-    return task == nullptr || task->done;
+    return !may_complete(tables, end.task);
   });
   if (!worker.uncommitted.empty()) return;
   worker.acknowledged = worker.withheld.empty()
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -127,6 +127,8 @@
   CPPUNIT_TEST(long_running_tasks_are_restarted);
   CPPUNIT_TEST(an_end_is_acknowledged_after_its_commit_only);
   CPPUNIT_TEST(ends_listed_after_a_withheld_end_are_committed);
+  CPPUNIT_TEST(the_end_of_a_long_running_task_is_not_withheld);
+  CPPUNIT_TEST(the_end_of_a_cancelled_task_is_not_withheld);
   CPPUNIT_TEST(ends_beyond_a_full_list_are_not_lost);
   CPPUNIT_TEST(a_gang_placed_in_part_is_placed_again);
   CPPUNIT_TEST(a_long_running_task_returns_to_its_only_worker);
@@ -1554,6 +1556,46 @@
     assert_clean(site);
   }
 
+  // Guards against jobs that stay as they are: the end of a long-running task
+  // on a worker that was cut off was withheld, and no later end of its worker
+  // acknowledged.
+  void the_end_of_a_long_running_task_is_not_withheld() {
+    auto step = make_step(1, 8);
+    step.long_running = true;
+    check_end_after_a_cut(step, false);
+  }
+
+  // Guards against the same where the task's job was cancelled meanwhile.
+  void the_end_of_a_cancelled_task_is_not_withheld() {
+    check_end_after_a_cut(make_step(1, 8), true);
+  }
+
+  static void check_end_after_a_cut(const fleet::step_spec& step,
+                                    bool is_cancelled) {
+    fleet_site site(2, 1);
+    site.task_duration = seconds(30);
+    auto id = site.submit("q1", step);
+    site.run_for(milliseconds(500));
+    auto index = site.workers[0].running.empty() ? 1U : 0U;
+    auto& first = site.workers[index];
+    first.unreachable = true;
+    site.run_for(seconds(2));
+    site.finish_run(id);
+    site.run_for(seconds(12));
+    if (is_cancelled) site.cancel(id);
+    first.unreachable = false;
+    site.run_for(seconds(3));
+    const auto& name = first.record.incarnation.name;
+    CPPUNIT_ASSERT(site.dispatcher().workers().at(name).withheld.empty());
+    site.task_duration = milliseconds(200);
+    auto later = make_step(600, 0);
+    later.label = "r" + std::to_string(index);
+    auto ordinary = site.submit("q1", later);
+    site.run_for(seconds(60));
+    assert_state(job_state::complete, site, ordinary);
+    assert_clean(site);
+  }
+
   // Guards against a start after a run has ended done: behind a withheld end,
   // the worker lists 500 ends only, and the runs of the others counted as lost.
   void ends_beyond_a_full_list_are_not_lost() {
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -345,10 +345,18 @@
 }
 
 void fleet_site::fail_run(fleet::job_id id) {
+  end_runs(id, fleet::run_end::failed);
+}
+
+void fleet_site::finish_run(fleet::job_id id) {
+  end_runs(id, fleet::run_end::done);
+}
+
+void fleet_site::end_runs(fleet::job_id id, fleet::run_end outcome) {
   for (auto& w : workers) {
     auto running = w.running;
     for (const auto& [task, run] : running) {
-      if (task.job == id) end_run(w, task, fleet::run_end::failed);
+      if (task.job == id) end_run(w, task, outcome);
     }
   }
 }
--- a/test/fakes/fleet_site.h
+++ b/test/fakes/fleet_site.h
@@ -142,6 +142,8 @@
                     milliseconds unreported = milliseconds(0));
   /// Ends all runs of a job on their workers as failed.
   void fail_run(fleet::job_id id);
+  /// The same, as done.
+  void finish_run(fleet::job_id id);
 
   /// Delivers the departure of an unnamed incarnation of a worker.
   void deliver_departure(int worker);
@@ -233,6 +235,7 @@
   auto clock_of(const fake_worker& worker) const -> std::int64_t;
   void extend_lease(fake_worker& worker, std::int64_t end);
   void advance(fake_worker& worker);
+  void end_runs(fleet::job_id id, fleet::run_end outcome);
   void end_run(fake_worker& worker, fleet::task_ref task,
                fleet::run_end outcome);
   auto is_stalled(const fake_worker& w, const fleet::task_ref& task) const
