Reclaim guaranteed capacity from long-running work

Cause: a reclaim left out each long-running step, which ends by itself only when its customer cancels it.

Work within a guarantee now stops long-running tasks as well, as many of a step as may be unavailable at once. Work beyond a guarantee leaves them alone, as before.

--- a/src/core/fleet/dispatch_reclaim.cpp
+++ b/src/core/fleet/dispatch_reclaim.cpp
@@ -89,17 +89,51 @@
   return needed <= guarantee_of(item.job->spec.customer);
 }
 
+// Keeps this many of the tasks of a step, those beside most others on their
+// worker first: what is freed has to suffice on one worker.
+void dispatcher::limit_stops(std::vector<stoppable_work>& tasks,
+                             std::size_t limit) {
+  if (tasks.size() <= limit) return;
+  std::map<std::size_t, std::size_t> by_worker;
+  auto worker_of = [](const stoppable_work& work) {
+    return work.as_victim.freed.front().candidate;
+  };
+  for (const auto& work : tasks) ++by_worker[worker_of(work)];
+  std::ranges::stable_sort(tasks, std::ranges::greater(), [&](const auto& w) {
+    return std::pair(by_worker[worker_of(w)], worker_of(w));
+  });
+  tasks.resize(limit);
+}
+
+// How many tasks of a step may be stopped: of a long-running one only as many
+// as may be unavailable at once.
+auto dispatcher::max_stops(const step_spec& spec, const step_ref& ref) const
+    -> std::size_t {
+  if (!spec.long_running || spec.max_unavailable == 0) return spec.tasks;
+  std::size_t unavailable = 0;
+  for (std::uint32_t t = 0; t < spec.tasks; ++t) {
+    auto run = runs_.find({ref.job, ref.occurrence, ref.step, t});
+    if (run == runs_.end() || !is_at_work(run->second)) ++unavailable;
+  }
+  return spec.max_unavailable -
+         std::min<std::size_t>(unavailable, spec.max_unavailable);
+}
+
 // Adds the runs of a step that could be stopped: a gang as a whole, other tasks
-// one by one.
+// one by one. Long-running ones end by themselves only when their customer
+// cancels them, so they give way to guaranteed work only.
 void dispatcher::add_stoppable_work(
-    const job_record& job, const step_ref& ref,
+    const job_record& job, const step_ref& ref, bool guaranteed,
     const std::map<std::string_view, std::size_t>& index, clock_reading now,
     std::vector<stoppable_work>& found) const {
   const auto& spec = job.spec.steps[ref.step];
   const auto& tasks = job.open.at(ref.occurrence).steps[ref.step].tasks;
   const auto* queue = queue_of(*site_, job.spec);
-  if (spec.long_running || queue == nullptr) return;
+  if (queue == nullptr || (spec.long_running && !guaranteed)) return;
+  auto limit = max_stops(spec, ref);
+  if (limit < (spec.gang ? tasks.size() : 1)) return;
   auto weight = loss_weight(*site_, queue->priority);
+  std::vector<stoppable_work> single;
   stoppable_work work;
   for (std::uint32_t t = 0; t < tasks.size(); ++t) {
     task_ref name{ref.job, ref.occurrence, ref.step, t};
@@ -122,10 +156,12 @@
     work.accelerators += spec.per_task.accelerators;
     work.as_victim.loss +=
         weight * loss_of(spec, now.steady - run->second.placed_at);
-    if (!spec.gang && !work.as_victim.freed.empty()) found.push_back(work);
+    if (!spec.gang && !work.as_victim.freed.empty()) single.push_back(work);
   }
   if (spec.gang && !work.as_victim.freed.empty())
     found.push_back(std::move(work));
+  limit_stops(single, limit);
+  std::ranges::move(single, std::back_inserter(found));
 }
 
 // The runs on these workers that may be stopped for urgent work: those of lower
@@ -146,7 +182,7 @@
     auto& list = lower ? found : borrowed[job.spec.customer];
     for (const auto& [number, occurrence] : job.open) {
       for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
-        add_stoppable_work(job, {id, number, s}, index, now, list);
+        add_stoppable_work(job, {id, number, s}, guaranteed, index, now, list);
       }
     }
   }
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -401,7 +401,12 @@
   auto urgent_accelerators(const fleet_tables& tables) const
       -> std::map<std::string_view, std::int64_t>;
   auto guarantee_of(std::string_view customer) const -> std::int64_t;
+  static void limit_stops(std::vector<stoppable_work>& tasks,
+                          std::size_t limit);
+  auto max_stops(const step_spec& spec, const step_ref& ref) const
+      -> std::size_t;
   void add_stoppable_work(const job_record& job, const step_ref& ref,
+                          bool guaranteed,
                           const std::map<std::string_view, std::size_t>& index,
                           clock_reading now,
                           std::vector<stoppable_work>& found) const;
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -79,6 +79,8 @@
   CPPUNIT_TEST(guaranteed_work_reclaims_from_lower_priorities);
   CPPUNIT_TEST(guaranteed_work_reclaims_for_a_single_task);
   CPPUNIT_TEST(guaranteed_work_reclaims_what_other_customers_borrow);
+  CPPUNIT_TEST(guaranteed_work_reclaims_from_long_running_work);
+  CPPUNIT_TEST(reclaims_leave_long_running_work_available);
   CPPUNIT_TEST(a_guarantee_is_not_reclaimed_by_another);
   CPPUNIT_TEST(a_request_without_a_response_is_retried);
   CPPUNIT_TEST(work_of_an_unreachable_worker_moves_after_its_lease_expired);
@@ -292,6 +294,46 @@
     assert_clean(site);
   }
 
+  // Guards against guaranteed work that never begins, while long-running work
+  // of another customer holds all accelerators.
+  void guaranteed_work_reclaims_from_long_running_work() {
+    for (std::uint32_t max_unavailable : {0U, 2U}) {
+      fleet_site site(4);
+      site.configure(8);
+      site.task_duration = seconds(30);
+      auto step = make_step(4, 8);
+      step.long_running = true;
+      step.max_unavailable = max_unavailable;
+      auto lasting = site.submit("q2", step, "b");
+      site.run_for(seconds(6));
+      CPPUNIT_ASSERT_EQUAL(4, site.running(lasting));
+      auto claim = site.submit("q0", make_step(1, 8), "a");
+      site.run_for(max_reclaim_time);
+      CPPUNIT_ASSERT_EQUAL(1, site.running(claim));
+      CPPUNIT_ASSERT_EQUAL(3, site.running(lasting));
+      assert_clean(site);
+    }
+  }
+
+  // Guards against a reclaim that stops more tasks of a long-running step than
+  // may be unavailable at once.
+  void reclaims_leave_long_running_work_available() {
+    fleet_site site(4);
+    site.configure(24);
+    site.task_duration = seconds(30);
+    auto step = make_step(4, 8);
+    step.long_running = true;
+    step.max_unavailable = 1;
+    auto lasting = site.submit("q2", step, "b");
+    site.run_for(seconds(6));
+    for (int i = 0; i < 3; ++i) site.submit("q0", make_step(1, 8), "a");
+    for (int i = 0; i < 100; ++i) {
+      site.run_for(milliseconds(100));
+      CPPUNIT_ASSERT(site.running(lasting) >= 3);
+    }
+    assert_clean(site);
+  }
+
   void a_guarantee_is_not_reclaimed_by_another() {
     fleet_site site(2);
     site.configure(8, 16);
