Give a provisional place back when its member returns

The member returns and counts again, but got its place back only after the successor had been silent for 3 s. If the successor and one disk were lost meanwhile, the group had no leader any more; the code before kept it. The same after a restart with notice, and after a short cut or freeze. And a provisional successor that leads and was frozen counted as it resumed, since a leader takes the moment at which it steps down for its last contact.

A change that the next loss makes necessary waited for that loss.

A member that responds with the whole log gets its place back at once, as long as the successor doesn't count. A former leader's contact ends with its last contact with a quorum.

--- a/src/core/agreement/replica.cpp
+++ b/src/core/agreement/replica.cpp
@@ -251,7 +251,9 @@
     hard_ = {term, {}};
     persist_hard();
   }
-  if (role_ == role::leader) led_until_ = now_;
+  // Until its last contact with a quorum: a leader may notice a pause late.
+  if (role_ == role::leader)
+    led_until_ = std::max(leading_since_, lease_start());
   leader_ = leader;
   transferring_ = false;
   in_pre_vote_ = false;
--- a/src/core/agreement/replica.h
+++ b/src/core/agreement/replica.h
@@ -181,6 +181,14 @@
     bool kept_despite_silence = false;  // and logged
   };
 
+  struct exchange_cause {
+    bool provisional = false;
+    // Literals, for the log: why the newcomer gets a place, and why the other
+    // member loses it.
+    std::string_view exchanged;
+    std::string_view replaced;
+  };
+
   struct bootstrap_candidate {
     incarnation_number incarnation;
     std::string data_centre;
@@ -221,8 +229,11 @@
   auto exchange_member() -> bool;
   auto replaced_by(const member& newcomer) const -> const member*;
   auto lost_predecessor(const member& newcomer) const -> const member*;
+  auto can_take_place(const member& newcomer) const -> bool;
   auto is_lost(const member& m) const -> bool;
-  auto exchange(member newcomer, member replaced, bool provisional) -> bool;
+  auto provisional_successor(const member& newcomer) const -> const member*;
+  auto exchange(member newcomer, member replaced, const exchange_cause& cause)
+      -> bool;
   auto confirm_member() -> bool;
   auto wanted_members() const -> std::vector<member>;
   auto without_spare_vote(std::vector<member> wanted) const
--- a/src/core/agreement/replica_membership.cpp
+++ b/src/core/agreement/replica_membership.cpp
@@ -316,15 +316,18 @@
   return is_departing(m.id) || silence_of(m.id) > timeout;
 }
 
+// Whether a surplus member may take a place without counting.
+auto replica::can_take_place(const member& newcomer) const -> bool {
+  return !newcomer.data_centre.empty() && is_live(newcomer) &&
+         !is_departing(newcomer.id) && is_caught_up(newcomer);
+}
+
 // The lost member whose place a successor takes before it counts. The lost one
 // is the loss that the group tolerates until then. The moment at which the
 // successor counts is too late: another member may be lost then, and the
 // exchange needs it.
 auto replica::lost_predecessor(const member& newcomer) const -> const member* {
-  if (newcomer.data_centre.empty() || !is_live(newcomer) ||
-      is_departing(newcomer.id) || !is_caught_up(newcomer)) {
-    return nullptr;
-  }
+  if (!can_take_place(newcomer)) return nullptr;
   const member* lost = nullptr;
   for (const auto& m : members_) {
     bool is_earlier = !m.surplus && m.data_centre == newcomer.data_centre &&
@@ -335,6 +338,26 @@
   return lost;
 }
 
+// The successor that has taken the place of this member and does not count yet.
+// The member gets it back as soon as it responds: if it counted first and
+// waited, the successor and another member could be lost in between. Of two
+// successors in a data centre nobody can tell whose place it was.
+auto replica::provisional_successor(const member& newcomer) const
+    -> const member* {
+  if (!can_take_place(newcomer)) return nullptr;
+  const member* successor = nullptr;
+  for (const auto& m : members_) {
+    bool is_later = !m.surplus && m.data_centre == newcomer.data_centre &&
+                    m.admitted_at > newcomer.admitted_at;
+    if (!is_later) continue;
+    if (successor != nullptr) return nullptr;
+    successor = &m;
+  }
+  bool is_provisional =
+      successor != nullptr && successor->provisional && !counts(*successor);
+  return is_provisional ? successor : nullptr;
+}
+
 auto replica::may_change_members() const -> bool {
   return role_ == role::leader && !transferring_ && members_index_ <= commit_ &&
          term_at(commit_) == hard_.term;
@@ -358,10 +381,17 @@
 auto replica::exchange_member() -> bool {
   for (const auto& newcomer : members_) {
     if (!newcomer.surplus) continue;
-    bool is_early = !counts(newcomer);
-    const auto* replaced =
-        is_early ? lost_predecessor(newcomer) : replaced_by(newcomer);
-    if (replaced != nullptr && exchange(newcomer, *replaced, is_early))
+    exchange_cause cause{false, "counts", "its successor counts"};
+    const auto* replaced = counts(newcomer) ? replaced_by(newcomer) : nullptr;
+    if (replaced == nullptr) {
+      cause = {false, "has returned", "does not count yet"};
+      replaced = provisional_successor(newcomer);
+    }
+    if (replaced == nullptr && !counts(newcomer)) {
+      cause = {true, "the other one is lost", "lost"};
+      replaced = lost_predecessor(newcomer);
+    }
+    if (replaced != nullptr && exchange(newcomer, *replaced, cause))
       return true;
   }
   return false;
@@ -383,8 +413,8 @@
 // of two members at once could elect two leaders. From the first entry on,
 // decisions take a majority of the old voters and one of the new voters. Once
 // it is committed, the second one ends the vote of the replaced member.
-auto replica::exchange(member newcomer, member replaced, bool provisional)
-    -> bool {
+auto replica::exchange(member newcomer, member replaced,
+                       const exchange_cause& cause) -> bool {
   // Leadership goes first, as a leader without a vote does not serve. The only
   // voter can transfer it to its successor alone, between the two entries.
   if (replaced.voter && replaced.id == settings_.id && voter_count() > 1) {
@@ -395,7 +425,7 @@
   for (auto& m : changed) {
     if (m.id == newcomer.id) {
       m.surplus = replaced.voter;
-      m.provisional = provisional;
+      m.provisional = cause.provisional;
       if (replaced.voter) m.exchange = exchange_part::incoming;
     } else if (m.id == replaced.id) {
       m.surplus = !replaced.voter;
@@ -405,11 +435,9 @@
   }
   if (!has_live_quorum(changed)) return false;
   change_members(std::move(changed),
-                 describe(member_action::exchanged, newcomer,
-                          provisional ? "the other one is lost" : "counts"));
+                 describe(member_action::exchanged, newcomer, cause.exchanged));
   effects_.emplace_back(
-      describe(member_action::replaced, replaced,
-               provisional ? "lost" : "its successor counts"));
+      describe(member_action::replaced, replaced, cause.replaced));
   return true;
 }
 
--- a/src/core/agreement/types.h
+++ b/src/core/agreement/types.h
@@ -47,8 +47,8 @@
   // earlier one.
   log_index admitted_at{};
   exchange_part exchange = exchange_part::none;
-  // Whether it took the place of a lost member before it counted. If it is lost
-  // itself before it counts, the other one may take the place back.
+  // Whether it took the place of a lost member before it counted. The other one
+  // gets the place back if it returns before that.
   bool provisional = false;
 
   auto operator==(const member&) const -> bool = default;
--- a/test/agreement_test.cpp
+++ b/test/agreement_test.cpp
@@ -1173,6 +1173,10 @@
   CPPUNIT_TEST(a_successor_that_is_lost_before_it_counts_gives_the_place_back);
   CPPUNIT_TEST(a_successor_that_counts_keeps_the_place_of_a_lost_replica);
   CPPUNIT_TEST(a_restart_beside_a_successor_costs_no_place);
+  CPPUNIT_TEST(a_place_is_given_back_before_the_other_one_counts);
+  CPPUNIT_TEST(a_restart_with_notice_beside_a_successor_costs_no_place);
+  CPPUNIT_TEST(a_short_cut_beside_a_successor_costs_no_place);
+  CPPUNIT_TEST(a_frozen_successor_that_led_does_not_count_at_once);
   CPPUNIT_TEST(the_only_voter_is_replaced);
   CPPUNIT_TEST(a_replaced_successor_beside_an_earlier_member_is_not_needed);
   CPPUNIT_TEST(a_replaced_replica_gets_no_vote_during_a_split);
@@ -1871,6 +1875,100 @@
     site.check_losses(7, {2, 3});
   }
 
+  // Guards against the loss of the state: a successor took the place of a
+  // replica that was down for a second, and was lost before it counted. The
+  // other one counted before it had its place back.
+  void a_place_is_given_back_before_the_other_one_counts() {
+    for (int after_loss = 1000; after_loss <= 3400; after_loss += 300) {
+      for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        placed_group site({3, 3, 1}, seed);
+        site.net.crash({1});
+        site.net.run(milliseconds(500));
+        site.start(4, 1);
+        site.net.run(milliseconds(700));
+        site.restart(1);
+        site.net.run(milliseconds(3200));
+        site.net.lose_disk({4});
+        site.net.run(milliseconds(after_loss));
+        site.check_losses(4, {2});
+      }
+    }
+  }
+
+  // Guards against the same loss where the other one departed for a restart.
+  void a_restart_with_notice_beside_a_successor_costs_no_place() {
+    constexpr site_shape shapes[] = {{3, 3, 1}, {5, 5, 2}, {3, 6, 2}};
+    for (const auto& shape : shapes) {
+      for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        placed_group site(shape, seed);
+        auto next = shape.replicas + 1;
+        site.start(next, 1);
+        site.net.run(milliseconds(300));
+        site.net.retire({1});
+        site.net.run(milliseconds(500));
+        site.net.crash({1});
+        site.net.run(milliseconds(100));
+        site.restart(1);
+        site.net.run(milliseconds(3000));
+        site.net.lose_disk({next});
+        site.net.run(milliseconds(1500));
+        std::set<std::uint32_t> disks;
+        std::mt19937_64 random(seed);
+        while (disks.size() < shape.tolerated) {
+          disks.insert(
+              static_cast<std::uint32_t>(random() % (shape.replicas - 1) + 2));
+        }
+        site.check_losses(next, disks);
+      }
+    }
+  }
+
+  // Guards against the loss of the state: a replica was cut off, frozen or down
+  // for a moment beside a successor, and kept no vote when the successor and a
+  // disk were lost.
+  void a_short_cut_beside_a_successor_costs_no_place() {
+    for (int kind : {0, 1, 2}) {
+      for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        placed_group site({3, 3, 1}, seed);
+        site.start(4, 1);
+        site.net.run(milliseconds(500));
+        if (kind == 0) site.net.set_partitioned({1}, true);
+        if (kind == 1) site.net.set_frozen({1}, true);
+        if (kind == 2) site.net.crash({1});
+        site.net.run(milliseconds(1500));
+        if (kind == 0) site.net.set_partitioned({1}, false);
+        if (kind == 1) site.net.set_frozen({1}, false);
+        if (kind == 2) site.restart(1);
+        site.net.run(milliseconds(1000));
+        site.check_losses(4, {2});
+      }
+    }
+  }
+
+  // Guards against the loss of the state: a successor that led was frozen
+  // before it counted, and counted as it resumed. When it was lost, the other
+  // one did not get its place back.
+  void a_frozen_successor_that_led_does_not_count_at_once() {
+    placed_group site({3, 3, 1}, 1);
+    site.net.crash({1});
+    site.start(4, 1);
+    site.net.run(milliseconds(1500));
+    for (int i = 0; i < 10; ++i) {
+      auto id = id_of(*site.net.wait_for_leader());
+      if (id == replica_id{4}) break;
+      site.net.transfer_from(id);
+    }
+    CPPUNIT_ASSERT(id_of(*site.net.wait_for_leader()) == replica_id{4});
+    site.restart(1);
+    site.net.set_frozen({4}, true);
+    site.net.run(milliseconds(2800));
+    site.net.set_frozen({4}, false);
+    site.net.run(milliseconds(1000));
+    site.net.lose_disk({4});
+    site.net.run(milliseconds(20'000));
+    site.check_losses(4, {2});
+  }
+
   // Guards against a permanent outage: the only voter transferred its
   // leadership to nobody, again and again, instead of admitting the vote of its
   // successor.
