--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -108,11 +108,10 @@
     {
       ranked_lock lock(mutex);
       expired = take_expired(now);
-      auto it = idle.find(address);
-      auto held = it == idle.end() ? 0 : it->second.size();
-      if (held >= max_idle) return;
+      auto& connections = idle[std::string(address)];
+      if (connections.size() >= max_idle) return;
       close_with_server(address, c);
-      idle[std::string(address)].push_back({std::move(c), now});
+      connections.push_back({std::move(c), now});
     }
   }
 
