--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -4,7 +4,6 @@
 #include <boost/beast.hpp>
 #include <deque>
 #include <map>
-#include <vector>
 
 #include "adapters/settings.h"
 #include "core/ranked_lock.h"
@@ -19,7 +18,6 @@
 namespace {
 
 constexpr std::string_view request_id_header = "Parsley-Request-Id";
-constexpr std::chrono::seconds sweep_interval{1};  // of idle connections
 
 /// A connection and the bytes that were read beyond the last response.
 struct connection {
@@ -31,7 +29,6 @@
 };
 
 using connection_ptr = std::shared_ptr<connection>;
-using steady_time = std::chrono::steady_clock::time_point;
 
 /// Whether the server neither closed the connection nor sent unsolicited bytes.
 auto is_reusable(connection& c) -> bool {
@@ -69,20 +66,9 @@
 
 }  // namespace
 
-struct http_client::impl : std::enable_shared_from_this<impl> {
-  struct idle_connection {
-    connection_ptr link;
-    steady_time since;
-  };
-  using idle_queue = std::deque<idle_connection>;
-
-  explicit impl(std::chrono::milliseconds idle_limit)
-      : max_idle_time(idle_limit) {}
-
-  const std::chrono::milliseconds max_idle_time;
+struct http_client::impl {
   ranked_mutex mutex{lock_rank::connection_pool};
-  std::map<std::string, idle_queue, std::less<>> idle;  // no queue is empty
-  steady_time next_sweep{};
+  std::map<std::string, std::deque<connection_ptr>, std::less<>> idle;
 
   auto take_idle(std::string_view address) -> connection_ptr {
     while (true) {
@@ -90,69 +76,19 @@
       {
         ranked_lock lock(mutex);
         auto it = idle.find(address);
-        if (it == idle.end()) return nullptr;
-        found = std::move(it->second.back().link);
+        if (it == idle.end() || it->second.empty()) return nullptr;
+        found = std::move(it->second.back());
         it->second.pop_back();
-        if (it->second.empty()) idle.erase(it);
       }
-      beast::error_code ignored;
-      found->socket.cancel(ignored);  // the wait of close_with_server
       if (is_reusable(*found)) return found;
     }
   }
 
   void put_idle(std::string_view address, connection_ptr c,
                 std::size_t max_idle) {
-    auto now = std::chrono::steady_clock::now();
-    std::vector<connection_ptr> expired;  // closed without the lock
-    {
-      ranked_lock lock(mutex);
-      expired = take_expired(now);
-      auto& connections = idle[std::string(address)];
-      if (connections.size() >= max_idle) return;
-      close_with_server(address, c);
-      connections.push_back({std::move(c), now});
-    }
-  }
-
-  /// Closes an idle connection when its server does. The servers of a fleet are
-  /// replaced by others at new addresses, to which no later call leads.
-  void close_with_server(std::string_view address, const connection_ptr& c) {
-    c->socket.async_wait(
-        tcp::socket::wait_read,
-        [weak = weak_from_this(), address = std::string(address),
-         link = std::weak_ptr(c)](const beast::error_code& ec) {
-          auto self = weak.lock();
-          auto closed = link.lock();
-          if (!ec && self && closed) self->remove_idle(address, closed);
-        });
-  }
-
-  void remove_idle(std::string_view address, const connection_ptr& c) {
     ranked_lock lock(mutex);
-    auto it = idle.find(address);
-    if (it == idle.end()) return;
-    std::erase_if(it->second, [&](const auto& held) { return held.link == c; });
-    if (it->second.empty()) idle.erase(it);
-  }
-
-  /// Takes the connections that were idle for too long, as their servers may
-  /// have gone without closing them. Called with the lock held.
-  auto take_expired(steady_time now) -> std::vector<connection_ptr> {
-    std::vector<connection_ptr> expired;
-    if (now < next_sweep) return expired;
-    next_sweep = now + std::min<std::chrono::milliseconds>(sweep_interval,
-                                                           max_idle_time);
-    for (auto it = idle.begin(); it != idle.end();) {
-      // The connection that was used last is at the end.
-      auto& held = it->second;
-      while (!held.empty() && now - held.front().since > max_idle_time) {
-        expired.push_back(std::move(held.front().link));
-        held.pop_front();
-      }
-      it = held.empty() ? idle.erase(it) : std::next(it);
-    }
-    return expired;
+    auto& connections = idle[std::string(address)];
+    if (connections.size() < max_idle) connections.push_back(std::move(c));
   }
 };
 
@@ -260,10 +196,15 @@
 
 }  // namespace
 
-http_client::http_client(std::chrono::milliseconds max_idle_time)
-    : impl_(std::make_shared<impl>(max_idle_time)) {}
+http_client::http_client() : impl_(std::make_shared<impl>()) {}
 http_client::~http_client() = default;
 
+void http_client::close_idle(std::string_view address) {
+  ranked_lock lock(impl_->mutex);
+  auto it = impl_->idle.find(address);
+  if (it != impl_->idle.end()) impl_->idle.erase(it);
+}
+
 auto http_client::exchange(std::string_view address,
                            const http_request& request, exchange_limits limits)
     -> asio::awaitable<exchange_result> {
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -42,14 +42,10 @@
 
 /// An HTTP/1.1 client with a pool of persistent connections. A connection is
 /// reused only after a complete response and only if no unsolicited byte has
-/// arrived on it. An idle connection is closed as soon as its server closes it,
-/// or when it has been idle for a time.
+/// arrived on it.
 class http_client {
  public:
-  static constexpr std::chrono::seconds default_max_idle_time{30};
-
-  explicit http_client(
-      std::chrono::milliseconds max_idle_time = default_max_idle_time);
+  http_client();
   http_client(const http_client&) = delete;
   auto operator=(const http_client&) -> http_client& = delete;
   ~http_client();
@@ -60,6 +56,9 @@
                 exchange_limits limits)
       -> boost::asio::awaitable<exchange_result>;
 
+  /// Closes the idle connections to a server.
+  void close_idle(std::string_view address);
+
  private:
   struct impl;
 
