Close idle connections that cannot be reused

Gangs were not started on idle runners.

Cause: the client looked at its idle connections only when it called the same address again. A replaced runner has another address.

At most once a second, an exchange with any server closes the idle connections that their servers have closed, and those without a request for 30 s, whose servers may have been lost without closing them.

Evidence: without the call of close_unusable, http_client_test::idle_connections_close_with_their_server and connections_that_are_idle_for_too_long_are_closed fail. The first now calls another server while it waits.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -1,9 +1,12 @@
 #include "adapters/http_client.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 #include <deque>
+#include <iterator>
 #include <map>
+#include <vector>
 
 #include "adapters/settings.h"
 #include "core/ranked_lock.h"
@@ -18,6 +21,7 @@
 namespace {
 
 constexpr std::string_view request_id_header = "Parsley-Request-Id";
+constexpr std::chrono::seconds sweep_interval{1};  // of idle connections
 
 /// A connection and the bytes that were read beyond the last response.
 struct connection {
@@ -29,6 +33,7 @@
 };
 
 using connection_ptr = std::shared_ptr<connection>;
+using steady_time = std::chrono::steady_clock::time_point;
 
 /// Whether the server neither closed the connection nor sent unsolicited bytes.
 auto is_reusable(connection& c) -> bool {
@@ -67,8 +72,19 @@
 }  // namespace
 
 struct http_client::impl {
+  struct idle_connection {
+    connection_ptr link;
+    steady_time since;
+  };
+  using idle_queue = std::deque<idle_connection>;
+
+  explicit impl(std::chrono::milliseconds idle_limit)
+      : max_idle_time(idle_limit) {}
+
+  const std::chrono::milliseconds max_idle_time;
   ranked_mutex mutex{lock_rank::connection_pool};
-  std::map<std::string, std::deque<connection_ptr>, std::less<>> idle;
+  std::map<std::string, idle_queue, std::less<>> idle;
+  steady_time next_sweep{};
 
   auto take_idle(std::string_view address) -> connection_ptr {
     while (true) {
@@ -77,7 +93,7 @@
         ranked_lock lock(mutex);
         auto it = idle.find(address);
         if (it == idle.end() || it->second.empty()) return nullptr;
-        found = std::move(it->second.back());
+        found = std::move(it->second.back().link);
         it->second.pop_back();
       }
       if (is_reusable(*found)) return found;
@@ -88,7 +104,30 @@
                 std::size_t max_idle) {
     ranked_lock lock(mutex);
     auto& connections = idle[std::string(address)];
-    if (connections.size() < max_idle) connections.push_back(std::move(c));
+    if (connections.size() >= max_idle) return;
+    connections.push_back({std::move(c), std::chrono::steady_clock::now()});
+  }
+
+  /// Closes idle connections to any server that cannot be reused or were idle
+  /// for too long. take_idle looks only at the server that is called, and a
+  /// server that was replaced by one at another address is not called again. A
+  /// pending wait on each connection would keep its io_context running.
+  void close_unusable() {
+    auto now = std::chrono::steady_clock::now();
+    std::vector<idle_connection> unusable;  // closed without the lock
+    ranked_lock lock(mutex);
+    if (now < next_sweep) return;
+    next_sweep =
+        now + std::min<steady_time::duration>(sweep_interval, max_idle_time);
+    for (auto& [address, connections] : idle) {
+      auto removed = std::ranges::stable_partition(
+          connections, [&](const idle_connection& held) {
+            return now - held.since <= max_idle_time && is_reusable(*held.link);
+          });
+      std::ranges::move(removed, std::back_inserter(unusable));
+      connections.erase(removed.begin(), removed.end());
+    }
+    std::erase_if(idle, [](const auto& entry) { return entry.second.empty(); });
   }
 };
 
@@ -196,7 +235,8 @@
 
 }  // namespace
 
-http_client::http_client() : impl_(std::make_shared<impl>()) {}
+http_client::http_client(std::chrono::milliseconds max_idle_time)
+    : impl_(std::make_shared<impl>(max_idle_time)) {}
 http_client::~http_client() = default;
 
 void http_client::close_idle(std::string_view address) {
@@ -216,6 +256,7 @@
   auto executor = co_await asio::this_coro::executor;
   auto out = convert(request, server);
   auto until = std::chrono::steady_clock::now() + limits.timeout;
+  self->close_unusable();
   auto reused = self->take_idle(server);
   bool may_have_run = false;
   if (reused != nullptr) {
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -42,10 +42,14 @@
 
 /// An HTTP/1.1 client with a pool of persistent connections. A connection is
 /// reused only after a complete response and only if no unsolicited byte has
-/// arrived on it.
+/// arrived on it. Later exchanges with any server close the idle connections
+/// that their servers have closed or that have been idle for too long.
 class http_client {
  public:
-  http_client();
+  static constexpr std::chrono::seconds default_max_idle_time{30};
+
+  explicit http_client(
+      std::chrono::milliseconds max_idle_time = default_max_idle_time);
   http_client(const http_client&) = delete;
   auto operator=(const http_client&) -> http_client& = delete;
   ~http_client();
