Count no crash of a worker that had fallen silent

Cause: a worker that came back as a new incarnation within 3 s of a start made its tasks suspects, whatever the leader had seen of it before. Two such crashes count as proof.

The client tells a connection that the server refused or closed from one that times out. A crash counts only if the first poll without a response was refused or closed, as it is when a process crashes; a worker that falls silent is cut off and may crash for any reason. Its tasks stay suspects: they start apart from other jobs.

The simulated workers of the tests close their connections as they crash, and refuse requests until they restart, unless they were cut off before.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -35,6 +35,14 @@
 using connection_ptr = std::shared_ptr<connection>;
 using steady_time = std::chrono::steady_clock::time_point;
 
+/// Whether an error shows that the server refused or closed the connection.
+auto is_closed(const beast::error_code& ec) -> bool {
+  return ec == asio::error::connection_refused ||
+         ec == asio::error::connection_reset ||
+         ec == asio::error::broken_pipe || ec == asio::error::eof ||
+         ec == http::error::end_of_stream || ec == http::error::partial_message;
+}
+
 /// Whether the server neither closed the connection nor sent unsolicited bytes.
 auto is_reusable(connection& c) -> bool {
   if (c.buffer.size() != 0) return false;
@@ -184,10 +192,11 @@
   auto written = co_await http::async_write(c->socket, request, token);
   if (ec) {
     if (written == 0 && !deadline.expired()) {
-      out.result = exchange_not_sent{"write failed: " + ec.message()};
+      out.result =
+          exchange_not_sent{"write failed: " + ec.message(), is_closed(ec)};
     } else {
       out.result = exchange_incomplete{"write failed: " + ec.message(),
-                                       deadline.expired()};
+                                       deadline.expired(), is_closed(ec)};
     }
     out.stale = true;
     co_return out;
@@ -201,7 +210,7 @@
     out.result = exchange_incomplete{
         deadline.expired() ? "no complete response before the deadline"
                            : "incomplete response: " + ec.message(),
-        deadline.expired()};
+        deadline.expired(), is_closed(ec)};
     co_return out;
   }
   bool framed = parser.chunked() || parser.content_length().has_value() ||
@@ -228,9 +237,11 @@
 
 /// The result of an attempt that sent nothing. An earlier attempt of the same
 /// exchange may have sent the request.
-auto failed_attempt(std::string reason, bool may_have_run) -> exchange_result {
-  if (may_have_run) return exchange_incomplete{std::move(reason), false};
-  return exchange_not_sent{std::move(reason)};
+auto failed_attempt(std::string reason, bool may_have_run, bool closed)
+    -> exchange_result {
+  if (may_have_run)
+    return exchange_incomplete{std::move(reason), false, closed};
+  return exchange_not_sent{std::move(reason), closed};
 }
 
 }  // namespace
@@ -278,11 +289,11 @@
     auto ec = co_await connect(fresh, server);
     if (ec) {
       auto reason = "connect to " + server + " failed: " + ec.message();
-      co_return failed_attempt(std::move(reason), may_have_run);
+      co_return failed_attempt(std::move(reason), may_have_run, is_closed(ec));
     }
     if (deadline.expired()) {
       auto reason = "connect to " + server + " timed out";
-      co_return failed_attempt(std::move(reason), may_have_run);
+      co_return failed_attempt(std::move(reason), may_have_run, false);
     }
   }
   deadline_guard deadline(executor, fresh, until);
@@ -290,7 +301,7 @@
   if (done.reusable) self->put_idle(server, fresh, limits.idle_connections);
   const auto* not_sent = std::get_if<exchange_not_sent>(&done.result);
   if (not_sent != nullptr) {
-    co_return failed_attempt(not_sent->reason, may_have_run);
+    co_return failed_attempt(not_sent->reason, may_have_run, not_sent->closed);
   }
   co_return std::move(done.result);
 }
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -19,6 +19,7 @@
 /// The request did not run: no byte of it can have reached the server.
 struct exchange_not_sent {
   std::string reason;
+  bool closed = false;  // the server refused or closed the connection
 };
 
 /// Bytes were sent but no complete response arrived: it is unknown whether the
@@ -26,6 +27,7 @@
 struct exchange_incomplete {
   std::string reason;
   bool timed_out = false;
+  bool closed = false;  // the server refused or closed the connection
 };
 
 using exchange_result =
--- a/src/core/fleet/command.h
+++ b/src/core/fleet/command.h
@@ -89,7 +89,7 @@
 
 /// What is known about the start of a run.
 enum class start_evidence {
-  none,      // placed only; the start may never have been sent
+  none,      // none that counts: placed only, or its worker fell silent
   sent,      // sent, and not rejected
   confirmed  // confirmed by the worker
 };
--- a/src/core/fleet/dispatch_health.cpp
+++ b/src/core/fleet/dispatch_health.cpp
@@ -18,7 +18,10 @@
 // trips.
 constexpr milliseconds checkpoint_stop_time{600};
 
+// A worker that falls silent is cut off, and may crash behind the cut for any
+// reason. A crashed process closes its connections.
 auto evidence_of(const tracked_run& run) -> start_evidence {
+  if (run.contact == worker_contact::silent) return start_evidence::none;
   if (run.started_at != time_point{}) return start_evidence::confirmed;
   bool was_sent = run.start_sent || run.phase == run_phase::starting;
   return was_sent ? start_evidence::sent : start_evidence::none;
--- a/src/core/fleet/dispatch_responses.cpp
+++ b/src/core/fleet/dispatch_responses.cpp
@@ -148,6 +148,7 @@
   std::vector<task_ref> stalled;
   for (auto* tracked : worker.runs) {
     auto& run = *tracked;
+    run.contact = worker_contact::kept;
     const auto& ref = run.task;
     auto it = running.find(ref);
     if (it != running.end() && it->second->run == run.run) {
@@ -412,6 +413,13 @@
                         const worker_no_response& response, clock_reading now) {
   auto& worker = workers_[pending.worker.name];
   ++worker.missed_responses;
+  if (std::holds_alternative<poll_request>(pending.request)) {
+    for (auto* run : worker.runs) {
+      if (run->contact != worker_contact::kept) continue;
+      run->contact =
+          response.closed ? worker_contact::closed : worker_contact::silent;
+    }
+  }
   worker.next_poll = now.steady + (worker.runs.empty() ? idle_probe_delay
                                                        : unhealthy_retry_delay);
   auto* run = find_requested_run(pending.request);
--- a/src/core/fleet/tracked_run.h
+++ b/src/core/fleet/tracked_run.h
@@ -20,6 +20,13 @@
   unconfirmed  // stop rejected as stale: its end may be listed
 };
 
+/// How the worker of a run was last in touch.
+enum class worker_contact {
+  kept,    // it responded to the last poll, or was not polled yet
+  closed,  // its host refused or closed the connection of a poll
+  silent   // a poll got no response, and no connection was closed before
+};
+
 /// The leader's view of one run that is assigned to a worker.
 struct tracked_run {
   task_ref task;
@@ -37,6 +44,7 @@
   bool speed_measured = false;
   time_point started_at;        // when its start was confirmed or first listed
   bool outlived_start = false;  // its worker did not crash as it started
+  worker_contact contact = worker_contact::kept;
   bool start_unconfirmed =
       false;                // a start without a response may still take effect
   bool start_sent = false;  // confirmed, or sent without a response
--- a/src/core/fleet/worker_request.h
+++ b/src/core/fleet/worker_request.h
@@ -99,7 +99,8 @@
 /// No response came in time. The request may have been carried out, or may
 /// still be.
 struct worker_no_response {
-  bool sent = true;  // false if nothing can have reached the worker
+  bool sent = true;     // false if nothing can have reached the worker
+  bool closed = false;  // its host refused or closed the connection
 };
 
 using worker_response =
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -142,6 +142,7 @@
   CPPUNIT_TEST(crashes_count_across_leaders_and_snapshots);
   CPPUNIT_TEST(a_crash_before_a_confirmed_start_proves_nothing);
   CPPUNIT_TEST(crashes_of_workers_that_were_sent_no_start_do_not_count);
+  CPPUNIT_TEST(crashes_behind_cuts_do_not_count);
   CPPUNIT_TEST(unhealthy_workers_get_no_placement_for_a_while);
   CPPUNIT_TEST(a_report_from_before_maintenance_does_not_end_it);
   CPPUNIT_TEST(a_new_leader_keeps_work_off_a_machine_under_maintenance);
@@ -1216,6 +1217,27 @@
     assert_clean(site);
   }
 
+  // Guards against a job that fails because its workers were cut off and
+  // crashed behind the cut.
+  void crashes_behind_cuts_do_not_count() {
+    fleet_site site(6);
+    site.task_duration = seconds(6);
+    auto id = site.submit("q1", make_step(1, 6));
+    for (int i = 0; i < 4; ++i) {
+      site.run_for(milliseconds(700));
+      auto host = std::ranges::find_if(
+          site.workers, [](const auto& w) { return !w.running.empty(); });
+      CPPUNIT_ASSERT(host != site.workers.end());
+      host->unreachable = true;
+      site.crash_worker(static_cast<int>(host - site.workers.begin()),
+                        seconds(3));
+      site.run_for(seconds(4));
+    }
+    site.run_for(seconds(15));
+    assert_state(job_state::complete, site, id);
+    assert_clean(site);
+  }
+
   // Guards against placements that follow each other at the rate of the
   // network while every worker rejects the start as unhealthy.
   void unhealthy_workers_get_no_placement_for_a_while() {
--- a/test/fakes/fleet_site.cpp
+++ b/test/fakes/fleet_site.cpp
@@ -240,7 +240,7 @@
   machine_responses_.clear();
   polls_.clear();
   late_responses_.clear();
-  timeouts_.clear();
+  failures_.clear();
   delayed_commands_.clear();
   dispatcher_.begin_leadership(fence_, state_.tables(), clock());
   report_all();
@@ -266,14 +266,15 @@
   w.ended.clear();
   w.next_end = 1;
   w.fence = 0;
-  w.unreachable = false;
+  w.refuses = !w.unreachable;
+  close_connections(w);
+  w.unreachable = w.refuses = false;
   w.record.draining = false;
   w.former_capacities.clear();
   w.largest_capacity = w.record.capacity;
   w.restarts_at = {};
   w.clock_start = now_;
   w.lease_end = 0;
-  close_connections(w);
   report_all();
 }
 
@@ -283,7 +284,7 @@
   const auto& name = worker.record.incarnation.name;
   for (auto& pending : std::exchange(polls_, {})) {
     if (pending.worker == name) {
-      timeouts_.emplace_back(pending.id, now_);
+      fail(worker, pending.id, pending.until);
     } else {
       polls_.push_back(std::move(pending));
     }
@@ -293,6 +294,13 @@
   });
 }
 
+// A crashed worker that can be reached closes its connections at once.
+void fleet_site::fail(const fake_worker& worker, std::uint64_t request,
+                      time_point deadline) {
+  failures_.push_back(
+      {request, worker.refuses ? now_ : deadline, worker.refuses});
+}
+
 void fleet_site::crash_worker(int worker, milliseconds down,
                               milliseconds unreported) {
   auto& w = workers[static_cast<std::size_t>(worker)];
@@ -302,6 +310,7 @@
   }
   count_ended_worker(w);
   w.running.clear();
+  w.refuses = !w.unreachable;
   w.unreachable = true;
   w.restarts_at = now_ + down;
   w.silent_until = w.restarts_at + unreported;
@@ -457,7 +466,7 @@
         return e.sequence > pending.request.acknowledged;
       });
       if (w.unreachable) {
-        timeouts_.emplace_back(pending.id, pending.until);
+        fail(w, pending.id, pending.until);
       } else if (has_new_end || now_ >= pending.until) {
         late_responses_.push_back(
             {pending.id, poll(w, pending.request),
@@ -474,12 +483,11 @@
         deliver(late.id, late.response);
       }
     }
-    auto timeouts = std::exchange(timeouts_, {});
-    for (auto& [id, at] : timeouts) {
-      if (now_ < at) {
-        timeouts_.emplace_back(id, at);
+    for (const auto& failure : std::exchange(failures_, {})) {
+      if (now_ < failure.at) {
+        failures_.push_back(failure);
       } else {
-        deliver(id, fleet::worker_no_response{});
+        deliver(failure.id, fleet::worker_no_response{true, failure.closed});
       }
     }
     advance_machine_requests();
@@ -685,7 +693,7 @@
     violations.insert("start sent to a draining worker");
   }
   if (w.unreachable) {
-    timeouts_.emplace_back(request.id, now_ + request.timeout);
+    fail(w, request.id, now_ + request.timeout);
     return;
   }
   if (w.is_unavailable) {
@@ -694,7 +702,7 @@
   }
   if (w.late_by.count() > 0) {
     late_requests_.push_back({request, now_, now_ + w.late_by});
-    timeouts_.emplace_back(request.id, now_ + request.timeout);
+    fail(w, request.id, now_ + request.timeout);
     return;
   }
   const auto* long_poll = std::get_if<fleet::poll_request>(&request.request);
@@ -711,7 +719,7 @@
       w.drops_throttle_responses &&
       std::holds_alternative<fleet::throttle_request>(request.request);
   if (w.drops_responses || w.unreachable || is_lost) {
-    timeouts_.emplace_back(request.id, now_ + request.timeout);
+    fail(w, request.id, now_ + request.timeout);
     return;
   }
   deliver(request.id, response);
--- a/test/fakes/fleet_site.h
+++ b/test/fakes/fleet_site.h
@@ -51,6 +51,7 @@
   milliseconds late_by{0};     // requests are carried out late; 0: never
   milliseconds poll_delay{0};  // responses to polls are held up
   time_point restarts_at;      // end of a crash; unset: it has not crashed
+  bool refuses = false;        // it crashed while it could be reached
   time_point silent_until;     // it sends no reports until then
   time_point disturbed_at;     // by one of the faults above, at the latest
   time_point drain_known_at;   // when its drain was recorded
@@ -208,6 +209,8 @@
  private:
   void report_all();
   void close_connections(const fake_worker& worker);
+  void fail(const fake_worker& worker, std::uint64_t request,
+            time_point deadline);
   void count_ended_worker(fake_worker& worker);
   void restart_crashed();
   void deliver(std::uint64_t id, const fleet::worker_response& response);
@@ -296,6 +299,13 @@
     time_point at;
   };
 
+  /// A request that gets no response.
+  struct failed_request {
+    std::uint64_t id = 0;
+    time_point at;
+    bool closed = false;  // the worker's host closes the connection
+  };
+
   time_point now_ = at_ms(1'000'000);
   fleet::fleet_state state_;
   fleet::dispatcher dispatcher_;
@@ -313,7 +323,7 @@
   std::vector<pending_machine_response> machine_responses_;
   std::uint64_t leaderships_ = 0;
   std::uint32_t max_concurrent_ = 0;
-  std::vector<std::pair<std::uint64_t, time_point>> timeouts_;
+  std::vector<failed_request> failures_;
   std::vector<std::pair<fleet::command, std::uint64_t>> delayed_commands_;
   std::set<fleet::task_ref> acknowledged_done_;
   std::map<fleet::task_ref, time_point> last_started_;
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 #include <chrono>
 #include <filesystem>
+#include <future>
 #include <iterator>
 #include <string>
 #include <thread>
@@ -55,6 +56,7 @@
   CPPUNIT_TEST(a_client_may_retain_no_connection);
   CPPUNIT_TEST(idle_connections_close_with_their_server);
   CPPUNIT_TEST(connections_that_are_idle_for_too_long_are_closed);
+  CPPUNIT_TEST(a_closed_connection_differs_from_silence);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -111,19 +113,60 @@
                            }));
   }
 
+  // Guards against a job that fails because its worker was cut off: only a
+  // crashed process closes its connections.
+  void a_closed_connection_differs_from_silence() {
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context,
+                                     {asio::ip::address_v4::loopback(), 0});
+    auto address =
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    http_client client;
+    exchange_limits limits;
+    limits.timeout = milliseconds(300);
+    auto unanswered = exchange(client, address, limits);
+    const auto* silent = std::get_if<exchange_incomplete>(&unanswered);
+    CPPUNIT_ASSERT(silent != nullptr && silent->timed_out && !silent->closed);
+
+    acceptor.accept();  // of the call before
+    auto closing = start_exchange(client, address, {});
+    auto accepted = acceptor.accept();
+    char first = 0;
+    asio::read(accepted, asio::buffer(&first, 1));
+    accepted.close();
+    auto ended = closing.get();
+    const auto* closed = std::get_if<exchange_incomplete>(&ended);
+    CPPUNIT_ASSERT(closed != nullptr && !closed->timed_out && closed->closed);
+
+    acceptor.close();
+    auto refused = exchange(client, address, {});
+    const auto* not_sent = std::get_if<exchange_not_sent>(&refused);
+    CPPUNIT_ASSERT(not_sent != nullptr && not_sent->closed);
+  }
+
  private:
   void call(http_client& client, std::string_view address,
             exchange_limits limits = {}) {
-    http_request get{"GET", "/", {}, {}};
-    auto result = asio::co_spawn(
+    CPPUNIT_ASSERT(std::holds_alternative<exchange_completed>(
+        exchange(client, address, limits)));
+  }
+
+  auto exchange(http_client& client, std::string_view address,
+                exchange_limits limits) -> exchange_result {
+    return start_exchange(client, address, limits).get();
+  }
+
+  auto start_exchange(http_client& client, std::string_view address,
+                      exchange_limits limits) -> std::future<exchange_result> {
+    return asio::co_spawn(
         callers_,
-        [&]() -> asio::awaitable<exchange_result> {
-          co_return co_await client.exchange(address, get, limits);
+        [this, &client, address, limits]() -> asio::awaitable<exchange_result> {
+          co_return co_await client.exchange(address, request_, limits);
         },
         asio::use_future);
-    CPPUNIT_ASSERT(std::holds_alternative<exchange_completed>(result.get()));
   }
 
+  http_request request_{"GET", "/", {}, {}};
   asio::thread_pool callers_{1};
 };
 
