--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -128,12 +128,13 @@
     next_sweep =
         now + std::min<steady_time::duration>(sweep_interval, max_idle_time);
     for (auto& [address, connections] : idle) {
-      auto removed = std::ranges::stable_partition(
-          connections, [&](const idle_connection& held) {
+      auto removed = std::stable_partition(
+          connections.begin(), connections.end(),
+          [&](const idle_connection& held) {
             return now - held.since <= max_idle_time && is_reusable(*held.link);
           });
-      std::ranges::move(removed, std::back_inserter(unusable));
-      connections.erase(removed.begin(), removed.end());
+      std::move(removed, connections.end(), std::back_inserter(unusable));
+      connections.erase(removed, connections.end());
     }
     std::erase_if(idle, [](const auto& entry) { return entry.second.empty(); });
   }
