--- a/test/fakes/process_site.cpp
+++ b/test/fakes/process_site.cpp
@@ -337,8 +337,12 @@
 void process_site::signal(std::string_view name, int signal_number) {
   auto pid = pids_.find(name)->second;
   ::kill(pid, signal_number);
-  // A process on another processor runs on for a moment.
-  if (signal_number == SIGSTOP) ::waitpid(pid, nullptr, WUNTRACED);
+  if (signal_number != SIGSTOP) return;
+  // A process on another processor runs on for a moment. WNOWAIT, as a process
+  // may be stopped again before it has continued.
+  siginfo_t stopped{};
+  ::waitid(P_PID, static_cast<id_t>(pid), &stopped,
+           WSTOPPED | WEXITED | WNOWAIT);
 }
 
 void process_site::kill(std::string_view name) {
