--- a/src/core/fleet/tracked_run.h
+++ b/src/core/fleet/tracked_run.h
@@ -20,11 +20,11 @@
   unconfirmed  // stop rejected as stale: its end may be listed
 };
 
-/// How the worker of a run was last in touch.
+/// The first failure of a poll since the worker of a run last responded to one.
 enum class worker_contact {
-  kept,    // it responded to the last poll, or was not polled yet
-  closed,  // its host refused or closed the connection of a poll
-  silent   // a poll got no response, and no connection was closed before
+  kept,    // none: it responded to the last poll, or was not polled yet
+  closed,  // its host refused or closed the connection
+  silent   // any other failure, such as a time-out
 };
 
 /// The leader's view of one run that is assigned to a worker.
